Add the design, the build, and the interfaces between modules

Cause: the modules are written in parallel, so their contract comes first. Ruled out: one header per module with concrete classes only. Before: an empty tree.

--- /dev/null
+++ b/programs/shallotwoodd.cpp
@@ -0,0 +1,7 @@
+#include <iostream>
+
+int main()
+{
+    std::cout << "shallotwoodd " << SHALLOTWOOD_VERSION << '\n';
+    return 0;
+}
--- /dev/null
+++ b/src/process/object_store.hpp
@@ -0,0 +1,80 @@
+// The platform's object API as the decision modules see it.
+//
+// All calls return at once; the callback runs later on the loop, exactly once
+// (a watch: until cancelled).
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace shallotwood::process
+{
+
+// Largest value the platform takes, in bytes.
+constexpr std::size_t max_object_bytes = 1'000'000;
+
+struct stored_object {
+    std::string name;
+    // Counts the updates of this object from 1.
+    std::uint64_t version = 0;
+    std::string value;
+
+    friend bool operator==(const stored_object& a, const stored_object& b)
+    {
+        return std::tie(a.name, a.version, a.value) ==
+               std::tie(b.name, b.version, b.value);
+    }
+};
+
+enum class store_error {
+    not_found,
+    // The expected version is not the current one; nothing was written.
+    conflict,
+    // The platform refused the call because of its rate limits; not executed.
+    rate_limited,
+    // The platform could not be reached; not executed.
+    unavailable,
+    // No answer came; a write may have taken effect. Resolve by reading.
+    unknown_outcome,
+};
+
+using get_result = std::variant<stored_object, store_error>;
+// The new version, or why it was not written.
+using put_result = std::variant<std::uint64_t, store_error>;
+using list_result = std::variant<std::vector<stored_object>, store_error>;
+
+// Identifies a running watch; 0 is never used.
+enum class watch_id : std::uint64_t {};
+
+class object_store
+{
+public:
+    virtual ~object_store() = default;
+
+    virtual void get(const std::string& name,
+                     std::function<void(get_result)> done) = 0;
+
+    // Writes if the current version is `expected_version`; 0 means that the
+    // object must not exist yet.
+    virtual void put(const std::string& name, const std::string& value,
+                     std::uint64_t expected_version,
+                     std::function<void(put_result)> done) = 0;
+
+    // All objects whose names start with `prefix`, in order of name.
+    virtual void list(const std::string& prefix,
+                      std::function<void(list_result)> done) = 0;
+
+    // Calls `on_change` with each newer version of the object, beginning with
+    // the current one if it is above `after_version`. Versions may be skipped,
+    // never repeated. Reports errors and goes on by itself.
+    virtual watch_id watch(const std::string& name, std::uint64_t after_version,
+                           std::function<void(get_result)> on_change) = 0;
+
+    virtual void cancel(watch_id id) = 0;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/tests/support/fake_object_store.cpp
@@ -0,0 +1,111 @@
+#include "support/fake_object_store.hpp"
+
+namespace shallotwood::test
+{
+
+using process::store_error;
+
+void fake_object_store::get(const std::string& name,
+                            std::function<void(process::get_result)> done)
+{
+    timers_.call_after(delay, [this, name, done = std::move(done)] {
+        ++reads;
+        auto it = objects_.find(name);
+        if (down)
+            done(store_error::unavailable);
+        else if (it == objects_.end())
+            done(store_error::not_found);
+        else
+            done(it->second);
+    });
+}
+
+void fake_object_store::put(const std::string& name, const std::string& value,
+                            std::uint64_t expected_version,
+                            std::function<void(process::put_result)> done)
+{
+    timers_.call_after(
+        delay, [this, name, value, expected_version, done = std::move(done)] {
+            ++writes;
+            done(down ? store_error::unavailable
+                      : write(name, value, expected_version));
+        });
+}
+
+process::put_result fake_object_store::write(const std::string& name,
+                                             const std::string& value,
+                                             std::uint64_t expected_version)
+{
+    auto it = objects_.find(name);
+    auto current = it == objects_.end() ? 0 : it->second.version;
+    if (current != expected_version)
+        return store_error::conflict;
+    objects_[name] = {name, current + 1, value};
+    for (const auto& [id, it_watcher] : watchers_) {
+        if (it_watcher.name == name)
+            timers_.call_after(delay, [this, id = id] { notify(id); });
+    }
+    if (answers_to_lose > 0) {
+        --answers_to_lose;
+        return store_error::unknown_outcome;
+    }
+    return current + 1;
+}
+
+void fake_object_store::list(const std::string& prefix,
+                             std::function<void(process::list_result)> done)
+{
+    timers_.call_after(delay, [this, prefix, done = std::move(done)] {
+        ++reads;
+        if (down) {
+            done(store_error::unavailable);
+            return;
+        }
+        std::vector<process::stored_object> found;
+        for (auto it = objects_.lower_bound(prefix); it != objects_.end();
+             ++it) {
+            if (it->first.compare(0, prefix.size(), prefix) != 0)
+                break;
+            found.push_back(it->second);
+        }
+        done(std::move(found));
+    });
+}
+
+process::watch_id
+fake_object_store::watch(const std::string& name, std::uint64_t after_version,
+                         std::function<void(process::get_result)> on_change)
+{
+    auto id = ++last_watch_;
+    watchers_[id] = {name, after_version, std::move(on_change)};
+    timers_.call_after(delay, [this, id] { notify(id); });
+    return process::watch_id{id};
+}
+
+void fake_object_store::cancel(process::watch_id id)
+{
+    watchers_.erase(static_cast<std::uint64_t>(id));
+}
+
+void fake_object_store::notify(std::uint64_t id)
+{
+    auto it = watchers_.find(id);
+    if (it == watchers_.end())
+        return;
+    if (down) {
+        // A watch goes on by itself once the platform answers again.
+        timers_.call_after(std::chrono::seconds(1), [this, id] { notify(id); });
+        return;
+    }
+    auto object = objects_.find(it->second.name);
+    if (object == objects_.end() ||
+        object->second.version <= it->second.seen_version)
+        return;
+    it->second.seen_version = object->second.version;
+    ++reads;
+    // The callback may cancel the watch.
+    auto on_change = it->second.on_change;
+    on_change(object->second);
+}
+
+} // namespace shallotwood::test
--- /dev/null
+++ b/tests/support/fake_object_store.hpp
@@ -0,0 +1,57 @@
+// The platform's object API in memory, with outages, delays and answers lost
+// after the write took effect.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/object_store.hpp"
+
+#include <map>
+
+namespace shallotwood::test
+{
+
+class fake_object_store final : public process::object_store
+{
+public:
+    explicit fake_object_store(process::scheduler& timers) : timers_(timers) {}
+
+    void get(const std::string& name,
+             std::function<void(process::get_result)> done) override;
+    void put(const std::string& name, const std::string& value,
+             std::uint64_t expected_version,
+             std::function<void(process::put_result)> done) override;
+    void list(const std::string& prefix,
+              std::function<void(process::list_result)> done) override;
+    process::watch_id
+    watch(const std::string& name, std::uint64_t after_version,
+          std::function<void(process::get_result)> on_change) override;
+    void cancel(process::watch_id id) override;
+
+    // While true, every call ends as `unavailable` and watches are quiet.
+    bool down = false;
+    // The next writes take effect and answer `unknown_outcome`.
+    int answers_to_lose = 0;
+    process::duration delay{std::chrono::milliseconds(2)};
+
+    // Totals of calls that arrived.
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+
+private:
+    struct watcher {
+        std::string name;
+        std::uint64_t seen_version;
+        std::function<void(process::get_result)> on_change;
+    };
+
+    process::put_result write(const std::string& name, const std::string& value,
+                              std::uint64_t expected_version);
+    void notify(std::uint64_t id);
+
+    process::scheduler& timers_;
+    std::map<std::string, process::stored_object> objects_;
+    std::uint64_t last_watch_ = 0;
+    std::map<std::uint64_t, watcher> watchers_;
+};
+
+} // namespace shallotwood::test
