Separate the control port from the port for calls between nodes

Cause: large control messages go over TCP, whose port number HTTP already has. Ruled out: control messages inside HTTP; about 200 bytes of headers a message count against the 8 KB/s budget. Before: one port in a member. Conclusion: a member names both.

--- a/src/process/member.hpp
+++ b/src/process/member.hpp
@@ -22,7 +22,10 @@
     std::uint64_t incarnation = 0;
     // Empty while no backend server has announced itself.
     std::string service;
+    // Where the node takes control messages.
     peer_address peer;
+    // Where the node takes calls from other nodes, at the same IP number.
+    std::uint16_t http_port = 0;
     int slots = 0;
     std::string failure_domain;
     std::string region;
@@ -30,7 +33,7 @@
 
     auto fields() const
     {
-        return std::tie(instance, incarnation, service, peer, slots,
+        return std::tie(instance, incarnation, service, peer, http_port, slots,
                         failure_domain, region, state);
     }
     friend bool operator==(const member& a, const member& b)
