Add the settings of a node, read from TOML

Cause: the node, the member protocol and the store of records need typed, validated settings, and an operator needs every fault of a file in one report.

One table of fields (name, member, unit, range, content, description) drives parsing, validation and docs/settings.md. toml++ stops at the first syntax error or duplicate, so a faulty line is blanked, a duplicate renamed, and the text parsed again, at most 20 times. Ruled out: an own TOML scanner (toml++ is packaged and maintained), and stopping at the first fault.

--- /dev/null
+++ b/src/process/settings.cpp
@@ -0,0 +1,557 @@
+// Two stages: toml++ parses the text, then each field of the table is read from
+// the result. toml++ stops at the first fault, so that a line with a syntax
+// error is blanked, a duplicate field renamed, and the text is parsed again, at
+// most max_repairs times.
+#include "process/settings.hpp"
+
+#include "process/address.hpp"
+#include "process/log.hpp"
+#include "process/name.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr int max_repairs = 20;
+
+// Bounds of the length of a fleet secret, in bytes. The lower one is the size
+// of the key of the keyed hash.
+constexpr double min_secret_bytes = 32;
+constexpr double max_secret_bytes = 128;
+
+constexpr double max_path_bytes = 4096;
+constexpr double max_seeds = 64;
+
+using log_level_type = boost::log::trivial::severity_level;
+
+enum class presence { required, optional };
+
+// What a text or address field must contain.
+enum class form { any, name, reachable_address, loopback_address };
+
+using target = std::variant<std::string settings::*, peer_address settings::*,
+                            std::vector<peer_address> settings::*,
+                            std::int64_t settings::*, duration settings::*,
+                            log_level_type settings::*>;
+
+struct field_spec {
+    std::string_view name;
+    target member;
+    presence needed;
+    std::string_view unit;
+    // Of a number or duration in its unit, of the length of a text in bytes,
+    // or of the number of entries of a list.
+    double min;
+    double max;
+    form content;
+    std::string_view description;
+};
+
+const std::vector<field_spec>& field_table()
+{
+    constexpr auto required = presence::required;
+    constexpr auto optional = presence::optional;
+    constexpr double name_max = max_name_bytes;
+    static const std::vector<field_spec> table{
+        {"instance", &settings::instance, required, "name", 1, name_max,
+         form::name, "Name of this node, unique in the fleet."},
+        {"failure_domain", &settings::failure_domain, required, "name", 1,
+         name_max, form::name, "Failure domain that this node runs in."},
+        {"region", &settings::region, required, "name", 1, name_max, form::name,
+         "Region of the failure domain."},
+        {"caller_address", &settings::caller_address, required, "IP:PORT", 0, 0,
+         form::any, "HTTP address for callers."},
+        {"peer_address", &settings::peer_address, required, "IP:PORT", 0, 0,
+         form::reachable_address,
+         "HTTP and UDP address for other nodes, which connect to it."},
+        {"local_address", &settings::local_address, required, "IP:PORT", 0, 0,
+         form::loopback_address,
+         "HTTP address for the backend server beside this node and for the "
+         "operator; on the loopback interface."},
+        {"platform_address", &settings::platform_address, required, "IP:PORT",
+         0, 0, form::reachable_address,
+         "HTTP address of the platform's object API."},
+        {"seeds", &settings::seeds, optional, "list of IP:PORT", 0, max_seeds,
+         form::reachable_address,
+         "Peer addresses of nodes to join at the start, besides those that the "
+         "platform names."},
+        {"fleet_secret_file", &settings::fleet_secret_file, optional, "path", 1,
+         max_path_bytes, form::any,
+         "File with the secret shared by all nodes. Exactly one of "
+         "`fleet_secret_file` and `fleet_secret` must be set."},
+        {"fleet_secret", &settings::fleet_secret, optional, "text",
+         min_secret_bytes, max_secret_bytes, form::any,
+         "The secret itself; for tests, as the settings file is rarely kept "
+         "secret."},
+        {"log_level", &settings::log_level, optional, "level", 0, 0, form::any,
+         "Least severe level that is logged: trace, debug, info, warning, "
+         "error or fatal."},
+        {"isolation_limit", &settings::isolation_limit, optional, "s", 1, 3600,
+         form::any,
+         "Time without the platform and without any peer after which requests "
+         "that need a key are refused."},
+        {"drain_limit", &settings::drain_limit, optional, "s", 0.1, 3600,
+         form::any,
+         "Time that requests in flight get to finish at a shutdown."},
+        {"shards", &settings::shards, optional, "shards", 1, 4096, form::any,
+         "Number of shards that ownership is distributed over; the same on all "
+         "nodes."},
+        {"record_window", &settings::record_window, optional, "s", 1, 604800,
+         form::any,
+         "Time that the record of a non-repeatable request is kept; it must "
+         "outlive every repeat of the request."},
+        {"record_count_limit", &settings::record_count_limit, optional,
+         "records", 1, 10'000'000, form::any,
+         "Most records that this node keeps; at the limit new claims are "
+         "refused."},
+        {"record_bytes_limit", &settings::record_bytes_limit, optional, "bytes",
+         65536, 1e11, form::any,
+         "Most bytes that the records on this node take."},
+        {"retry_allowance", &settings::retry_allowance, optional, "retries", 0,
+         10, form::any, "Retries that a request may spend in its call tree."},
+        {"queue_count_limit", &settings::queue_count_limit, optional,
+         "requests", 1, 1'000'000, form::any,
+         "Most requests that wait for a slot of the backend server."},
+        {"queue_time_limit", &settings::queue_time_limit, optional, "s", 0.001,
+         60, form::any, "Longest time that a request waits for a slot."},
+        {"token_grant_validity", &settings::token_grant_validity, optional, "s",
+         0.1, 60, form::any,
+         "Time from asking after which tokens granted by the owner of a "
+         "workspace's rate are void; the same on all nodes."},
+    };
+    return table;
+}
+
+const field_spec* find_field(std::string_view name)
+{
+    const auto& table = field_table();
+    auto it = std::find_if(
+        table.begin(), table.end(),
+        [name](const field_spec& field) { return field.name == name; });
+    return it == table.end() ? nullptr : &*it;
+}
+
+std::string number_text(double number)
+{
+    std::ostringstream out;
+    out.precision(15);
+    out << number;
+    return out.str();
+}
+
+std::string range_text(const field_spec& field)
+{
+    return number_text(field.min) + " to " + number_text(field.max);
+}
+
+// Empty if the value was stored; otherwise what is wrong with it.
+using complaint = std::string;
+
+class value_reader
+{
+public:
+    value_reader(const field_spec& field, const toml::node& value, settings& to)
+        : field_(field), value_(value), to_(to)
+    {
+    }
+
+    complaint operator()(std::string settings::*member) const
+    {
+        auto text = value_.value_exact<std::string>();
+        if (!text)
+            return "must be a text";
+        if (field_.content == form::name && !is_name(*text))
+            return "must be 1 to " + number_text(field_.max) +
+                   " letters, digits, '-', '_' or '.', beginning with a letter "
+                   "or digit";
+        if (!in_range(static_cast<double>(text->size())))
+            return "must have " + range_text(field_) + " bytes";
+        to_.*member = std::move(*text);
+        return {};
+    }
+
+    complaint operator()(peer_address settings::*member) const
+    {
+        return read_address(value_, to_.*member);
+    }
+
+    complaint operator()(std::vector<peer_address> settings::*member) const
+    {
+        const auto* list = value_.as_array();
+        if (!list)
+            return "must be a list of addresses";
+        if (!in_range(static_cast<double>(list->size())))
+            return "must have " + range_text(field_) + " entries";
+        std::vector<peer_address> found;
+        for (const auto& it : *list) {
+            peer_address address;
+            if (auto fault = read_address(it, address); !fault.empty())
+                return "each entry " + fault;
+            if (std::find(found.begin(), found.end(), address) != found.end())
+                return "names " + process::to_text(address) + " twice";
+            found.push_back(std::move(address));
+        }
+        to_.*member = std::move(found);
+        return {};
+    }
+
+    complaint operator()(std::int64_t settings::*member) const
+    {
+        auto number = value_.value_exact<std::int64_t>();
+        if (!number)
+            return "must be a whole number";
+        if (!in_range(static_cast<double>(*number)))
+            return out_of_range();
+        to_.*member = *number;
+        return {};
+    }
+
+    complaint operator()(duration settings::*member) const
+    {
+        if (!value_.is_number())
+            return "must be a number of seconds";
+        auto seconds = value_.value<double>().value_or(NAN);
+        if (!in_range(seconds))
+            return out_of_range();
+        to_.*member =
+            duration(static_cast<duration::rep>(std::llround(seconds * 1e6)));
+        return {};
+    }
+
+    complaint operator()(log_level_type settings::*member) const
+    {
+        auto text = value_.value_exact<std::string>();
+        if (!text || !parse_log_level(*text, to_.*member))
+            return "must be trace, debug, info, warning, error or fatal";
+        return {};
+    }
+
+private:
+    // False for NaN.
+    bool in_range(double number) const
+    {
+        return number >= field_.min && number <= field_.max;
+    }
+
+    complaint out_of_range() const
+    {
+        return "must be " + range_text(field_) + ' ' + std::string(field_.unit);
+    }
+
+    complaint read_address(const toml::node& value, peer_address& address) const
+    {
+        auto text = value.value_exact<std::string>();
+        auto parsed = text ? parse_address(*text) : std::nullopt;
+        if (!parsed)
+            return "must be \"IP:PORT\" with a port from 1 to 65535, not a "
+                   "host name";
+        if (field_.content == form::reachable_address &&
+            is_unspecified(*parsed))
+            return "must be an address that other processes can connect to";
+        if (field_.content == form::loopback_address && !is_loopback(*parsed))
+            return "must be an address of the loopback interface";
+        address = std::move(*parsed);
+        return {};
+    }
+
+    const field_spec& field_;
+    const toml::node& value_;
+    settings& to_;
+};
+
+class settings_parser
+{
+public:
+    explicit settings_parser(std::string_view text) { split(text); }
+
+    std::variant<settings, settings_faults> run()
+    {
+        auto table = parse_toml();
+        for (const auto& [key, value] : table)
+            read(key, value);
+        check_missing();
+        if (faults_.empty())
+            check_addresses();
+        if (faults_.empty())
+            return result_;
+        std::stable_sort(
+            faults_.begin(), faults_.end(),
+            [](const auto& a, const auto& b) { return a.line < b.line; });
+        if (faults_.size() > max_settings_faults)
+            faults_.resize(max_settings_faults);
+        return std::move(faults_);
+    }
+
+private:
+    void split(std::string_view text)
+    {
+        std::size_t start = 0;
+        while (start < text.size()) {
+            auto end = std::min(text.find('\n', start), text.size());
+            lines_.emplace_back(text.substr(start, end - start));
+            start = end + 1;
+        }
+    }
+
+    std::string joined() const
+    {
+        std::string text;
+        for (const auto& it : lines_)
+            text += it + '\n';
+        return text;
+    }
+
+    toml::table parse_toml()
+    {
+        for (int n = 0; n < max_repairs; ++n) {
+            try {
+                return toml::parse(joined());
+            } catch (const toml::parse_error& e) {
+                auto line = static_cast<int>(e.source().begin.line);
+                if (!repair(line, std::string(e.description())))
+                    break;
+            }
+        }
+        return {};
+    }
+
+    // Reports the fault and takes it out of the text; false if that failed.
+    bool repair(int line, const std::string& description)
+    {
+        auto last = static_cast<int>(lines_.size());
+        line = std::clamp(line, 1, std::max(last, 1));
+        if (lines_.empty() || lines_[line - 1].empty()) {
+            report(line, "", description);
+            return false;
+        }
+        auto& text = lines_[line - 1];
+        auto name = name_before_value(text);
+        seen_.insert(name);
+        bool duplicate =
+            find_field(name) &&
+            description.find("cannot redefine") != std::string::npos;
+        report(line, find_field(name) ? name : "",
+               duplicate ? "is set twice" : description);
+        // The value of a duplicate may go on over further lines, so only its
+        // name is changed.
+        if (duplicate)
+            text.insert(text.find(name), duplicate_prefix);
+        else
+            text.clear();
+        return true;
+    }
+
+    static std::string name_before_value(const std::string& line)
+    {
+        auto text = line.substr(0, line.find('='));
+        auto first = text.find_first_not_of(" \t");
+        if (first == std::string::npos)
+            return {};
+        return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+    }
+
+    void read(const toml::key& key, const toml::node& value)
+    {
+        std::string name(key.str());
+        auto line = static_cast<int>(key.source().begin.line);
+        if (name.compare(0, duplicate_prefix.size(), duplicate_prefix) == 0)
+            return;
+        const auto* field = find_field(name);
+        if (!field) {
+            report(line, name, "is not a known field");
+            return;
+        }
+        seen_.insert(name);
+        found_at_[name] = line;
+        auto fault =
+            std::visit(value_reader(*field, value, result_), field->member);
+        if (!fault.empty())
+            report(line, name, fault);
+    }
+
+    void check_missing()
+    {
+        auto last = static_cast<int>(lines_.size());
+        for (const auto& it : field_table()) {
+            if (it.needed == presence::required && !is_seen(it.name))
+                report(last, it.name, "is missing");
+        }
+        bool by_file = is_seen("fleet_secret_file");
+        bool by_value = is_seen("fleet_secret");
+        if (!by_file && !by_value)
+            report(last, "fleet_secret_file",
+                   "is missing, and fleet_secret too");
+        if (by_file && by_value)
+            report(std::max(found_at_["fleet_secret_file"],
+                            found_at_["fleet_secret"]),
+                   "fleet_secret",
+                   "is set twice, as fleet_secret_file is set too");
+    }
+
+    // Two listeners can't share an address and port.
+    void check_addresses()
+    {
+        std::map<peer_address, std::string_view> used;
+        for (const auto& [name, address] :
+             {std::pair("caller_address", &result_.caller_address),
+              std::pair("peer_address", &result_.peer_address),
+              std::pair("local_address", &result_.local_address)}) {
+            auto [it, added] = used.emplace(*address, name);
+            if (!added)
+                report(found_at_[name], name,
+                       "is the same as " + std::string(it->second));
+        }
+    }
+
+    bool is_seen(std::string_view name) const
+    {
+        return seen_.count(std::string(name)) != 0;
+    }
+
+    void report(int line, std::string_view field, std::string message)
+    {
+        faults_.push_back({line, std::string(field), std::move(message)});
+    }
+
+    // Not a possible start of a field's name.
+    inline static const std::string duplicate_prefix = "duplicate-";
+
+    std::vector<std::string> lines_;
+    settings result_;
+    settings_faults faults_;
+    // Fields that the text mentions, valid or not.
+    std::set<std::string> seen_;
+    std::map<std::string, int> found_at_;
+};
+
+// At most `max_bytes`, empty if the file can't be read or is larger.
+std::optional<std::string> read_file(const std::string& name,
+                                     std::size_t max_bytes)
+{
+    std::ifstream in(name, std::ios::binary);
+    std::string text(max_bytes + 1, '\0');
+    in.read(text.data(), static_cast<std::streamsize>(text.size()));
+    // A directory opens, but fails to read.
+    if (in.bad() || (!in.eof() && !in.good()) || in.gcount() < 0)
+        return std::nullopt;
+    text.resize(static_cast<std::size_t>(in.gcount()));
+    if (text.size() > max_bytes)
+        return std::nullopt;
+    return text;
+}
+
+std::string default_text(const field_spec& field)
+{
+    static const settings defaults;
+    struct writer {
+        std::string operator()(std::int64_t settings::*member) const
+        {
+            return std::to_string(defaults.*member);
+        }
+        std::string operator()(duration settings::*member) const
+        {
+            return number_text(static_cast<double>((defaults.*member).count()) /
+                               1e6);
+        }
+        std::string operator()(log_level_type settings::*member) const
+        {
+            return boost::log::trivial::to_string(defaults.*member);
+        }
+        std::string operator()(std::vector<peer_address> settings::*) const
+        {
+            return "none";
+        }
+        std::string operator()(std::string settings::*) const { return "–"; }
+        std::string operator()(peer_address settings::*) const { return "–"; }
+    };
+    if (field.needed == presence::required)
+        return "required";
+    return std::visit(writer{}, field.member);
+}
+
+} // namespace
+
+std::variant<settings, settings_faults> parse_settings(std::string_view text)
+{
+    if (text.size() > max_settings_bytes)
+        return settings_faults{{0, "", "the file is too large"}};
+    return settings_parser(text).run();
+}
+
+std::variant<settings, settings_faults>
+load_settings(const std::string& file_name)
+{
+    auto text = read_file(file_name, max_settings_bytes);
+    if (!text)
+        return settings_faults{{0, "",
+                                "can't be read, or is larger than " +
+                                    std::to_string(max_settings_bytes) +
+                                    " bytes"}};
+    return parse_settings(*text);
+}
+
+settings_faults check_settings(const std::string& file_name)
+{
+    auto result = load_settings(file_name);
+    if (auto* faults = std::get_if<settings_faults>(&result))
+        return std::move(*faults);
+    return {};
+}
+
+std::string to_text(const settings_fault& fault, std::string_view file_name)
+{
+    std::string text(file_name);
+    if (fault.line > 0)
+        text += ':' + std::to_string(fault.line);
+    text += ": ";
+    if (!fault.field.empty())
+        text += fault.field + ": ";
+    return text + fault.message;
+}
+
+std::variant<std::string, settings_fault>
+load_fleet_secret(const settings& from)
+{
+    if (from.fleet_secret_file.empty())
+        return from.fleet_secret;
+    constexpr auto max_bytes = static_cast<std::size_t>(max_secret_bytes);
+    auto secret = read_file(from.fleet_secret_file, max_bytes + 1);
+    if (!secret)
+        return settings_fault{0, "fleet_secret_file",
+                              "can't be read, or is too large"};
+    if (!secret->empty() && secret->back() == '\n')
+        secret->pop_back();
+    if (secret->size() < static_cast<std::size_t>(min_secret_bytes) ||
+        secret->size() > max_bytes)
+        return settings_fault{0, "fleet_secret_file",
+                              "must hold " + number_text(min_secret_bytes) +
+                                  " to " + number_text(max_secret_bytes) +
+                                  " bytes"};
+    return std::move(*secret);
+}
+
+std::string settings_reference()
+{
+    std::ostringstream out;
+    out << "| field | unit | range | default | meaning |\n"
+           "| --- | --- | --- | --- | --- |\n";
+    for (const auto& it : field_table()) {
+        out << "| `" << it.name << "` | " << it.unit << " | "
+            << (it.max > 0 ? range_text(it) : "–") << " | " << default_text(it)
+            << " | " << it.description << " |\n";
+    }
+    return out.str();
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/tests/test_settings.cpp
@@ -0,0 +1,204 @@
+#include "process/address.hpp"
+#include "process/settings.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+const std::string minimal = R"(instance = "a"
+failure_domain = "kranj"
+region = "slo"
+caller_address = "127.0.0.1:1"
+peer_address = "127.0.0.1:2"
+local_address = "127.0.0.1:3"
+platform_address = "127.0.0.1:4"
+fleet_secret = "0123456789abcdef0123456789abcdef"
+)";
+
+settings_faults faults_of(const std::string& text)
+{
+    auto result = parse_settings(text);
+    auto* faults = std::get_if<settings_faults>(&result);
+    return faults ? *faults : settings_faults{};
+}
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    auto text = minimal;
+    auto at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("the annotated example is valid and shows the defaults")
+{
+    auto result = load_settings(EXAMPLE_DIRECTORY "/node.toml");
+    REQUIRE(std::holds_alternative<settings>(result));
+    const auto& it = std::get<settings>(result);
+    settings defaults;
+    CHECK(it.seeds.size() == 2);
+    CHECK(it.log_level == defaults.log_level);
+    CHECK(it.isolation_limit == defaults.isolation_limit);
+    CHECK(it.drain_limit == defaults.drain_limit);
+    CHECK(it.shards == defaults.shards);
+    CHECK(it.record_window == defaults.record_window);
+    CHECK(it.record_count_limit == defaults.record_count_limit);
+    CHECK(it.record_bytes_limit == defaults.record_bytes_limit);
+    CHECK(it.retry_allowance == defaults.retry_allowance);
+    CHECK(it.queue_count_limit == defaults.queue_count_limit);
+    CHECK(it.queue_time_limit == defaults.queue_time_limit);
+    CHECK(it.token_grant_validity == defaults.token_grant_validity);
+}
+
+// The reference must not lag behind the table of fields.
+TEST_CASE("the reference in docs is the one that the table gives")
+{
+    std::ifstream in(EXAMPLE_DIRECTORY "/../docs/settings.md");
+    std::ostringstream text;
+    text << in.rdbuf();
+    CHECK(text.str().find(settings_reference()) != std::string::npos);
+}
+
+TEST_CASE("each faulty field is reported with its line")
+{
+    struct {
+        std::string text;
+        settings_fault expected;
+    } const cases[] = {
+        {minimal + "colour = 1\n", {9, "colour", "is not a known field"}},
+        {minimal + "shards = 0\n", {9, "shards", "must be 1 to 4096 shards"}},
+        {minimal + "shards = 1.5\n", {9, "shards", "must be a whole number"}},
+        {minimal + "drain_limit = nan\n",
+         {9, "drain_limit", "must be 0.1 to 3600 s"}},
+        {minimal + "drain_limit = \"1\"\n",
+         {9, "drain_limit", "must be a number of seconds"}},
+        {minimal + "log_level = \"loud\"\n",
+         {9, "log_level",
+          "must be trace, debug, info, warning, error or fatal"}},
+        {minimal + "region = \"b\"\n", {9, "region", "is set twice"}},
+        {minimal + "seeds = [\"127.0.0.1:9\", \"127.0.0.1:9\"]\n",
+         {9, "seeds", "names 127.0.0.1:9 twice"}},
+        {minimal + "fleet_secret_file = \"x\"\n",
+         {9, "fleet_secret", "is set twice, as fleet_secret_file is set too"}},
+        {replaced("instance = \"a\"\n", ""), {7, "instance", "is missing"}},
+        {replaced("\"slo\"", "7"), {3, "region", "must be a text"}},
+        {replaced(":3", ":2"),
+         {6, "local_address", "is the same as peer_address"}},
+        {replaced("\"127.0.0.1:3\"", "\"10.0.0.1:3\""),
+         {6, "local_address", "must be an address of the loopback interface"}},
+        {replaced("\"127.0.0.1:2\"", "\"0.0.0.0:2\""),
+         {5, "peer_address",
+          "must be an address that other processes can connect to"}},
+        {replaced("0123456789abcdef0123", "0"),
+         {8, "fleet_secret", "must have 32 to 128 bytes"}},
+        {std::string(max_settings_bytes + 1, '\n'),
+         {0, "", "the file is too large"}},
+    };
+    REQUIRE(faults_of(minimal).empty());
+    for (const auto& it : cases) {
+        INFO(it.text.substr(0, 500));
+        auto faults = faults_of(it.text);
+        REQUIRE(faults.size() == 1);
+        CHECK(to_text(faults[0], "f") == to_text(it.expected, "f"));
+    }
+}
+
+// toml++ stops at the first syntax error; an operator would then find one fault
+// a start.
+TEST_CASE("all faults are reported at once, duplicates and syntax too")
+{
+    auto faults = faults_of("instance = \"a b\"\n"
+                            "region = \n"
+                            "seeds = [\n"
+                            "  \"127.0.0.1:9\",\n"
+                            "]\n"
+                            "shards = 16\n"
+                            "seeds = [\n"
+                            "  \"127.0.0.1:8\"\n"
+                            "]\n"
+                            "shards = 17\n"
+                            "unknown = 2\n");
+    std::vector<std::pair<int, std::string>> found;
+    for (const auto& it : faults)
+        found.emplace_back(it.line, it.field);
+    std::vector<std::pair<int, std::string>> expected{
+        {1, "instance"},
+        {2, "region"},
+        {7, "seeds"},
+        {10, "shards"},
+        {11, "unknown"},
+        {11, "failure_domain"},
+        {11, "caller_address"},
+        {11, "peer_address"},
+        {11, "local_address"},
+        {11, "platform_address"},
+        {11, "fleet_secret_file"},
+    };
+    std::sort(found.begin(), found.end());
+    std::sort(expected.begin(), expected.end());
+    CHECK(found == expected);
+}
+
+TEST_CASE("untrusted text never crashes the parser")
+{
+    const std::string cases[] = {"",
+                                 "\n",
+                                 "=",
+                                 "[",
+                                 "[[",
+                                 "a.b.c = 1",
+                                 "\xff\xfe",
+                                 std::string(9, '\0'),
+                                 "instance = [[[[[[[[",
+                                 "\"\"\"",
+                                 "[instance]\nx = 1",
+                                 "instance = 1979-05-27",
+                                 std::string(3000, '[')};
+    for (const auto& it : cases) {
+        INFO(it.substr(0, 40));
+        CHECK_FALSE(faults_of(it).empty());
+    }
+}
+
+TEST_CASE("addresses are IP numbers with a port")
+{
+    for (const auto* it : {"127.0.0.1:80", "[::1]:80", "10.0.0.1:65535"}) {
+        INFO(it);
+        auto address = parse_address(it);
+        REQUIRE(address);
+        CHECK(to_text(*address) == it);
+    }
+    for (const auto* it : {"", ":", ":80", "localhost:80", "127.0.0.1",
+                           "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:8x",
+                           "::1:80", "[127.0.0.1]:80", "127.0.0.1:+8"}) {
+        INFO(it);
+        CHECK_FALSE(parse_address(it));
+    }
+}
+
+TEST_CASE("the fleet secret is read from its file")
+{
+    std::string name = PROGRAM_DIRECTORY "/test_fleet_secret";
+    settings it;
+    it.fleet_secret_file = name;
+    CHECK(std::holds_alternative<settings_fault>(load_fleet_secret(it)));
+    std::ofstream(name) << std::string(32, 's') << '\n';
+    auto secret = load_fleet_secret(it);
+    REQUIRE(std::holds_alternative<std::string>(secret));
+    CHECK(std::get<std::string>(secret) == std::string(32, 's'));
+    std::ofstream(name) << "short";
+    CHECK(std::holds_alternative<settings_fault>(load_fleet_secret(it)));
+    std::remove(name.c_str());
+}
+
+} // namespace shallotwood::process
