Add the interfaces of the decisions under load

The lead composes the node from these headers while the code behind them is written. admission takes the context and an absolute deadline and calls back with nothing (run) or a refusal. balancer is given the members of each service by assign(), because a copy of member_view::serving() for each request would cost time in proportion to the service.

--- /dev/null
+++ b/src/process/admission.hpp
@@ -0,0 +1,163 @@
+// Admits the requests of the local backend server.
+//
+// A request runs at once while a slot is free and nothing is queued; nothing is
+// shed then. Otherwise it is queued by importance, then work under way before
+// new work, then round-robin between workspaces. The queue is bounded in count,
+// and each entry in time and by its deadline. A queue that did not empty for a
+// whole period is standing: the cut is then set to the shed key below which as
+// many requests arrived as completed, and while anything is queued a request
+// with a key at or above the cut is refused. Without a standing queue the cut
+// rises in proportion to the unused slots.
+//
+// All refusals that this module makes are true "not run".
+#pragma once
+
+#include "process/concurrency_limit.hpp"
+#include "process/event_loop.hpp"
+#include "request/call_context.hpp"
+#include "request/verdict.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace shallotwood::process
+{
+
+struct admission_settings {
+    // Queued requests for each slot.
+    double queue_per_slot = 2;
+    // Longest time in the queue.
+    duration max_wait = std::chrono::milliseconds(200);
+    // Shortest time between changes of the cut.
+    duration period = std::chrono::milliseconds(50);
+    // Octaves by which the cut that upstream nodes see is above the one in
+    // force here. It passes a few more requests than complete, so that slots
+    // do not run empty between two corrections.
+    double slack = 0.07;
+};
+
+class admission
+{
+public:
+    // Called exactly once, possibly before arrive() returns, except after
+    // cancel(): with nothing when the request is to run, otherwise with the
+    // refusal.
+    using decision = std::function<void(std::optional<request::verdict>)>;
+
+    admission(const clock& time, scheduler& timers, int slots,
+              const admission_settings& settings = {});
+    ~admission();
+    admission(const admission&) = delete;
+    admission& operator=(const admission&) = delete;
+
+    // The attempt id of the context must be new.
+    void arrive(const request::call_context& it, time_point deadline,
+                decision done);
+
+    // A request that was told to run has ended. `downstream` is the time it
+    // spent in calls to further services. Unknown ids are ignored.
+    void finished(const std::string& attempt_id, bool success,
+                  duration downstream = duration(0));
+
+    // Removes a queued request, without a decision. False if it is not queued.
+    bool cancel(const std::string& attempt_id);
+
+    // Refuses what is queued and what arrives from now on; `idle` is called
+    // when nothing runs any more.
+    void drain(std::function<void()> idle);
+
+    // Nothing else calls this: the backend server announces its slots anew.
+    void set_slots(int slots);
+    // The backend server restarted; its limit ramps up again.
+    void restart();
+
+    // For Shallotwood-Feedback; no_cut if nothing is shed.
+    request::shed_key cut() const;
+
+    int running() const { return static_cast<int>(running_.size()); }
+    std::size_t queued() const { return queued_.size(); }
+    int limit() const { return limit_.current(); }
+
+private:
+    struct entry {
+        request::call_context context;
+        time_point deadline;
+        time_point expiry;
+        decision done;
+        std::uint64_t number = 0;
+        std::size_t lane = 0;
+    };
+    using entry_ptr = std::list<entry>::iterator;
+
+    // The queued requests of one importance and kind of work, a list for each
+    // workspace, in the order in which workspaces are served next.
+    struct lane {
+        std::map<std::string, std::list<entry>> waiting;
+        std::deque<std::string> turns;
+    };
+
+    static constexpr std::size_t lane_count = 8;
+    // Keys kept of a period. More would not make the quantile finer than the
+    // noise of one period.
+    static constexpr std::size_t max_sample = 1024;
+
+    void enqueue(entry it);
+    void remove(entry_ptr it, bool fix_turns);
+    entry take_next();
+    entry take_out(entry_ptr it);
+    void run(entry it);
+    void run_queued();
+    bool make_room(request::shed_key key);
+    void refuse(entry it, request::reason why);
+    void set_timer();
+    void expire();
+    void sample(request::shed_key key);
+    void note_busy();
+    void end_period();
+    void lower_cut();
+    void raise_cut(double used);
+    std::size_t most_queued() const;
+
+    const clock& clock_;
+    scheduler& timers_;
+    admission_settings settings_;
+    int slots_;
+    concurrency_limit limit_;
+
+    std::unordered_map<std::string, time_point> running_;
+
+    std::array<lane, lane_count> lanes_;
+    std::unordered_map<std::string, entry_ptr> queued_;
+    // Least valuable last.
+    std::map<std::pair<request::shed_key, std::uint64_t>, entry_ptr> by_key_;
+    std::map<std::pair<time_point, std::uint64_t>, entry_ptr> by_expiry_;
+    std::uint64_t last_number_ = 0;
+    std::optional<timer_id> timer_;
+    time_point timer_due_{};
+
+    request::shed_key cut_ = request::no_cut;
+    time_point period_start_;
+    std::vector<request::shed_key> keys_;
+    std::size_t arrived_ = 0;
+    std::size_t completed_ = 0;
+    // Fewest queued at any time of the period.
+    std::size_t fewest_queued_ = 0;
+    // Integral of running requests over the period, in microseconds.
+    double busy_ = 0;
+    time_point busy_until_;
+    int rising_ = 0;
+
+    bool draining_ = false;
+    std::function<void()> idle_;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/balancer.hpp
@@ -0,0 +1,122 @@
+// Selects the backend server of a call.
+//
+// Two random candidates are compared by this node's own requests in flight over
+// their learned capacity; only figures that this node has itself are used, so
+// there is no stale figure on which all nodes could herd. Candidates are in the
+// own failure domain, except for a share of the calls that spills over: the
+// share grows while the own domain answers slower than another one, trip
+// included, and shrinks otherwise. A backend server that keeps failing is
+// ejected for a time, but at least half of a service remains.
+//
+// Bounded by the membership: one entry for each member of the assigned
+// services.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/member.hpp"
+#include "process/random_source.hpp"
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace shallotwood::process
+{
+
+enum class attempt_outcome {
+    success,
+    // Refused unrun: overload or draining.
+    refused,
+    // Connection or backend server failure.
+    failed,
+    // Ended by the caller or the deadline: says nothing about success.
+    unknown,
+};
+
+struct balancer_settings {
+    std::string failure_domain;
+    // Round trip to another failure domain.
+    duration trip = std::chrono::milliseconds(2);
+    duration ejection = std::chrono::seconds(5);
+    int failures_to_eject = 5;
+};
+
+class balancer
+{
+public:
+    balancer(const clock& time, random_source& random,
+             const balancer_settings& settings);
+
+    // Replaces the members of a service; those that are neither active nor
+    // suspect are not selected. Figures of members that stay are kept.
+    void assign(const std::string& service, const std::vector<member>& members);
+
+    // Nothing if no member is left beside those in `tried`. The pointer is
+    // valid until the next assign().
+    const member* choose(const std::string& service,
+                         const std::vector<std::string>& tried = {});
+
+    // Brackets each attempt.
+    void sent(const std::string& service, const std::string& instance);
+    void answered(const std::string& service, const std::string& instance,
+                  attempt_outcome how, duration elapsed);
+
+    // For status output and tests.
+    int in_flight(const std::string& service,
+                  const std::string& instance) const;
+    bool ejected(const std::string& service, const std::string& instance) const;
+    double spilling(const std::string& service) const;
+
+private:
+    struct candidate {
+        member it;
+        int in_flight = 0;
+        // Share of the announced slots, learned from refusals and successes.
+        double capacity = cold_capacity;
+        int failures = 0;
+        int ejections = 0;
+        time_point ejected_until{};
+    };
+
+    // Mean latency of the answers from one side, in microseconds.
+    struct side {
+        double latency = 0;
+        time_point at{};
+    };
+
+    struct pool {
+        std::vector<candidate> candidates;
+        std::unordered_map<std::string, std::size_t> by_instance;
+        std::vector<std::size_t> local;
+        std::vector<std::size_t> remote;
+        side near;
+        side far;
+        double spill = 0;
+        time_point spill_changed{};
+    };
+
+    static constexpr double cold_capacity = 0.25;
+    static constexpr double least_capacity = 1.0 / 16;
+
+    candidate* find(const std::string& service, const std::string& instance);
+    const candidate* find(const std::string& service,
+                          const std::string& instance) const;
+    std::vector<std::size_t> usable(const pool& in,
+                                    const std::vector<std::size_t>& from,
+                                    const std::vector<std::string>& tried);
+    std::size_t better_of_two(const pool& in,
+                              const std::vector<std::size_t>& from);
+    void note_latency(pool& in, const candidate& of, attempt_outcome how,
+                      duration elapsed);
+    void change_spill(pool& in);
+    void note_failure(pool& in, candidate& of);
+    bool may_eject(const pool& in) const;
+
+    const clock& clock_;
+    random_source& random_;
+    balancer_settings settings_;
+    std::unordered_map<std::string, pool> pools_;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/cut_table.hpp
@@ -0,0 +1,52 @@
+// The cuts that responses have brought, by service and by entry route.
+//
+// A response carries the lowest cut of the call tree below it. The table
+// averages these over a short time, because the backend servers of a service
+// have cuts that differ: the lowest of them would refuse work that the others
+// have slots for. A cut that no response confirms is forgotten after its
+// lifetime. Bounded: at most max_names; further names have no cut.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "request/call_context.hpp"
+
+#include <string>
+#include <unordered_map>
+
+namespace shallotwood::process
+{
+
+class cut_table
+{
+public:
+    static constexpr std::size_t max_names = 4096;
+    static constexpr duration lifetime = std::chrono::seconds(1);
+    // Time constant of the average.
+    static constexpr duration memory = std::chrono::milliseconds(50);
+
+    explicit cut_table(const clock& time) : clock_(time) {}
+
+    // A response from the service, or to a request of the entry route, brought
+    // this cut.
+    void note_service(const std::string& service, request::shed_key cut);
+    void note_route(const std::string& route, request::shed_key cut);
+
+    request::shed_key of_service(const std::string& service) const;
+    request::shed_key of_route(const std::string& route) const;
+
+private:
+    struct seen {
+        double cut = 0;
+        time_point at;
+    };
+    using table = std::unordered_map<std::string, seen>;
+
+    void note(table& in, const std::string& name, request::shed_key cut);
+    request::shed_key find(const table& in, const std::string& name) const;
+
+    const clock& clock_;
+    table services_;
+    table routes_;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/shed_key.hpp
@@ -0,0 +1,69 @@
+// The order in which requests are shed.
+//
+// A key has the importance in the top 8 bits and a rank in the low 24 bits,
+// log2(u x demand) in fixed point: u is uniform in (0, 1] from the request id,
+// demand is the workspace's request rate in requests a second. Among requests
+// with the rank below a threshold T, a workspace of demand d has a share
+// min(1, T / d), so all workspaces above T pass T requests a second each: one
+// threshold is max-min fair. Raising a threshold by one octave passes at most
+// twice as many requests.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "request/call_context.hpp"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace shallotwood::process
+{
+
+constexpr int rank_bits = 24;
+constexpr request::shed_key most_rank = (1U << rank_bits) - 1;
+// Ranks for a factor of two; 2^24 ranks cover 42 octaves, from u = 2^-18 at a
+// demand of 2^-4 a second to a demand of 2^20 a second.
+constexpr request::shed_key ranks_per_octave = 399457;
+// Above the keys of all levels of importance.
+constexpr request::shed_key above_all_keys = 4U << rank_bits;
+
+request::shed_key make_shed_key(request::importance level,
+                                std::string_view request_id, double demand);
+
+// The key moved by a number of octaves, within the range of all keys. Above
+// the last key it gives no_cut.
+request::shed_key shift_key(request::shed_key key, double octaves);
+
+// Estimates the request rate of each workspace, as seen by this node.
+//
+// Bounded: at most max_workspaces. Further ones share one estimate, which
+// makes them shed earlier and never later than on their own.
+class demand_estimator
+{
+public:
+    static constexpr std::size_t max_workspaces = 4096;
+    // Time constant of the average. Shorter ones make the rank of a workspace
+    // with sparse traffic jump; longer ones delay recovery past 2 s.
+    static constexpr duration memory = std::chrono::milliseconds(500);
+
+    explicit demand_estimator(const clock& time) : clock_(time) {}
+
+    // Counts a request and returns the rate in requests a second, at least 1.
+    double count(const std::string& workspace);
+
+    std::size_t size() const { return rates_.size(); }
+
+private:
+    struct rate {
+        double value = 0;
+        time_point at;
+    };
+
+    void expire();
+
+    const clock& clock_;
+    std::unordered_map<std::string, rate> rates_;
+    time_point next_expiry_{};
+};
+
+} // namespace shallotwood::process
