Add the decisions under load and an experiment that drives them

The experiment runs admission, balancer, cut_table, demand_estimator and the retry bounds in virtual time, beside a pass-through and static limits with per-hop retries. The rank of a request is weighted by the configured rate of its workspace: with the plain demand, a workspace that bought a large rate would be cut below that rate to the level of the smallest.

--- a/src/process/admission.hpp
+++ b/src/process/admission.hpp
@@ -111,7 +111,6 @@
     static constexpr std::size_t max_sample = 1024;
 
     void enqueue(entry it);
-    void remove(entry_ptr it, bool fix_turns);
     entry take_next();
     entry take_out(entry_ptr it);
     void run(entry it);
--- /dev/null
+++ b/src/process/balancer.cpp
@@ -0,0 +1,285 @@
+#include "process/balancer.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+// Time constant of the latency of a side.
+constexpr duration latency_memory = std::chrono::milliseconds(200);
+// A latency is not compared any more after this time without an answer.
+constexpr duration latency_lifetime = std::chrono::seconds(1);
+// Shortest time between changes of the spill share, and the change.
+constexpr duration spill_period = std::chrono::milliseconds(10);
+constexpr double spill_step = 0.02;
+// The own domain has to be slower by this factor before more calls spill, so
+// that noise at low load does not cause trips.
+constexpr double spill_margin = 1.1;
+// A refusal counts as an answer slower than the mean by this factor.
+constexpr double refusal_penalty = 2;
+constexpr double refusal_factor = 0.95;
+// Part of a lasting rise in latency that each answer adds to the best latency.
+constexpr double best_drift = 0.001;
+// Successes for each slot until a cold candidate is given its full share.
+constexpr double warm_up = 3;
+constexpr duration longest_ejection = std::chrono::seconds(60);
+// Draws before all candidates are scanned for a usable one.
+constexpr int draws = 6;
+
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool selectable(const member& it)
+{
+    return it.state == member_state::active ||
+           it.state == member_state::suspect;
+}
+
+} // namespace
+
+balancer::balancer(const clock& time, random_source& random,
+                   const balancer_settings& settings)
+    : clock_(time), random_(random), settings_(settings)
+{
+}
+
+void balancer::assign(const std::string& service,
+                      const std::vector<member>& members)
+{
+    pool& old = pools_[service];
+    pool next;
+    next.near = old.near;
+    next.far = old.far;
+    next.spill = old.spill;
+    for (const auto& it : members) {
+        if (!selectable(it))
+            continue;
+        auto index = next.candidates.size();
+        candidate kept;
+        if (auto known = old.by_instance.find(it.instance);
+            known != old.by_instance.end() &&
+            old.candidates[known->second].it.incarnation == it.incarnation)
+            kept = old.candidates[known->second];
+        kept.it = it;
+        next.candidates.push_back(std::move(kept));
+        next.by_instance.emplace(it.instance, index);
+        bool local = it.failure_domain == settings_.failure_domain;
+        (local ? next.local : next.remote).push_back(index);
+    }
+    if (next.candidates.empty())
+        pools_.erase(service);
+    else
+        old = std::move(next);
+}
+
+const member* balancer::choose(const std::string& service,
+                               const std::vector<std::string>& tried)
+{
+    auto found = pools_.find(service);
+    if (found == pools_.end())
+        return nullptr;
+    const auto& in = found->second;
+    bool spills = random_.unit() < in.spill;
+    const auto& first = spills ? in.remote : in.local;
+    const auto& second = spills ? in.local : in.remote;
+    const auto* it = better_of_two(in, first, tried, false);
+    if (it == nullptr)
+        it = better_of_two(in, second, tried, false);
+    // An ejected candidate is better than none.
+    if (it == nullptr)
+        it = better_of_two(in, first, tried, true);
+    if (it == nullptr)
+        it = better_of_two(in, second, tried, true);
+    return it == nullptr ? nullptr : &it->it;
+}
+
+const balancer::candidate*
+balancer::better_of_two(const pool& in, const std::vector<std::size_t>& from,
+                        const std::vector<std::string>& tried,
+                        bool with_ejected)
+{
+    const auto* one = draw(in, from, tried, with_ejected, nullptr);
+    if (one == nullptr)
+        return nullptr;
+    const auto* other = draw(in, from, tried, with_ejected, one);
+    if (other == nullptr || load_of(*one) <= load_of(*other))
+        return one;
+    return other;
+}
+
+const balancer::candidate* balancer::draw(const pool& in,
+                                          const std::vector<std::size_t>& from,
+                                          const std::vector<std::string>& tried,
+                                          bool with_ejected,
+                                          const candidate* except)
+{
+    if (from.empty() || (except != nullptr && from.size() == 1))
+        return nullptr;
+    auto now = clock_.now();
+    auto usable = [&](const candidate& it) {
+        return &it != except && (with_ejected || it.ejected_until <= now) &&
+               !contains(tried, it.it.instance);
+    };
+    std::size_t at = 0;
+    for (int n = 0; n < draws; ++n) {
+        at = random_.below(from.size());
+        const auto& it = in.candidates[from[at]];
+        if (usable(it))
+            return &it;
+    }
+    for (std::size_t n = 0; n < from.size(); ++n) {
+        const auto& it = in.candidates[from[(at + n) % from.size()]];
+        if (usable(it))
+            return &it;
+    }
+    return nullptr;
+}
+
+double balancer::load_of(const candidate& it)
+{
+    return (it.in_flight + 1) / (std::max(it.it.slots, 1) * it.capacity);
+}
+
+balancer::candidate* balancer::find(const std::string& service,
+                                    const std::string& instance)
+{
+    auto in = pools_.find(service);
+    if (in == pools_.end())
+        return nullptr;
+    auto it = in->second.by_instance.find(instance);
+    return it == in->second.by_instance.end()
+               ? nullptr
+               : &in->second.candidates[it->second];
+}
+
+const balancer::candidate* balancer::find(const std::string& service,
+                                          const std::string& instance) const
+{
+    return const_cast<balancer*>(this)->find(service, instance);
+}
+
+void balancer::sent(const std::string& service, const std::string& instance)
+{
+    if (auto* it = find(service, instance))
+        ++it->in_flight;
+}
+
+void balancer::answered(const std::string& service, const std::string& instance,
+                        attempt_outcome how, duration elapsed)
+{
+    auto* it = find(service, instance);
+    if (it == nullptr)
+        return;
+    auto& in = pools_.at(service);
+    it->in_flight = std::max(it->in_flight - 1, 0);
+    int slots = std::max(it->it.slots, 1);
+    if (how == attempt_outcome::success) {
+        it->capacity =
+            std::min(1.0, it->capacity + (1 - cold_capacity) / warm_up / slots);
+        it->failures = 0;
+        it->ejections = 0;
+    } else if (how == attempt_outcome::refused) {
+        it->capacity = std::max(least_capacity, it->capacity * refusal_factor);
+    } else if (how == attempt_outcome::failed) {
+        note_failure(in, *it);
+    }
+    note_latency(in, *it, how, elapsed);
+    change_spill(in);
+}
+
+void balancer::note_latency(pool& in, const candidate& of, attempt_outcome how,
+                            duration elapsed)
+{
+    bool success = how == attempt_outcome::success;
+    if (!success && how != attempt_outcome::refused)
+        return;
+    bool local = of.it.failure_domain == settings_.failure_domain;
+    auto& it = local ? in.near : in.far;
+    auto now = clock_.now();
+    auto value = static_cast<double>(elapsed.count());
+    if (!success)
+        value =
+            refusal_penalty *
+            std::max(it.latency, static_cast<double>(settings_.trip.count()));
+    if (now - it.at >= latency_lifetime)
+        it.latency = value;
+    std::chrono::duration<double> age = now - it.at;
+    double weight = std::max(1 - std::exp(-age / latency_memory), 0.01);
+    it.latency += weight * (value - it.latency);
+    it.at = now;
+    if (!local)
+        return;
+    if (in.best_near == 0 || it.latency < in.best_near)
+        in.best_near = it.latency;
+    else
+        in.best_near += best_drift * (it.latency - in.best_near);
+}
+
+void balancer::change_spill(pool& in)
+{
+    auto now = clock_.now();
+    if (now - in.spill_changed < spill_period)
+        return;
+    in.spill_changed = now;
+    if (in.local.empty() || in.remote.empty()) {
+        in.spill = in.local.empty() ? 1 : 0;
+        return;
+    }
+    bool far_known = now - in.far.at < latency_lifetime;
+    // An unknown far side is taken to answer like the near one at its best.
+    double far =
+        far_known ? in.far.latency
+                  : in.best_near + static_cast<double>(settings_.trip.count());
+    bool slower = in.near.latency > spill_margin * far;
+    in.spill =
+        std::clamp(in.spill + (slower ? spill_step : -spill_step), 0.0, 0.95);
+}
+
+void balancer::note_failure(pool& in, candidate& of)
+{
+    if (++of.failures < settings_.failures_to_eject || !may_eject(in))
+        return;
+    auto span = settings_.ejection * (1 << std::min(of.ejections, 4));
+    of.ejected_until =
+        clock_.now() + std::min<duration>(span, longest_ejection);
+    ++of.ejections;
+    // The first failure after the ejection ejects again.
+    of.failures = settings_.failures_to_eject - 1;
+}
+
+bool balancer::may_eject(const pool& in) const
+{
+    auto now = clock_.now();
+    auto out = std::count_if(
+        in.candidates.begin(), in.candidates.end(),
+        [now](const candidate& it) { return it.ejected_until > now; });
+    return 2 * (static_cast<std::size_t>(out) + 1) <= in.candidates.size();
+}
+
+int balancer::in_flight(const std::string& service,
+                        const std::string& instance) const
+{
+    const auto* it = find(service, instance);
+    return it == nullptr ? 0 : it->in_flight;
+}
+
+bool balancer::ejected(const std::string& service,
+                       const std::string& instance) const
+{
+    const auto* it = find(service, instance);
+    return it != nullptr && it->ejected_until > clock_.now();
+}
+
+double balancer::spilling(const std::string& service) const
+{
+    auto it = pools_.find(service);
+    return it == pools_.end() ? 0 : it->second.spill;
+}
+
+} // namespace shallotwood::process
--- a/src/process/balancer.hpp
+++ b/src/process/balancer.hpp
@@ -92,6 +92,8 @@
         std::vector<std::size_t> remote;
         side near;
         side far;
+        // Lowest near latency, following a lasting change slowly.
+        double best_near = 0;
         double spill = 0;
         time_point spill_changed{};
     };
@@ -102,11 +104,14 @@
     candidate* find(const std::string& service, const std::string& instance);
     const candidate* find(const std::string& service,
                           const std::string& instance) const;
-    std::vector<std::size_t> usable(const pool& in,
-                                    const std::vector<std::size_t>& from,
-                                    const std::vector<std::string>& tried);
-    std::size_t better_of_two(const pool& in,
-                              const std::vector<std::size_t>& from);
+    const candidate* better_of_two(const pool& in,
+                                   const std::vector<std::size_t>& from,
+                                   const std::vector<std::string>& tried,
+                                   bool with_ejected);
+    const candidate* draw(const pool& in, const std::vector<std::size_t>& from,
+                          const std::vector<std::string>& tried,
+                          bool with_ejected, const candidate* except);
+    static double load_of(const candidate& it);
     void note_latency(pool& in, const candidate& of, attempt_outcome how,
                       duration elapsed);
     void change_spill(pool& in);
--- a/src/process/concurrency_limit.hpp
+++ b/src/process/concurrency_limit.hpp
@@ -52,6 +52,7 @@
 
     void end_window(const measured& it);
     void end_trial(const measured& it);
+    void change(int limit);
     void start_window();
 
     const clock& clock_;
@@ -70,7 +71,8 @@
     bool in_trial_ = false;
     int limit_before_ = 0;
     measured before_;
-    int quiet_windows_ = 0;
+    // The window after a change still holds requests that started before it.
+    bool settling_ = false;
 };
 
 } // namespace shallotwood::process
--- /dev/null
+++ b/src/process/cut_table.cpp
@@ -0,0 +1,69 @@
+#include "process/cut_table.hpp"
+
+#include "process/shed_key.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+// Weight of a response that follows another one at once.
+constexpr double least_weight = 0.02;
+
+} // namespace
+
+void cut_table::note_service(const std::string& service, request::shed_key cut)
+{
+    note(services_, service, cut);
+}
+
+void cut_table::note_route(const std::string& route, request::shed_key cut)
+{
+    note(routes_, route, cut);
+}
+
+request::shed_key cut_table::of_service(const std::string& service) const
+{
+    return find(services_, service);
+}
+
+request::shed_key cut_table::of_route(const std::string& route) const
+{
+    return find(routes_, route);
+}
+
+void cut_table::note(table& in, const std::string& name, request::shed_key cut)
+{
+    auto now = clock_.now();
+    double value = std::min(cut, above_all_keys);
+    auto it = in.find(name);
+    if (it == in.end()) {
+        if (in.size() < max_names)
+            in.emplace(name, seen{value, now});
+        return;
+    }
+    auto& [average, at] = it->second;
+    std::chrono::duration<double> age = now - at;
+    bool fresh = now - at < lifetime;
+    double weight = fresh ? 1 - std::exp(-age / memory) : 1;
+    average += std::max(weight, least_weight) * (value - average);
+    at = now;
+}
+
+request::shed_key cut_table::find(const table& in,
+                                  const std::string& name) const
+{
+    auto it = in.find(name);
+    if (it == in.end() || clock_.now() - it->second.at >= lifetime)
+        return request::no_cut;
+    // The average approaches this value from below and never reaches it.
+    if (it->second.cut > above_all_keys - 1.0)
+        return request::no_cut;
+    return static_cast<request::shed_key>(it->second.cut);
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/load_experiment.cpp
@@ -0,0 +1,953 @@
+#include "process/load_experiment.hpp"
+
+#include "process/admission.hpp"
+#include "process/balancer.hpp"
+#include "process/cut_table.hpp"
+#include "process/random_source.hpp"
+#include "process/retry_ratio.hpp"
+#include "process/shed_key.hpp"
+#include "request/retry_allowance.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <limits>
+#include <memory>
+#include <queue>
+#include <unordered_map>
+#include <utility>
+
+namespace shallotwood::process
+{
+
+std::string_view name_of(load_policy policy)
+{
+    switch (policy) {
+    case load_policy::pass_through:
+        return "pass-through";
+    case load_policy::static_limits:
+        return "static limits";
+    default:
+        return "shallotwood";
+    }
+}
+
+namespace
+{
+
+using request::call_context;
+using request::execution;
+using request::importance;
+using request::reason;
+using request::verdict;
+
+constexpr duration bin = std::chrono::milliseconds(100);
+constexpr double recovered_share = 0.95;
+constexpr double cold_slowness = 5;
+constexpr const char* entry_route = "entry";
+
+double seconds(duration it)
+{
+    return std::chrono::duration<double>(it).count();
+}
+
+// Timers in a heap; the virtual clock jumps from one to the next.
+class experiment_loop final : public event_loop
+{
+public:
+    time_point now() const override { return now_; }
+
+    timer_id call_after(duration delay, std::function<void()> task) override
+    {
+        auto id = ++last_;
+        due_.emplace(now_ + std::max(delay, duration(0)), id);
+        tasks_.emplace(id, std::move(task));
+        return timer_id{id};
+    }
+
+    void cancel(timer_id id) override
+    {
+        tasks_.erase(static_cast<std::uint64_t>(id));
+    }
+
+    void run_until(time_point end)
+    {
+        while (!due_.empty() && due_.top().first <= end) {
+            auto [at, id] = due_.top();
+            due_.pop();
+            auto task = tasks_.extract(id);
+            if (task.empty())
+                continue;
+            now_ = at;
+            task.mapped()();
+        }
+        now_ = end;
+    }
+
+private:
+    using slot = std::pair<time_point, std::uint64_t>;
+
+    time_point now_{std::chrono::hours(1)};
+    std::uint64_t last_ = 0;
+    std::priority_queue<slot, std::vector<slot>, std::greater<>> due_;
+    std::unordered_map<std::uint64_t, std::function<void()>> tasks_;
+};
+
+// A backend server: workers, and a line of accepted connections before them.
+class backend
+{
+public:
+    backend(int slots, int connections)
+        : slots_(slots), connections_(connections)
+    {
+    }
+
+    // False if no connection is free.
+    bool start(std::function<void()> work)
+    {
+        if (running_ + static_cast<int>(waiting_.size()) >= connections_)
+            return false;
+        if (running_ >= slots_) {
+            waiting_.push_back(std::move(work));
+            return true;
+        }
+        ++running_;
+        work();
+        return true;
+    }
+
+    void end()
+    {
+        --running_;
+        if (waiting_.empty())
+            return;
+        auto work = std::move(waiting_.front());
+        waiting_.pop_front();
+        ++running_;
+        work();
+    }
+
+private:
+    int slots_;
+    int connections_;
+    int running_ = 0;
+    std::deque<std::function<void()>> waiting_;
+};
+
+struct reply {
+    bool whole = false;
+    verdict what;
+    bool final = false;
+    request::shed_key cut = request::no_cut;
+    int unused_retries = 0;
+};
+
+reply refused(reason why, execution run = execution::not_run)
+{
+    reply it;
+    it.what = {run, why};
+    it.final = why == reason::overload || why == reason::deadline;
+    return it;
+}
+
+// A node and its backend server.
+struct node {
+    node(event_loop& loop, random_source& random, const member& as,
+         const experiment_service& of)
+        : self(as), server(of.slots, of.connections),
+          gate(loop, loop, as.slots), cuts(loop), demand(loop),
+          routes(loop, random,
+                 {as.failure_domain, std::chrono::milliseconds(2),
+                  std::chrono::seconds(5), 5})
+    {
+    }
+
+    member self;
+    server_fault fault;
+    backend server;
+    admission gate;
+    cut_table cuts;
+    demand_estimator demand;
+    balancer routes;
+    retry_ratio retries;
+    // Of the baseline with static limits.
+    int running = 0;
+    std::deque<std::function<void()>> waiting;
+};
+
+using node_list = std::vector<std::unique_ptr<node>>;
+
+struct world {
+    const experiment_settings& settings;
+    experiment_loop loop;
+    random_source random;
+    // By service.
+    std::vector<node_list> nodes;
+
+    explicit world(const experiment_settings& with)
+        : settings(with), random(with.seed)
+    {
+    }
+
+    node& any(std::size_t service)
+    {
+        auto& from = nodes[service];
+        return *from[random.below(from.size())];
+    }
+};
+
+// The decisions that differ between the policies.
+class hop_policy
+{
+public:
+    using decision = std::function<void(std::optional<verdict>)>;
+
+    explicit hop_policy(world& in) : world_(in) {}
+    virtual ~hop_policy() = default;
+
+    // Fixes the context at the entry node; false refuses the request there.
+    virtual bool enter(node& at, call_context& it, double weight) = 0;
+    virtual node* choose(node& from, std::size_t service,
+                         const call_context& it,
+                         const std::vector<std::string>& tried) = 0;
+    virtual void sent(node&, std::size_t, node&) {}
+    virtual void arrive(node& at, const call_context& it, time_point deadline,
+                        decision done) = 0;
+    virtual void finished(node& at, const call_context& it, bool success,
+                          duration downstream) = 0;
+    virtual void answered(node&, std::size_t, node&, const reply&, duration) {}
+    virtual bool retry(node& from, request::retry_allowance& left,
+                       const reply& last, int attempts) = 0;
+    // Adds the cut in force to what goes back.
+    virtual void feed_back(node&, reply&) {}
+    virtual void left(node&, const reply&) {}
+    virtual bool checks_deadlines() const = 0;
+
+protected:
+    world& world_;
+};
+
+class shallotwood_policy final : public hop_policy
+{
+public:
+    using hop_policy::hop_policy;
+
+    bool enter(node& at, call_context& it, double weight) override
+    {
+        it.key = make_shed_key(it.level, it.request_id,
+                               at.demand.count(it.workspace, weight));
+        return it.key < at.cuts.of_route(entry_route);
+    }
+
+    node* choose(node& from, std::size_t service, const call_context& it,
+                 const std::vector<std::string>& tried) override
+    {
+        const auto& name = world_.settings.services[service].name;
+        if (it.key >= from.cuts.of_service(name))
+            return nullptr;
+        const auto* to = from.routes.choose(name, tried);
+        return to == nullptr ? nullptr
+                             : world_.nodes[service][to->peer.port].get();
+    }
+
+    void sent(node& from, std::size_t service, node& to) override
+    {
+        from.routes.sent(world_.settings.services[service].name,
+                         to.self.instance);
+    }
+
+    void arrive(node& at, const call_context& it, time_point deadline,
+                decision done) override
+    {
+        at.gate.arrive(it, deadline, std::move(done));
+    }
+
+    void finished(node& at, const call_context& it, bool success,
+                  duration downstream) override
+    {
+        at.gate.finished(it.attempt_id, success, downstream);
+    }
+
+    void answered(node& from, std::size_t service, node& to, const reply& it,
+                  duration elapsed) override
+    {
+        const auto& name = world_.settings.services[service].name;
+        from.routes.answered(name, to.self.instance, outcome_of(it), elapsed);
+        from.cuts.note_service(name, it.cut);
+        if (it.whole)
+            from.retries.succeeded();
+    }
+
+    bool retry(node& from, request::retry_allowance& left, const reply& last,
+               int) override
+    {
+        return !last.final && left.left() > 0 && from.retries.spend() &&
+               left.spend();
+    }
+
+    void feed_back(node& at, reply& it) override
+    {
+        it.cut = std::min(it.cut, at.gate.cut());
+    }
+
+    void left(node& at, const reply& it) override
+    {
+        at.cuts.note_route(entry_route, it.cut);
+    }
+
+    bool checks_deadlines() const override { return true; }
+
+private:
+    static attempt_outcome outcome_of(const reply& it)
+    {
+        if (it.whole)
+            return attempt_outcome::success;
+        if (it.what.why == reason::backend_server_failed)
+            return attempt_outcome::failed;
+        bool here = it.what.run == execution::not_run;
+        return here ? attempt_outcome::refused : attempt_outcome::unknown;
+    }
+};
+
+// Any backend server at random; everything is forwarded.
+class pass_through_policy : public hop_policy
+{
+public:
+    using hop_policy::hop_policy;
+
+    bool enter(node&, call_context&, double) override { return true; }
+
+    node* choose(node&, std::size_t service, const call_context&,
+                 const std::vector<std::string>&) override
+    {
+        return &world_.any(service);
+    }
+
+    void arrive(node&, const call_context&, time_point, decision done) override
+    {
+        done(std::nullopt);
+    }
+
+    void finished(node&, const call_context&, bool, duration) override {}
+
+    bool retry(node&, request::retry_allowance&, const reply&, int) override
+    {
+        return false;
+    }
+
+    bool checks_deadlines() const override { return false; }
+};
+
+// As many requests at once as slots, a queue of the same length, and two
+// retries at each hop.
+class static_limits_policy final : public pass_through_policy
+{
+public:
+    using pass_through_policy::pass_through_policy;
+
+    void arrive(node& at, const call_context&, time_point,
+                decision done) override
+    {
+        if (at.running < at.self.slots) {
+            ++at.running;
+            return done(std::nullopt);
+        }
+        if (static_cast<int>(at.waiting.size()) >= at.self.slots)
+            return done(verdict{execution::not_run, reason::overload});
+        at.waiting.push_back([done] { done(std::nullopt); });
+    }
+
+    void finished(node& at, const call_context&, bool, duration) override
+    {
+        if (at.waiting.empty()) {
+            --at.running;
+            return;
+        }
+        auto next = std::move(at.waiting.front());
+        at.waiting.pop_front();
+        next();
+    }
+
+    bool retry(node&, request::retry_allowance&, const reply&,
+               int attempts) override
+    {
+        return attempts < 3;
+    }
+};
+
+std::unique_ptr<hop_policy> make_policy(world& in)
+{
+    switch (in.settings.policy) {
+    case load_policy::pass_through:
+        return std::make_unique<pass_through_policy>(in);
+    case load_policy::static_limits:
+        return std::make_unique<static_limits_policy>(in);
+    default:
+        return std::make_unique<shallotwood_policy>(in);
+    }
+}
+
+// One call of a service, with its attempts.
+struct call {
+    node* from = nullptr;
+    std::size_t service = 0;
+    call_context context;
+    time_point deadline;
+    request::retry_allowance retries{0};
+    int lent = 0;
+    std::vector<std::string> tried;
+    std::function<void(const reply&)> done;
+};
+
+using call_ptr = std::shared_ptr<call>;
+
+// What a caller wants, over all its attempts.
+struct original {
+    std::uint64_t number = 0;
+    std::size_t workspace = 0;
+    importance level = importance::normal;
+    time_point since;
+    int attempts = 0;
+    bool served = false;
+};
+
+using original_ptr = std::shared_ptr<original>;
+
+class experiment
+{
+public:
+    explicit experiment(const experiment_settings& settings)
+        : settings_(settings), world_(settings), policy_(make_policy(world_)),
+          arrivals_(settings.seed + 1), capacity_(capacity_of(settings)),
+          start_(world_.loop.now()), trigger_(start_ + settings.before),
+          trigger_end_(trigger_ + settings.trigger),
+          end_(trigger_end_ + settings.after),
+          offered_(settings.workspaces.size()),
+          served_(settings.workspaces.size())
+    {
+        auto n = static_cast<std::size_t>((end_ - start_) / bin) + 1;
+        asked_.resize(n);
+        answered_.resize(n);
+        important_refused_.resize(n);
+        lesser_answered_.resize(n);
+        result_.capacity = capacity_;
+        result_.started_at_last.resize(
+            static_cast<std::size_t>(settings.services.back().servers));
+        make_nodes();
+    }
+
+    experiment_result run()
+    {
+        for (std::size_t it = 0; it < settings_.workspaces.size(); ++it)
+            next_original(it);
+        world_.loop.run_until(end_ + settings_.caller_timeout);
+        finish();
+        return result_;
+    }
+
+private:
+    bool in_trigger(time_point at) const
+    {
+        return at >= trigger_ && at < trigger_end_;
+    }
+
+    std::size_t bin_of(time_point at) const
+    {
+        return static_cast<std::size_t>((at - start_) / bin);
+    }
+
+    void make_nodes()
+    {
+        std::vector<std::vector<member>> members;
+        for (std::size_t n = 0; n < settings_.services.size(); ++n) {
+            world_.nodes.emplace_back();
+            members.emplace_back();
+            for (int it = 0; it < settings_.services[n].servers; ++it)
+                members[n].push_back(make_node(n, it));
+        }
+        for (auto& list : world_.nodes) {
+            for (auto& it : list) {
+                for (std::size_t n = 0; n < members.size(); ++n)
+                    it->routes.assign(settings_.services[n].name, members[n]);
+            }
+        }
+    }
+
+    member make_node(std::size_t service, int number)
+    {
+        const auto& of = settings_.services[service];
+        server_fault fault;
+        for (const auto& it : settings_.faults) {
+            if (it.service == service && static_cast<int>(it.server) == number)
+                fault = it;
+        }
+        member as;
+        as.instance = of.name + "-" + std::to_string(number);
+        as.service = of.name;
+        as.peer.port = static_cast<std::uint16_t>(number);
+        as.slots = static_cast<int>(of.slots * fault.announced);
+        as.failure_domain =
+            "domain-" + std::to_string(number % settings_.failure_domains);
+        auto made = std::make_unique<node>(world_.loop, world_.random, as, of);
+        made->fault = fault;
+        world_.nodes[service].push_back(std::move(made));
+        return as;
+    }
+
+    // Callers.
+
+    void next_original(std::size_t workspace)
+    {
+        const auto& of = settings_.workspaces[workspace];
+        auto now = world_.loop.now();
+        double demand = in_trigger(now) ? of.peak : of.usual;
+        double rate = std::max(demand * of.rate * capacity_, 1e-3);
+        auto gap = duration(static_cast<duration::rep>(
+            1e6 * -std::log1p(-arrivals_.unit()) / rate));
+        // A change of demand takes effect when it happens.
+        auto change = now < trigger_ ? trigger_ : trigger_end_;
+        if (now < change && now + gap >= change) {
+            world_.loop.call_after(
+                change - now, [this, workspace] { next_original(workspace); });
+            return;
+        }
+        if (now + gap >= end_)
+            return;
+        world_.loop.call_after(gap, [this, workspace] {
+            begin(workspace);
+            next_original(workspace);
+        });
+    }
+
+    void begin(std::size_t workspace)
+    {
+        auto it = std::make_shared<original>();
+        it->number = ++last_original_;
+        it->workspace = workspace;
+        it->since = world_.loop.now();
+        it->level = draw_importance();
+        ++asked_[bin_of(it->since)];
+        if (in_trigger(it->since))
+            ++offered_[workspace];
+        send(it);
+    }
+
+    // 2% critical, 3% high, 75% normal and 20% low.
+    importance draw_importance()
+    {
+        auto n = arrivals_.below(100);
+        if (n < 2)
+            return importance::critical;
+        if (n < 5)
+            return importance::high;
+        return n < 80 ? importance::normal : importance::low;
+    }
+
+    void send(const original_ptr& it)
+    {
+        ++it->attempts;
+        ++entered_;
+        auto over = std::make_shared<bool>(false);
+        auto& at = world_.any(0);
+        auto sent = world_.loop.now();
+        world_.loop.call_after(settings_.caller_trip, [=, &at] {
+            enter(at, it, sent, [=](const reply& got) {
+                world_.loop.call_after(settings_.caller_trip, [=] {
+                    if (!std::exchange(*over, true))
+                        receive(it, sent, got);
+                });
+            });
+        });
+        world_.loop.call_after(settings_.caller_timeout, [=] {
+            if (!std::exchange(*over, true))
+                receive(it, sent, refused(reason::deadline));
+        });
+    }
+
+    void enter(node& at, const original_ptr& it, time_point sent,
+               std::function<void(const reply&)> done)
+    {
+        const auto& of = settings_.workspaces[it->workspace];
+        auto made = std::make_shared<call>();
+        made->from = &at;
+        auto& context = made->context;
+        context.request_id = std::to_string(++last_request_);
+        context.workspace = of.name;
+        context.route = entry_route;
+        context.level = it->level;
+        made->deadline = sent + settings_.caller_timeout;
+        made->retries =
+            request::retry_allowance(request::default_retry_allowance);
+        if (!policy_->enter(at, context, of.rate * capacity_))
+            return done(refused(reason::overload));
+        made->done = [=, &at, done = std::move(done)](const reply& got) {
+            policy_->left(at, got);
+            done(got);
+        };
+        attempt(made);
+    }
+
+    void receive(const original_ptr& it, time_point sent, const reply& got)
+    {
+        auto now = world_.loop.now();
+        if (got.whole)
+            return count_served(*it, now);
+        if (got.what.why == reason::overload)
+            count_refused(*it, sent);
+        if (it->attempts >= settings_.caller_attempts)
+            return;
+        auto pause = std::chrono::milliseconds(50 + arrivals_.below(100));
+        world_.loop.call_after(pause, [=] { send(it); });
+    }
+
+    void count_served(const original& it, time_point now)
+    {
+        auto n = bin_of(it.since);
+        if (now - it.since <= settings_.caller_timeout)
+            ++answered_[n];
+        if (in_trigger(now)) {
+            ++whole_;
+            ++served_[it.workspace];
+        }
+        if (it.level >= importance::normal)
+            ++lesser_answered_[n];
+    }
+
+    void count_refused(const original& it, time_point sent)
+    {
+        if (sent < trigger_)
+            ++result_.refused_before;
+        auto n = std::min(bin_of(sent), important_refused_.size() - 1);
+        if (it.level < importance::normal)
+            ++important_refused_[n];
+    }
+
+    // Calls between services.
+
+    duration trip(const node& from, const node& to) const
+    {
+        bool same = from.self.failure_domain == to.self.failure_domain;
+        return same ? duration(100) : settings_.trip;
+    }
+
+    void attempt(const call_ptr& it)
+    {
+        auto* to =
+            policy_->choose(*it->from, it->service, it->context, it->tried);
+        if (to == nullptr) {
+            auto got = refused(reason::overload);
+            got.unused_retries = it->retries.left();
+            return it->done(got);
+        }
+        it->context.attempt_id = std::to_string(++last_attempt_);
+        it->lent = it->retries.lend();
+        it->context.retries = it->lent;
+        auto sent = world_.loop.now();
+        policy_->sent(*it->from, it->service, *to);
+        auto away = trip(*it->from, *to);
+        world_.loop.call_after(away, [=] {
+            arrive(it, *to, [=](const reply& got) {
+                world_.loop.call_after(away,
+                                       [=] { answer(it, *to, sent, got); });
+            });
+        });
+    }
+
+    void answer(const call_ptr& it, node& to, time_point sent, reply got)
+    {
+        auto elapsed = world_.loop.now() - sent;
+        policy_->answered(*it->from, it->service, to, got, elapsed);
+        it->retries.take_back(it->lent, got.unused_retries);
+        it->tried.push_back(to.self.instance);
+        auto attempts = static_cast<int>(it->tried.size());
+        bool late =
+            policy_->checks_deadlines() && world_.loop.now() >= it->deadline;
+        if (!got.whole && !late &&
+            policy_->retry(*it->from, it->retries, got, attempts))
+            return attempt(it);
+        got.unused_retries = it->retries.left();
+        it->done(got);
+    }
+
+    void arrive(const call_ptr& it, node& at,
+                const std::function<void(const reply&)>& done)
+    {
+        bool last = it->service + 1 == settings_.services.size();
+        if (last)
+            ++arrived_at_last_;
+        // A later attempt changes the context of the call.
+        auto context = std::make_shared<call_context>(it->context);
+        auto send_back = [=, &at](reply got) {
+            policy_->feed_back(at, got);
+            done(got);
+        };
+        auto decided = [=, &at](std::optional<verdict> refusal) {
+            if (!refusal)
+                return run(it, context, at, send_back);
+            auto got = refused(refusal->why);
+            got.unused_retries = context->retries;
+            send_back(got);
+        };
+        policy_->arrive(at, *context, it->deadline, decided);
+    }
+
+    void run(const call_ptr& it,
+             const std::shared_ptr<const call_context>& context, node& at,
+             const std::function<void(reply)>& done)
+    {
+        bool last = it->service + 1 == settings_.services.size();
+        auto end = [=, &at](reply got, duration downstream) {
+            policy_->finished(at, *context, got.whole, downstream);
+            done(got);
+        };
+        auto work = [=, &at] {
+            if (last)
+                ++result_.started_at_last[at.self.peer.port];
+            world_.loop.call_after(own_time(at, last), [=, &at] {
+                call_next(it, *context, at,
+                          [=, &at](reply got, duration downstream) {
+                              at.server.end();
+                              end(got, downstream);
+                          });
+            });
+        };
+        auto failed = refused(reason::backend_server_failed);
+        failed.unused_retries = context->retries;
+        if (at.fault.refuses || !at.server.start(work))
+            end(failed, duration(0));
+    }
+
+    duration own_time(const node& at, bool last)
+    {
+        auto now = world_.loop.now();
+        double mean = static_cast<double>(settings_.mean_service.count());
+        mean *= at.fault.slowness;
+        if (now - start_ < at.fault.cold)
+            mean *= cold_slowness;
+        if (last && in_trigger(now))
+            mean *= settings_.trigger_slowness;
+        return duration(static_cast<duration::rep>(
+            -mean * std::log1p(-world_.random.unit())));
+    }
+
+    void call_next(const call_ptr& it, const call_context& context, node& at,
+                   const std::function<void(reply, duration)>& done)
+    {
+        auto now = world_.loop.now();
+        if (it->service + 1 == settings_.services.size()) {
+            reply got;
+            got.whole = true;
+            got.what.run = execution::ran;
+            got.unused_retries = context.retries;
+            return done(got, duration(0));
+        }
+        if (policy_->checks_deadlines() && now >= it->deadline)
+            return done(refused(reason::deadline, execution::ran), duration(0));
+        auto child = std::make_shared<call>();
+        child->from = &at;
+        child->service = it->service + 1;
+        child->context = context;
+        ++child->context.depth;
+        child->deadline = it->deadline;
+        child->retries = request::retry_allowance(context.retries);
+        child->done = [=](const reply& got) {
+            auto up = got;
+            // This service has run, whatever happened below.
+            if (!up.whole)
+                up.what.run = execution::ran;
+            done(up, world_.loop.now() - now);
+        };
+        attempt(child);
+    }
+
+    // Figures.
+
+    void finish()
+    {
+        double span = seconds(settings_.trigger);
+        double demand = 0;
+        for (auto it : offered_)
+            demand += static_cast<double>(it) / span;
+        result_.demand = demand / capacity_;
+        result_.goodput =
+            static_cast<double>(whole_) / span / std::min(demand, capacity_);
+        result_.attempts_at_last =
+            static_cast<double>(arrived_at_last_) /
+            static_cast<double>(std::max<std::uint64_t>(entered_, 1));
+        find_recovery();
+        find_shares(span);
+        for (std::size_t n = 0; n < important_refused_.size(); ++n) {
+            if (lesser_answered_[n] > 0)
+                result_.important_refused += important_refused_[n];
+        }
+    }
+
+    void find_recovery()
+    {
+        result_.recovery = duration(0);
+        for (auto n = bin_of(trigger_end_); n < bin_of(end_); ++n) {
+            if (answered_[n] < recovered_share * asked_[n])
+                result_.recovery = bin * (n + 1 - bin_of(trigger_end_));
+        }
+    }
+
+    void find_shares(double span)
+    {
+        auto fair = fair_shares(span);
+        double least = std::numeric_limits<double>::max();
+        double missing = 0;
+        double inside = 0;
+        for (std::size_t it = 0; it < fair.size(); ++it) {
+            auto got = static_cast<double>(served_[it]);
+            least = std::min(least, got / span / fair[it]);
+            double rate = settings_.workspaces[it].rate * capacity_ * span;
+            double due = std::min(static_cast<double>(offered_[it]), rate);
+            missing += std::max(due - got, 0.0);
+            inside += due;
+        }
+        result_.worst_share = least;
+        result_.refused_inside_rate = missing / inside;
+    }
+
+    // Weighted max-min fair shares of the capacity, in requests a second.
+    std::vector<double> fair_shares(double span) const
+    {
+        auto n = offered_.size();
+        std::vector<double> share(n, -1);
+        double left = capacity_;
+        for (bool changed = true; changed;) {
+            changed = false;
+            double weights = 0;
+            for (std::size_t it = 0; it < n; ++it)
+                weights += share[it] < 0 ? settings_.workspaces[it].rate : 0;
+            for (std::size_t it = 0; it < n; ++it) {
+                double demand = static_cast<double>(offered_[it]) / span;
+                double weight = settings_.workspaces[it].rate;
+                if (share[it] >= 0 || demand > left * weight / weights)
+                    continue;
+                share[it] = demand;
+                left -= demand;
+                weights -= weight;
+                changed = true;
+            }
+        }
+        double weights = 0;
+        for (std::size_t it = 0; it < n; ++it)
+            weights += share[it] < 0 ? settings_.workspaces[it].rate : 0;
+        for (std::size_t it = 0; it < n; ++it) {
+            if (share[it] < 0)
+                share[it] = left * settings_.workspaces[it].rate / weights;
+        }
+        return share;
+    }
+
+    const experiment_settings& settings_;
+    world world_;
+    std::unique_ptr<hop_policy> policy_;
+    // Separate from the policy's numbers, so that runs with the same seed get
+    // the same requests.
+    random_source arrivals_;
+    double capacity_;
+    time_point start_;
+    time_point trigger_;
+    time_point trigger_end_;
+    time_point end_;
+    std::uint64_t last_original_ = 0;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t last_attempt_ = 0;
+    std::uint64_t entered_ = 0;
+    std::uint64_t arrived_at_last_ = 0;
+    std::uint64_t whole_ = 0;
+    std::vector<std::uint64_t> offered_;
+    std::vector<std::uint64_t> served_;
+    std::vector<std::uint32_t> asked_;
+    std::vector<std::uint32_t> answered_;
+    std::vector<std::uint32_t> important_refused_;
+    std::vector<std::uint32_t> lesser_answered_;
+    experiment_result result_;
+};
+
+std::vector<experiment_workspace> usual_workspaces(double demand)
+{
+    constexpr double sold = 0.8;
+    constexpr double usual = 0.7;
+    std::vector<experiment_workspace> made;
+    double quiet = 0;
+    int number = 0;
+    for (double share : {0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05}) {
+        experiment_workspace it;
+        it.name = "workspace-" + std::to_string(++number);
+        it.rate = sold * share;
+        it.usual = it.peak = usual / sold;
+        made.push_back(it);
+    }
+    for (std::size_t it = 6; it < 8; ++it)
+        quiet += made[it].rate * made[it].peak;
+    for (std::size_t it = 0; it < 6; ++it)
+        made[it].peak = (demand - quiet) / (0.9 * sold);
+    return made;
+}
+
+} // namespace
+
+experiment_settings deployment_a(double demand)
+{
+    experiment_settings it;
+    it.services = {{"vrsta", 4, 140, 900},
+                   {"odobritev", 4, 140, 900},
+                   {"dostava", 4, 140, 900},
+                   {"sprejem", 4, 30, 300}};
+    it.failure_domains = 4;
+    it.workspaces = usual_workspaces(demand);
+    return it;
+}
+
+experiment_settings deployment_b(double demand)
+{
+    experiment_settings it;
+    it.services = {{"weighbridge", 5, 60, 450},
+                   {"settlements", 4, 70, 530},
+                   {"tarelab", 3, 100, 700},
+                   {"quotas", 3, 20, 230}};
+    it.failure_domains = 3;
+    it.caller_trip = std::chrono::milliseconds(8);
+    it.workspaces = usual_workspaces(demand);
+    return it;
+}
+
+double capacity_of(const experiment_settings& settings)
+{
+    double least = std::numeric_limits<double>::max();
+    auto n = settings.services.size();
+    for (std::size_t it = 0; it < n; ++it) {
+        const auto& of = settings.services[it];
+        // A worker is kept through the services below.
+        double held =
+            seconds(settings.mean_service) * static_cast<double>(n - it);
+        least = std::min(least, of.servers * of.slots / held);
+    }
+    return least;
+}
+
+experiment_result run_experiment(const experiment_settings& settings)
+{
+    return experiment(settings).run();
+}
+
+Json::Value to_json(const experiment_result& it)
+{
+    Json::Value json;
+    json["capacity_per_s"] = it.capacity;
+    json["demand"] = it.demand;
+    json["goodput"] = it.goodput;
+    json["recovery_ms"] = static_cast<double>(it.recovery.count()) / 1000;
+    json["worst_share"] = it.worst_share;
+    json["refused_inside_rate"] = it.refused_inside_rate;
+    json["important_refused"] = Json::UInt64(it.important_refused);
+    json["important_requests"] = Json::UInt64(it.important_requests);
+    json["attempts_at_last"] = it.attempts_at_last;
+    json["refused_before"] = Json::UInt64(it.refused_before);
+    return json;
+}
+
+} // namespace shallotwood::process
--- a/src/process/shed_key.hpp
+++ b/src/process/shed_key.hpp
@@ -2,11 +2,11 @@
 //
 // A key has the importance in the top 8 bits and a rank in the low 24 bits,
 // log2(u x demand) in fixed point: u is uniform in (0, 1] from the request id,
-// demand is the workspace's request rate in requests a second. Among requests
-// with the rank below a threshold T, a workspace of demand d has a share
-// min(1, T / d), so all workspaces above T pass T requests a second each: one
-// threshold is max-min fair. Raising a threshold by one octave passes at most
-// twice as many requests.
+// demand is the workspace's request rate over its configured rate. Of the
+// requests of a workspace of demand d, a share of min(1, T / d) has a rank
+// below a threshold T, so all workspaces above T pass T times their configured
+// rate: one threshold is max-min fair, weighted by the configured rates.
+// Raising a threshold by one octave passes at most twice as many requests.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -22,7 +22,7 @@
 constexpr int rank_bits = 24;
 constexpr request::shed_key most_rank = (1U << rank_bits) - 1;
 // Ranks for a factor of two; 2^24 ranks cover 42 octaves, from u = 2^-18 at a
-// demand of 2^-4 a second to a demand of 2^20 a second.
+// demand of 2^-10 to a demand of 2^14.
 constexpr request::shed_key ranks_per_octave = 399457;
 // Above the keys of all levels of importance.
 constexpr request::shed_key above_all_keys = 4U << rank_bits;
@@ -48,8 +48,9 @@
 
     explicit demand_estimator(const clock& time) : clock_(time) {}
 
-    // Counts a request and returns the rate in requests a second, at least 1.
-    double count(const std::string& workspace);
+    // Counts a request and returns the demand: requests a second over
+    // `weight`, which is the workspace's configured rate, or 1 without one.
+    double count(const std::string& workspace, double weight = 1);
 
     std::size_t size() const { return rates_.size(); }
 
