Add the interface of the membership

Attempt fencing needs an order between processes of one instance, so the membership reports the lowest incarnation of this process; a revision rides on every probe so that the configuration needs no messages of its own at rest.

--- /dev/null
+++ b/src/process/membership.hpp
@@ -0,0 +1,252 @@
+// The membership: every node knows every other node, at a cost per node and
+// second that does not depend on their number.
+//
+// Each period a node probes one random member, directly and then through
+// others; a member that does not answer is suspect, and removed unless it
+// refutes with a higher incarnation. Updates spread as rumours: a few rounds
+// of their own messages under a byte budget, then on the probes, each a
+// bounded number of times. A full exchange, digests first, repairs what
+// rumours missed and joins parts of the fleet that were cut off.
+//
+// Bounds: max_members entries, dead ones included; one probe a period and its
+// relays; rumours within gossip_bytes_per_second; messages within
+// max_update_bytes, pages of an exchange within max_page_bytes.
+#pragma once
+
+#include "process/counters.hpp"
+#include "process/event_loop.hpp"
+#include "process/member.hpp"
+#include "process/object_store.hpp"
+#include "process/peer_transport.hpp"
+#include "process/random_source.hpp"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace shallotwood::process
+{
+
+struct membership_settings {
+    duration probe_period = std::chrono::seconds(1);
+    // Without an ack for this long, the probe goes through other members.
+    duration probe_timeout = std::chrono::milliseconds(300);
+    int indirect_probes = 3;
+    // A suspect has this many probe periods to refute.
+    int suspicion_periods = 4;
+
+    duration gossip_period = std::chrono::milliseconds(200);
+    int fan_out = 4;
+    // Rounds of own messages for an update; then it rides on probes only.
+    int gossip_rounds = 4;
+    // Sustained budget for rumours, with a burst of eight seconds' worth. When
+    // thousands die at once, their removal takes longer instead.
+    double gossip_bytes_per_second = 2000;
+
+    duration exchange_period = std::chrono::seconds(30);
+    // Between exchanges while the last one found differences.
+    duration repair_period = std::chrono::seconds(2);
+    // Between pages while this node has just started.
+    duration join_period = std::chrono::milliseconds(200);
+
+    // Dead members are kept, and one of them probed each period, for this
+    // long; regions may be cut off from each other for an hour.
+    duration forget_dead = std::chrono::hours(3);
+    duration dead_probe_period = std::chrono::seconds(5);
+    // A death older than this gives way to a peer that holds the member
+    // active: the peer would have noticed the death by now, so it is on the
+    // member's side of a cut that has healed.
+    duration death_settles = std::chrono::seconds(60);
+
+    // Addresses to join through, beside those in the platform's `seed/DOMAIN`.
+    std::vector<peer_address> seeds;
+    std::size_t seeds_per_domain = 3;
+    // How often the first member of each failure domain checks the seeds.
+    duration seed_check_period = std::chrono::seconds(60);
+
+    std::size_t max_members = 65'536;
+};
+
+class membership final : public member_view
+{
+public:
+    // `self` has the instance, peer address, failure domain and region; its
+    // incarnation must exceed those of earlier processes of the same instance,
+    // for which microseconds of wall-clock time will do.
+    membership(event_loop& loop, peer_transport& transport, object_store& store,
+               counters& counts, const membership_settings& settings,
+               const member& self, std::uint64_t seed);
+    ~membership() override;
+    membership(const membership&) = delete;
+    membership& operator=(const membership&) = delete;
+
+    // Starts probing, and joins through the seeds.
+    void start();
+
+    // The local backend server announced itself. Does nothing when nothing
+    // changed, else raises the incarnation. Ends leaving.
+    void announce(const std::string& service, int slots);
+
+    // This node's backend server takes no new work; pushed at once.
+    void leave();
+
+    // The process ends: tells a few peers that this member is dead, so that
+    // nobody has to suspect it. Nothing is sent afterwards.
+    void stop();
+
+    // True once an exchange with a peer has completed.
+    bool joined() const { return joined_; }
+
+    // The lowest incarnation that belongs to this process and to no earlier
+    // one of the same instance, as far as the peers remember.
+    std::uint64_t first_incarnation() const { return first_incarnation_; }
+
+    // When a message of a peer last arrived; empty if none did.
+    std::optional<time_point> last_heard() const { return last_heard_; }
+
+    // Every probe and ack carries `own()`; `heard` gets the peers' values.
+    using revision_source = std::function<std::uint64_t()>;
+    using revision_listener =
+        std::function<void(const peer_address& from, std::uint64_t revision)>;
+    void carry_revision(revision_source own, revision_listener heard);
+
+    // Up to `count` different random members that are neither self nor dead.
+    std::vector<member> random_members(std::size_t count);
+
+    const member& self() const override { return self_; }
+    std::optional<member> find(const std::string& instance) const override;
+    const std::vector<member>& members() const override { return members_; }
+    std::vector<member> serving(const std::string& service) const override;
+    void listen(std::function<void(const member& changed)> on_change) override;
+
+    // Bounds of messages and fields, in bytes.
+    static constexpr std::size_t max_update_bytes = 700;
+    static constexpr std::size_t max_page_bytes = 16'000;
+    static constexpr std::size_t max_join_page_bytes = 200'000;
+    static constexpr std::size_t max_name_bytes = 128;
+
+private:
+    // What this node knows about another one.
+    struct record {
+        member it;
+        // Set while the member is suspected, also when it is leaving.
+        timer_id suspicion{};
+        // When it died; meaningful while it is dead.
+        time_point died{};
+    };
+    // An update that still spreads; the entry is read when it is sent.
+    struct rumour {
+        int rounds = 0;
+        int sent = 0;
+    };
+    struct probe {
+        std::string instance;
+        bool acknowledged = false;
+        // Whom to tell, when the probe was made for another member.
+        std::optional<peer_address> asked_by;
+        std::uint64_t asked_id = 0;
+    };
+    // How an update reached this node.
+    enum class source { rumour, exchange, pull };
+
+    static constexpr std::size_t buckets = 256;
+    using bucket_digests = std::array<std::uint64_t, buckets>;
+
+    // Probing.
+    void probe_next();
+    void send_probe(const peer_address& to, const std::string& instance,
+                    const probe& reason);
+    void probe_through_others(std::uint64_t id);
+    void probe_failed(std::uint64_t id);
+    void probe_dead();
+    void on_probe(const peer_address& from, const Json::Value& params);
+    void on_ack(const peer_address& from, const Json::Value& params);
+    void on_probe_through(const peer_address& from, const Json::Value& params);
+
+    // Updates.
+    void on_update(const peer_address& from, const Json::Value& params);
+    void apply(const Json::Value& entries, source how);
+    void apply_entry(const Json::Value& entry, source how);
+    void apply_own(const member& claimed);
+    bool supersedes(const member& claimed, const record& known,
+                    source how) const;
+    void store_entry(const member& claimed);
+    void suspect(const std::string& instance, std::uint64_t incarnation);
+    void expire(const std::string& instance);
+    void set_self(const std::function<void(member&)>& change);
+    void publish(const member& before, const member& now);
+    void forget(const std::string& instance);
+    void make_room();
+
+    // Rumours.
+    void spread(const std::string& instance);
+    void gossip();
+    void add_updates(Json::Value& params, const std::string& also = "");
+    Json::Value message();
+    void heard(const peer_address& from, const Json::Value& params);
+
+    // Exchanges.
+    void exchange();
+    void exchange_with(const peer_address& to);
+    void on_exchange(const peer_address& from, const Json::Value& params);
+    void answer_digests(const peer_address& from, const Json::Value& params);
+    void take_page(const peer_address& from, const Json::Value& params);
+    void schedule_exchange(duration delay);
+    Json::Value page_of(const std::vector<std::size_t>& wanted,
+                        std::size_t limit, bool& whole) const;
+    std::uint64_t digest() const;
+
+    // Seeds.
+    void join();
+    void check_seeds();
+    void use_seeds(const std::vector<stored_object>& objects);
+    void write_seed(const std::vector<stored_object>& objects);
+
+    void repeat(duration period, void (membership::*task)());
+    void after(duration delay, std::function<void()> task);
+
+    event_loop& loop_;
+    peer_transport& transport_;
+    object_store& store_;
+    counters& counts_;
+    const membership_settings settings_;
+    random_source random_;
+    member self_;
+    std::uint64_t first_incarnation_;
+    bool joined_ = false;
+    bool stopped_ = false;
+    std::optional<time_point> last_heard_;
+    time_point last_tick_{};
+
+    // All other members, dead ones included.
+    std::unordered_map<std::string, record> records_;
+    // Names of the dead, for probing and eviction.
+    std::vector<std::string> dead_;
+    // Self and all live members, ordered by instance.
+    std::vector<member> members_;
+    std::map<std::string, std::set<std::string>> by_service_;
+    // Sum of the hashes of the live entries in each bucket.
+    bucket_digests digests_{};
+
+    std::map<std::string, rumour> rumours_;
+    double gossip_allowance_ = 0;
+    std::uint64_t last_probe_ = 0;
+    std::map<std::uint64_t, probe> probes_;
+    timer_id next_exchange_{};
+    duration join_backoff_{};
+
+    revision_source own_revision_;
+    revision_listener heard_revision_;
+    std::vector<std::function<void(const member&)>> listeners_;
+    // Timers and platform calls hold it weakly, so that they end with the
+    // object.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace shallotwood::process
