--- a/src/process/ownership.hpp
+++ b/src/process/ownership.hpp
@@ -50,7 +50,8 @@
     duration silence_limit = std::chrono::seconds(4);
     duration candidate_step = std::chrono::seconds(6);
     // A witness that did not answer for this long is replaced.
-    duration witness_limit = std::chrono::seconds(6);
+    // Shorter than the lease, because one of two witnesses is no majority.
+    duration witness_limit = std::chrono::seconds(2);
     // A takeover that can exclude the old owner but misses copies waits this
     // long for them before it goes on with the state marked as incomplete.
     duration gather_limit = std::chrono::seconds(10);
@@ -60,16 +61,18 @@
     duration presume_lost_after = std::chrono::hours(2);
     // Retransmission of messages without an answer.
     duration resend_period = std::chrono::milliseconds(100);
-    std::size_t max_copies = 4'000'000;
-    std::size_t max_copy_bytes = 64'000'000;
+    std::size_t max_copies = 1'000'000;
+    std::size_t max_copy_bytes = 48'000'000;
+    // Copies under way from this node as an owner, a shard.
+    std::size_t max_pending_copies = 65536;
     std::size_t max_platform_calls = 8;
 };
 
 // A piece of a client's state in a shard.
 struct shard_entry {
     std::string key;
-    // Set by ownership when the entry is replicated; of two copies the higher
-    // is the newer.
+    // Set by ownership when the entry is copied; of two copies the higher is
+    // the newer.
     std::uint64_t epoch = 0;
     std::uint64_t sequence = 0;
     std::string value;
@@ -164,9 +167,8 @@
                const peer_address& asked);
 
     // Copies the entry to the witnesses; calls `done` with true once a
-    // majority holds it, with false if the shard is lost before. Only while
-    // owns(). A later copy of the same key replaces an earlier one that is
-    // still under way; both then end with the later.
+    // majority holds it, possibly before the call returns, or with false if
+    // the shard is lost before. Check owns() again before acting on it.
     void replicate(const std::string& client, shard_id shard, shard_entry entry,
                    std::function<void(bool held)> done);
 
--- a/src/process/record_store.hpp
+++ b/src/process/record_store.hpp
@@ -24,8 +24,8 @@
     // Must outlive every repeat that is to be recognised.
     duration window = std::chrono::hours(24);
     // Records owned by this node, and the bytes of their keys and outcomes.
-    std::size_t max_records = 1'000'000;
-    std::size_t max_bytes = 48'000'000;
+    std::size_t max_records = 200'000;
+    std::size_t max_bytes = 16'000'000;
     // Of a larger body only the status is recorded.
     std::size_t max_body_bytes = 65536;
     std::size_t max_key_bytes = 256;
