--- a/src/process/membership.hpp
+++ b/src/process/membership.hpp
@@ -21,6 +21,7 @@
 #include "process/random_source.hpp"
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -136,7 +137,7 @@
     struct record {
         member it;
         // Set while the member is suspected, also when it is leaving.
-        timer_id suspicion{};
+        std::optional<timer_id> suspicion;
         // When it died; meaningful while it is dead.
         time_point died{};
     };
@@ -147,60 +148,64 @@
     };
     struct probe {
         std::string instance;
-        bool acknowledged = false;
         // Whom to tell, when the probe was made for another member.
         std::optional<peer_address> asked_by;
         std::uint64_t asked_id = 0;
     };
     // How an update reached this node.
-    enum class source { rumour, exchange, pull };
+    enum class source { rumour, exchange };
 
     static constexpr std::size_t buckets = 256;
-    using bucket_digests = std::array<std::uint64_t, buckets>;
 
     // Probing.
-    void probe_next();
-    void send_probe(const peer_address& to, const std::string& instance,
-                    const probe& reason);
+    void tick();
+    std::optional<std::string> next_target();
+    void send_probe(const probe& it);
     void probe_through_others(std::uint64_t id);
     void probe_failed(std::uint64_t id);
-    void probe_dead();
+    void acknowledged(const std::string& instance, std::uint64_t incarnation);
     void on_probe(const peer_address& from, const Json::Value& params);
     void on_ack(const peer_address& from, const Json::Value& params);
     void on_probe_through(const peer_address& from, const Json::Value& params);
+    void tick_dead();
 
     // Updates.
-    void on_update(const peer_address& from, const Json::Value& params);
-    void apply(const Json::Value& entries, source how);
-    void apply_entry(const Json::Value& entry, source how);
-    void apply_own(const member& claimed);
+    bool receive(const peer_address& from, const Json::Value& params);
+    std::size_t apply(const Json::Value& entries, source how);
+    bool apply_entry(const Json::Value& entry, source how);
+    bool apply_own(const member& claimed);
     bool supersedes(const member& claimed, const record& known,
                     source how) const;
     void store_entry(const member& claimed);
-    void suspect(const std::string& instance, std::uint64_t incarnation);
-    void expire(const std::string& instance);
-    void set_self(const std::function<void(member&)>& change);
-    void publish(const member& before, const member& now);
-    void forget(const std::string& instance);
-    void make_room();
+    void start_suspicion(const std::string& instance);
+    void suspicion_over(const std::string& instance, bool late);
+    void verify(const std::string& instance);
+    void raise_incarnation(std::uint64_t above);
+    void publish(const member& now);
+    bool make_room();
+    void forget_dead_until(time_point oldest, std::size_t keep);
 
     // Rumours.
     void spread(const std::string& instance);
+    void tick_gossip();
     void gossip();
-    void add_updates(Json::Value& params, const std::string& also = "");
-    Json::Value message();
-    void heard(const peer_address& from, const Json::Value& params);
+    const member* entry_of(const std::string& instance) const;
+    std::vector<std::string> pick_rumours(std::size_t limit, bool rounds_only);
+    void note_sent(const std::vector<std::string>& names, int copies,
+                   bool round);
+    Json::Value message(const std::string& to);
 
     // Exchanges.
-    void exchange();
+    void tick_exchange();
+    void schedule_exchange(duration delay);
     void exchange_with(const peer_address& to);
     void on_exchange(const peer_address& from, const Json::Value& params);
-    void answer_digests(const peer_address& from, const Json::Value& params);
-    void take_page(const peer_address& from, const Json::Value& params);
-    void schedule_exchange(duration delay);
-    Json::Value page_of(const std::vector<std::size_t>& wanted,
-                        std::size_t limit, bool& whole) const;
-    std::uint64_t digest() const;
+    void answer_digest(const peer_address& from, const Json::Value& params);
+    void answer_buckets(const peer_address& from, const Json::Value& params);
+    void answer_page(const peer_address& from, const Json::Value& params);
+    Json::Value page_of(std::vector<std::size_t> wanted, std::size_t limit,
+                        bool& whole);
+    void completed();
 
     // Seeds.
     void join();
@@ -208,8 +213,9 @@
     void use_seeds(const std::vector<stored_object>& objects);
     void write_seed(const std::vector<stored_object>& objects);
 
-    void repeat(duration period, void (membership::*task)());
-    void after(duration delay, std::function<void()> task);
+    void after(duration delay, std::function<void(bool late)> task);
+    timer_id start_timer(duration delay, std::function<void(bool late)> task);
+    bool paused_since(time_point due) const;
 
     event_loop& loop_;
     peer_transport& transport_;
@@ -221,25 +227,34 @@
     std::uint64_t first_incarnation_;
     bool joined_ = false;
     bool stopped_ = false;
+    // Set after a pause of this process: its view is old and not passed on
+    // until an exchange has completed.
+    bool stale_ = false;
+    int join_attempts_ = 0;
     std::optional<time_point> last_heard_;
     time_point last_tick_{};
 
     // All other members, dead ones included.
     std::unordered_map<std::string, record> records_;
-    // Names of the dead, for probing and eviction.
-    std::vector<std::string> dead_;
+    // The dead, oldest death first.
+    std::set<std::pair<time_point, std::string>> dead_;
+    // The one probed last; all take their turn.
+    std::pair<time_point, std::string> last_dead_probed_;
     // Self and all live members, ordered by instance.
     std::vector<member> members_;
     std::map<std::string, std::set<std::string>> by_service_;
     // Sum of the hashes of the live entries in each bucket.
-    bucket_digests digests_{};
+    std::array<std::uint64_t, buckets> digests_{};
 
     std::map<std::string, rumour> rumours_;
     double gossip_allowance_ = 0;
     std::uint64_t last_probe_ = 0;
     std::map<std::uint64_t, probe> probes_;
-    timer_id next_exchange_{};
-    duration join_backoff_{};
+    // Members to probe before a random one; at most max_verified.
+    std::deque<std::string> verify_;
+    // Suspects whom this node itself accused; at most max_accused.
+    std::deque<std::string> accused_;
+    std::optional<timer_id> next_exchange_;
 
     revision_source own_revision_;
     revision_listener heard_revision_;
