Add the HTTP data path and the backend server stand-in

A request now goes from the caller through the entry node and the node beside the backend server as separate processes, with child calls by token through the local listener.

Checked by hand: GET, POST with an echoed body, dropped internal headers and key (curl through two nodes and the stand-in).

--- /dev/null
+++ b/src/connection/http_listener.hpp
@@ -0,0 +1,89 @@
+// One listening address that serves HTTP/1.1 by libsoup.
+//
+// Bounds: connections at a time, length of the request line, number and bytes
+// of headers. What exceeds a bound gets an error response and the listener
+// goes on.
+#pragma once
+
+#include "connection/glib_handle.hpp"
+#include "connection/server_exchange.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <libsoup/soup.h>
+#include <memory>
+#include <string>
+
+namespace shallotwood::connection
+{
+
+struct listener_limits {
+    std::size_t connections = 4096;
+    std::size_t path_bytes = 8 * 1024;
+    std::size_t header_count = 100;
+    std::size_t header_bytes = 32 * 1024;
+    // A connection without any traffic is closed after this time.
+    unsigned idle_seconds = 120;
+};
+
+struct listen_address {
+    std::string host;
+    // 0 lets the kernel choose.
+    std::uint16_t port = 0;
+};
+
+// Nothing if the text is not `ADDRESS:PORT` with a literal IP address.
+std::optional<listen_address> parse_address(std::string_view text);
+
+class http_listener
+{
+public:
+    using handler = std::function<void(std::shared_ptr<server_exchange>)>;
+
+    // `on_request` gets each request whose head is acceptable.
+    http_listener(listener_limits limits, handler on_request);
+    ~http_listener();
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+
+    // Returns an error message, empty on success.
+    std::string listen(const listen_address& address);
+    // The port in use after listen().
+    std::uint16_t port() const { return port_; }
+
+    // Accepts no more connections, and closes those that remain open after
+    // their current response.
+    void stop_accepting();
+
+    std::size_t connections() const { return connections_->open; }
+
+    // The socket behind a message of any listener; nullptr if it is closed.
+    static GSocket* socket_of(SoupServerMessage* message);
+
+private:
+    struct connection_count {
+        std::size_t open = 0;
+    };
+
+    static gboolean accepted(GSocketService* service,
+                             GSocketConnection* connection, GObject* source,
+                             gpointer data);
+    static void closed(gpointer data, GObject* connection);
+    static void head_received(SoupServer* server, SoupServerMessage* message,
+                              const char* path, GHashTable* query,
+                              gpointer data);
+    static void body_received(SoupServer* server, SoupServerMessage* message,
+                              const char* path, GHashTable* query,
+                              gpointer data);
+    int status_of_head(SoupServerMessage* message) const;
+
+    listener_limits limits_;
+    handler on_request_;
+    object_handle<SoupServer> server_;
+    object_handle<GSocketService> service_;
+    std::shared_ptr<connection_count> connections_;
+    std::uint16_t port_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace shallotwood::connection
--- /dev/null
+++ b/src/process/http_environment.cpp
@@ -0,0 +1,67 @@
+#include "process/http_environment.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+using connection::header_list;
+namespace header_name = connection::header_name;
+
+// Whole seconds as the header demands, spread over twice the wait, so that
+// callers that were refused together do not return together.
+std::string retry_after_text(duration wait, random_source& random)
+{
+    double seconds = std::max(1.0, std::chrono::duration<double>(wait).count());
+    auto jittered = seconds * (1.0 + random.unit());
+    return std::to_string(static_cast<std::int64_t>(jittered + 0.5));
+}
+
+} // namespace
+
+std::shared_ptr<void> http_environment::hold_in_flight()
+{
+    ++in_flight;
+    return {this, [](http_environment* it) {
+                --it->in_flight;
+                if (it->in_flight == 0 && it->draining && it->on_idle)
+                    it->loop.call_after(duration(0), it->on_idle);
+            }};
+}
+
+void scoped_timer::start(duration delay, std::function<void()> task)
+{
+    cancel();
+    id_ = on_.call_after(std::max(delay, duration(0)), std::move(task));
+}
+
+void scoped_timer::cancel()
+{
+    if (id_ != timer_id{})
+        on_.cancel(std::exchange(id_, timer_id{}));
+}
+
+void refuse(http_environment& in, connection::server_exchange& to,
+            const request::refusal& it)
+{
+    if (!to.is_open())
+        return;
+    if (to.response_started())
+        return to.abort();
+    auto run = std::string(name_of(it.what.run));
+    auto why = std::string(name_of(it.what.why));
+    header_list headers{{header_name::verdict, run},
+                        {header_name::reason, why},
+                        {"Content-Type", "application/json"}};
+    if (it.retry_after)
+        headers.push_back(
+            {"Retry-After", retry_after_text(*it.retry_after, in.random)});
+    to.respond(it.status, std::move(headers),
+               R"({"verdict":")" + run + R"(","reason":")" + why + "\"}\n");
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/http_environment.hpp
@@ -0,0 +1,79 @@
+// What the parts of the data path share: settings, the loop, the client, the
+// policies, and the count of requests in flight.
+#pragma once
+
+#include "connection/http_client.hpp"
+#include "connection/http_listener.hpp"
+#include "process/counters.hpp"
+#include "process/event_loop.hpp"
+#include "process/random_source.hpp"
+#include "request/call_policy.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace shallotwood::process
+{
+
+struct data_path_settings {
+    connection::listen_address caller;
+    connection::listen_address peer;
+    connection::listen_address local;
+    // Authenticates contexts between nodes.
+    std::string fleet_secret;
+    // Longest wait for the head of a response from another node. It bounds the
+    // longest request that can be told from a silent connection.
+    duration head_progress_limit = std::chrono::seconds(10);
+    // Longest wait for the next bytes of a body.
+    duration body_progress_limit = std::chrono::seconds(5);
+    // The time added to a deadline before the sender gives up: the node beside
+    // the backend server answers at the deadline and knows more about the run.
+    duration deadline_grace = std::chrono::milliseconds(10);
+    connection::listener_limits listener_limits;
+    connection::client_limits client_limits;
+};
+
+struct http_environment {
+    const data_path_settings& settings;
+    event_loop& loop;
+    random_source& random;
+    counters& counts;
+    request::entry_policy& entry;
+    request::routing_policy& routing;
+    request::execution_policy& execution;
+    connection::http_client& client;
+
+    bool draining = false;
+    std::size_t in_flight = 0;
+    // Called when draining and nothing is in flight any more.
+    std::function<void()> on_idle;
+
+    // Counts one request in flight until the handle is released.
+    std::shared_ptr<void> hold_in_flight();
+};
+
+// A timer that is cancelled with the object.
+class scoped_timer
+{
+public:
+    explicit scoped_timer(scheduler& on) : on_(on) {}
+    ~scoped_timer() { cancel(); }
+    scoped_timer(const scoped_timer&) = delete;
+    scoped_timer& operator=(const scoped_timer&) = delete;
+
+    // Replaces the pending task.
+    void start(duration delay, std::function<void()> task);
+    void cancel();
+
+private:
+    scheduler& on_;
+    timer_id id_{};
+};
+
+// Refuses a request towards a caller or backend server; breaks the connection
+// if a response has started.
+void refuse(http_environment& in, connection::server_exchange& to,
+            const request::refusal& it);
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/http_execution.hpp
@@ -0,0 +1,60 @@
+// One call from another node, run on the local backend server.
+//
+// The execution policy decides whether and when it runs. The feedback header
+// goes out with the head of the response; ended() follows when the body has
+// ended or failed.
+#pragma once
+
+#include "process/http_environment.hpp"
+
+namespace shallotwood::process
+{
+
+class http_execution : public std::enable_shared_from_this<http_execution>
+{
+public:
+    // Handles a request at the peer listener.
+    static void begin(http_environment& in,
+                      std::shared_ptr<connection::server_exchange> exchange);
+
+    http_execution(http_environment& in,
+                   std::shared_ptr<connection::server_exchange> exchange,
+                   request::call call);
+
+private:
+    void arrive(std::shared_ptr<connection::request_body> body);
+    void permitted(const request::execution_permit& permit);
+    connection::client_request
+    make_request(const request::execution_permit& permit) const;
+    void head_received(connection::response_head head,
+                       const connection::internal_headers& internal);
+    void data_received(std::string_view bytes);
+    void end_received();
+    void failed(bool written);
+    void sender_left();
+    void stop(request::execution_end how, const request::refusal& it);
+    void refuse_with_feedback(const request::refusal& it);
+    void ended(request::execution_end how);
+    void await_progress();
+    std::string feedback_text(const request::verdict& what,
+                              std::optional<duration> retry_after);
+
+    http_environment& in_;
+    std::shared_ptr<connection::server_exchange> exchange_;
+    request::call call_;
+    std::string method_;
+    connection::header_list headers_;
+    std::shared_ptr<connection::request_body> body_;
+    std::shared_ptr<connection::client_call> client_;
+    scoped_timer deadline_timer_;
+    scoped_timer progress_timer_;
+    // Set while the backend server answers that it did not run the call.
+    std::optional<request::refusal> refused_;
+    std::optional<std::uint64_t> length_;
+    std::uint64_t relayed_bytes_ = 0;
+    int status_ = 0;
+    bool running_ = false;
+    bool ended_ = false;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/http_forward.hpp
@@ -0,0 +1,110 @@
+// One call on its way to the node beside a backend server, over as many
+// attempts as the routing policy allows.
+//
+// States, one way except for another attempt: choosing, waiting for a head,
+// then either concluding the attempt (refused, failed, fenced) or relaying the
+// response. At most one attempt is open at a time. The verdict given to the
+// caller is the weakest claim that holds for all attempts together.
+#pragma once
+
+#include "process/http_environment.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace shallotwood::process
+{
+
+struct forward_request {
+    request::call call;
+    std::string method;
+    connection::header_list headers;
+    std::shared_ptr<connection::request_body> body;
+};
+
+class http_forward : public std::enable_shared_from_this<http_forward>
+{
+public:
+    using record_function = std::function<void(
+        const request::call&, const request::recorded_response&,
+        std::function<void(std::optional<request::refusal>)>)>;
+    using done_function = std::function<void(const request::call&,
+                                             const request::call_feedback&)>;
+
+    // Largest body that a record keeps (section 4.5 of the design).
+    static constexpr std::size_t max_recorded_bytes = 64 * 1024;
+
+    // `record` may be empty; `done` is called once.
+    http_forward(http_environment& in,
+                 std::shared_ptr<connection::server_exchange> exchange,
+                 forward_request request, record_function record,
+                 done_function done);
+
+    void start();
+
+private:
+    void attempt();
+    connection::client_request make_request() const;
+    connection::client_handlers make_handlers();
+    void head_received(connection::response_head head,
+                       const connection::internal_headers& internal);
+    void data_received(std::string_view bytes);
+    void end_received();
+    void attempt_lost(bool written, request::reason why);
+    void conclude(const request::call_feedback& feedback);
+    void retry_or_refuse(const request::call_feedback& feedback);
+
+    void relay(connection::response_head head);
+    void record_response(bool whole);
+    void recorded(const std::optional<request::refusal>& refused, bool whole);
+    void relay_data(std::string_view bytes);
+    void relay_lost(request::reason why);
+    bool may_resume() const;
+    bool resumes(const connection::response_head& head) const;
+
+    void deadline_passed();
+    void caller_left();
+    void answered(const request::call_feedback& feedback);
+    void refuse_call(request::refusal it);
+    void finish(const request::call_feedback& feedback);
+    void await_progress(duration limit);
+    duration remaining() const;
+
+    enum class phase { waiting, refused, collecting, recording, relaying };
+
+    http_environment& in_;
+    std::shared_ptr<connection::server_exchange> exchange_;
+    forward_request request_;
+    record_function record_;
+    done_function done_;
+
+    time_point deadline_;
+    scoped_timer deadline_timer_;
+    scoped_timer progress_timer_;
+
+    std::vector<std::string> tried_;
+    // What the attempts so far may have done.
+    request::execution worst_ = request::execution::not_run;
+    std::optional<request::refusal> last_refusal_;
+
+    // Of the attempt that is open.
+    phase phase_ = phase::waiting;
+    bool open_ = false;
+    request::target target_;
+    time_point sent_at_;
+    std::shared_ptr<connection::client_call> client_;
+    request::call_feedback feedback_;
+    std::optional<duration> retry_after_;
+    int status_ = 0;
+
+    // Of the response that is being relayed.
+    connection::response_head head_;
+    std::string collected_;
+    std::uint64_t relayed_bytes_ = 0;
+    std::string validator_;
+    bool resuming_ = false;
+    bool ended_ = false;
+};
+
+} // namespace shallotwood::process
