Add the HTTP client of the platform's object API

Cause: the object store needs an implementation that tells truthfully whether a write was executed.

A 503 of a write is an unknown outcome too. Watches are long polls with connections of their own, a time limit of 7 s, at most 4 polls a second each and a jittered backoff.

Ruled out: libsoup's socket timeout (whole seconds, per read); one session for calls and watches (waiting watches would hold all connections); proxies from the environment and decoding of compressed answers (both disabled).

--- /dev/null
+++ b/src/process/platform_client.hpp
@@ -0,0 +1,109 @@
+// The platform's object API over HTTP; see docs/platform-api.md.
+//
+// Every call has a time limit, and the numbers of calls, connections and bytes
+// are bounded. The outcome of a write is reported as not executed only if that
+// is certain: the connection failed before the request was sent, or the
+// platform said so.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/object_store.hpp"
+#include "process/peer_transport.hpp"
+#include "process/random_source.hpp"
+
+#include <libsoup/soup.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace shallotwood::process
+{
+
+struct platform_limits {
+    // From the call until its answer is complete.
+    duration call_timeout = std::chrono::seconds(5);
+    // The platform answers a watch after this time at the latest, so that a
+    // silent platform is noticed within watch_wait + watch_grace, which is
+    // below the usual isolation limit of 10 s.
+    duration watch_wait = std::chrono::seconds(5);
+    duration watch_grace = std::chrono::seconds(2);
+    // Between the starts of two polls of one watch. Bounds the traffic of a
+    // watch on an object that changes often.
+    duration watch_min_interval = std::chrono::milliseconds(250);
+    // After a failed poll; doubles with each further failure. The actual wait
+    // is 50 to 100% of it, so that watchers don't return together.
+    duration first_backoff = std::chrono::milliseconds(100);
+    duration max_backoff = std::chrono::seconds(5);
+    // Calls in progress; a further one is refused as rate_limited.
+    std::size_t max_calls = 256;
+    std::size_t max_watches = 256;
+};
+
+class platform_client final : public object_store
+{
+public:
+    // The loop must run on the GLib default context.
+    platform_client(const peer_address& platform, event_loop& loop,
+                    random_source& random, platform_limits limits = {});
+    // Calls in progress are abandoned: their callbacks are not called.
+    ~platform_client() override;
+    platform_client(const platform_client&) = delete;
+    platform_client& operator=(const platform_client&) = delete;
+
+    void get(const std::string& name,
+             std::function<void(get_result)> done) override;
+    void put(const std::string& name, const std::string& value,
+             std::uint64_t expected_version,
+             std::function<void(put_result)> done) override;
+    void list(const std::string& prefix,
+              std::function<void(list_result)> done) override;
+    watch_id watch(const std::string& name, std::uint64_t after_version,
+                   std::function<void(get_result)> on_change) override;
+    void cancel(watch_id id) override;
+
+    // When the platform last answered anything; empty before the first answer.
+    std::optional<time_point> last_answer() const { return last_answer_; }
+
+private:
+    class exchange;
+    struct answer;
+    struct request;
+    struct watch_state;
+    using on_answer = std::function<void(const answer&)>;
+    struct unref {
+        void operator()(SoupSession* it) const { g_object_unref(it); }
+    };
+    using session = std::unique_ptr<SoupSession, unref>;
+
+    static session make_session();
+    static get_result get_outcome(const std::string& name, const answer& it);
+    static put_result put_outcome(const answer& it);
+
+    // Counts the call, or refuses it if too many are in progress.
+    template <typename Result>
+    bool admit(const std::function<void(Result)>& done);
+    std::uint64_t send(SoupSession* through, const request& it, on_answer done);
+    void finish(std::uint64_t id, const answer& it);
+    void list_page(const std::string& prefix, const std::string& after,
+                   std::vector<stored_object> found,
+                   std::function<void(list_result)> done);
+    void poll(std::uint64_t id);
+    void on_poll(std::uint64_t id, const answer& it);
+
+    std::string base_uri_;
+    event_loop& loop_;
+    random_source& random_;
+    platform_limits limits_;
+    // Watches have connections of their own, so that waiting ones never keep a
+    // call from being sent.
+    session calls_;
+    session polls_;
+    std::uint64_t last_id_ = 0;
+    std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
+    std::size_t call_count_ = 0;
+    std::map<std::uint64_t, watch_state> watches_;
+    std::optional<time_point> last_answer_;
+};
+
+} // namespace shallotwood::process
