Move HTTP exchanges out of the platform client

Cause: the operator command also reads the status of nodes over HTTP, with the same time limit and bound on the answer.

http_client sends one request, counts how often it was sent, and returns status, one wanted header and the bounded body. No behaviour changes.

--- a/src/process/platform_client.cpp
+++ b/src/process/platform_client.cpp
@@ -15,7 +15,6 @@
 
 // Connections to the platform, each for calls and for watches.
 constexpr int max_connections = 256;
-constexpr unsigned idle_seconds = 30;
 
 // A page of a list holds objects of at most 1 MB in all, or a single one; JSON
 // escapes may lengthen a value.
@@ -42,11 +41,11 @@
     return "/objects/" + escaped(name, "/");
 }
 
-std::optional<std::uint64_t> parse_version(const char* text)
+std::optional<std::uint64_t> version_of(const http_answer& answer)
 {
-    if (!text)
+    if (!answer.header)
         return std::nullopt;
-    std::string_view all(text);
+    std::string_view all(*answer.header);
     std::uint64_t version = 0;
     const auto* end = all.data() + all.size();
     auto [rest, ec] = std::from_chars(all.data(), end, version);
@@ -97,25 +96,6 @@
 
 } // namespace
 
-struct platform_client::request {
-    const char* method = "GET";
-    std::string path;
-    duration timeout{};
-    // For PUT only.
-    std::optional<std::uint64_t> expected_version;
-    std::string value;
-};
-
-struct platform_client::answer {
-    // Times that the request began to be written to a connection. libsoup sends
-    // a request again if a connection that it reused turns out to be closed.
-    int sends = 0;
-    // 0 if no complete answer came.
-    unsigned status = 0;
-    std::optional<std::uint64_t> version;
-    std::string body;
-};
-
 struct platform_client::watch_state {
     std::string name;
     std::uint64_t seen_version = 0;
@@ -127,142 +107,11 @@
     timer_id timer{};
 };
 
-// One HTTP request and its answer. Owned by the client until it ends, and kept
-// alive by libsoup's callback until that ran.
-class platform_client::exchange : public std::enable_shared_from_this<exchange>
-{
-public:
-    exchange(platform_client& owner, std::uint64_t id, const request& it,
-             on_answer done)
-        : owner_(&owner), id_(id), done_(std::move(done)),
-          cancellable_(g_cancellable_new()),
-          message_(
-              soup_message_new(it.method, (owner.base_uri_ + it.path).c_str()))
-    {
-        soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
-        if (it.expected_version)
-            add_body(*it.expected_version, it.value);
-        g_signal_connect(message_, "starting",
-                         G_CALLBACK(&exchange::on_starting), this);
-        g_signal_connect(message_, "got-headers",
-                         G_CALLBACK(&exchange::on_headers), this);
-    }
-
-    ~exchange()
-    {
-        g_signal_handlers_disconnect_by_data(message_, this);
-        g_object_unref(message_);
-        g_object_unref(cancellable_);
-    }
-
-    exchange(const exchange&) = delete;
-    exchange& operator=(const exchange&) = delete;
-
-    void start(SoupSession* through, duration timeout)
-    {
-        timer_ = owner_->loop_.call_after(timeout, [this] { on_timeout(); });
-        soup_session_send_and_read_async(
-            through, message_, G_PRIORITY_DEFAULT, cancellable_,
-            &exchange::on_done,
-            new std::shared_ptr<exchange>(shared_from_this()));
-    }
-
-    // The callback of the exchange will not be called.
-    void abandon()
-    {
-        owner_->loop_.cancel(timer_);
-        owner_ = nullptr;
-        g_cancellable_cancel(cancellable_);
-    }
-
-    on_answer take_callback() { return std::move(done_); }
-
-private:
-    void add_body(std::uint64_t expected_version, const std::string& value)
-    {
-        auto* headers = soup_message_get_request_headers(message_);
-        soup_message_headers_replace(headers, expected_header,
-                                     std::to_string(expected_version).c_str());
-        auto* bytes = g_bytes_new(value.data(), value.size());
-        soup_message_set_request_body_from_bytes(
-            message_, "application/octet-stream", bytes);
-        g_bytes_unref(bytes);
-    }
-
-    void on_timeout()
-    {
-        timer_ = {};
-        g_cancellable_cancel(cancellable_);
-    }
-
-    static void on_starting(SoupMessage* /*message*/, exchange* self)
-    {
-        ++self->answer_.sends;
-    }
-
-    // Refuses an answer whose size is not known to be within the bound.
-    static void on_headers(SoupMessage* message, exchange* self)
-    {
-        auto* headers = soup_message_get_response_headers(message);
-        auto status = soup_message_get_status(message);
-        bool empty = status == SOUP_STATUS_NO_CONTENT;
-        bool sized = soup_message_headers_get_encoding(headers) ==
-                     SOUP_ENCODING_CONTENT_LENGTH;
-        auto length = soup_message_headers_get_content_length(headers);
-        if (!empty &&
-            (!sized || length > static_cast<goffset>(max_answer_bytes)))
-            g_cancellable_cancel(self->cancellable_);
-    }
-
-    static void on_done(GObject* source, GAsyncResult* result, gpointer data)
-    {
-        std::unique_ptr<std::shared_ptr<exchange>> self(
-            static_cast<std::shared_ptr<exchange>*>(data));
-        GError* error = nullptr;
-        auto* bytes = soup_session_send_and_read_finish(SOUP_SESSION(source),
-                                                        result, &error);
-        g_clear_error(&error);
-        if (bytes) {
-            (*self)->read(bytes);
-            g_bytes_unref(bytes);
-        }
-        (*self)->end();
-    }
-
-    void read(GBytes* bytes)
-    {
-        gsize size = 0;
-        const auto* data =
-            static_cast<const char*>(g_bytes_get_data(bytes, &size));
-        answer_.status = soup_message_get_status(message_);
-        answer_.version = parse_version(soup_message_headers_get_one(
-            soup_message_get_response_headers(message_), version_header));
-        if (size > 0)
-            answer_.body.assign(data, size);
-    }
-
-    void end()
-    {
-        if (!owner_)
-            return;
-        owner_->loop_.cancel(timer_);
-        owner_->finish(id_, answer_);
-    }
-
-    // Null once abandoned.
-    platform_client* owner_;
-    std::uint64_t id_;
-    on_answer done_;
-    GCancellable* cancellable_;
-    SoupMessage* message_;
-    timer_id timer_{};
-    answer answer_;
-};
-
 platform_client::platform_client(const peer_address& platform, event_loop& loop,
                                  random_source& random, platform_limits limits)
     : base_uri_("http://" + to_text(platform)), loop_(loop), random_(random),
-      limits_(limits), calls_(make_session()), polls_(make_session())
+      limits_(limits), calls_(loop, max_connections),
+      polls_(loop, max_connections)
 {
 }
 
@@ -270,42 +119,6 @@
 {
     for (auto& [id, it] : watches_)
         loop_.cancel(it.timer);
-    for (auto& [id, it] : exchanges_)
-        it->abandon();
-}
-
-platform_client::session platform_client::make_session()
-{
-    session it(soup_session_new_with_options(
-        "max-conns", max_connections, "max-conns-per-host", max_connections,
-        "idle-timeout", idle_seconds, nullptr));
-    // The platform is always connected to directly, whatever the environment
-    // says about proxies.
-    soup_session_set_proxy_resolver(it.get(), nullptr);
-    // An answer that expands when it is decoded would escape the size bound.
-    soup_session_remove_feature_by_type(it.get(), SOUP_TYPE_CONTENT_DECODER);
-    return it;
-}
-
-std::uint64_t platform_client::send(SoupSession* through, const request& it,
-                                    on_answer done)
-{
-    auto id = ++last_id_;
-    auto created = std::make_shared<exchange>(*this, id, it, std::move(done));
-    exchanges_.emplace(id, created);
-    created->start(through, it.timeout);
-    return id;
-}
-
-void platform_client::finish(std::uint64_t id, const answer& it)
-{
-    if (it.status != 0)
-        last_answer_ = loop_.now();
-    auto found = exchanges_.find(id);
-    auto done = found->second->take_callback();
-    // The answer belongs to the exchange, which the caller keeps alive.
-    exchanges_.erase(found);
-    done(it);
 }
 
 template <typename Result>
@@ -319,13 +132,34 @@
     return false;
 }
 
+http_request platform_client::make_request(const std::string& path,
+                                           duration limit) const
+{
+    http_request it;
+    it.uri = base_uri_ + path;
+    it.time_limit = limit;
+    it.max_answer_bytes = max_answer_bytes;
+    it.wanted_header = version_header;
+    return it;
+}
+
+void platform_client::send_call(const http_request& it,
+                                http_client::on_answer done)
+{
+    calls_.send(it, [this, done = std::move(done)](const http_answer& got) {
+        if (got.status != 0)
+            last_answer_ = loop_.now();
+        done(got);
+    });
+}
+
 get_result platform_client::get_outcome(const std::string& name,
-                                        const answer& it)
+                                        const http_answer& it)
 {
     switch (it.status) {
     case SOUP_STATUS_OK:
-        if (it.version)
-            return stored_object{name, *it.version, it.body};
+        if (auto version = version_of(it))
+            return stored_object{name, *version, it.body};
         return store_error::unavailable;
     case SOUP_STATUS_NOT_FOUND:
         return store_error::not_found;
@@ -337,12 +171,12 @@
     }
 }
 
-put_result platform_client::put_outcome(const answer& it)
+put_result platform_client::put_outcome(const http_answer& it)
 {
     if (it.sends == 0)
         return store_error::unavailable;
-    if (it.status == SOUP_STATUS_OK && it.version)
-        return *it.version;
+    if (auto version = version_of(it); version && it.status == SOUP_STATUS_OK)
+        return *version;
     // These refuse this sending of the request; an earlier one may have taken
     // effect, and a conflict may be with that very write.
     if (it.sends == 1) {
@@ -359,14 +193,11 @@
 {
     if (!admit(done))
         return;
-    request it;
-    it.path = object_path(name);
-    it.timeout = limits_.call_timeout;
-    send(calls_.get(), it,
-         [this, name, done = std::move(done)](const answer& got) {
-             --call_count_;
-             done(get_outcome(name, got));
-         });
+    send_call(make_request(object_path(name), limits_.call_timeout),
+              [this, name, done = std::move(done)](const http_answer& got) {
+                  --call_count_;
+                  done(get_outcome(name, got));
+              });
 }
 
 void platform_client::put(const std::string& name, const std::string& value,
@@ -375,13 +206,11 @@
 {
     if (!admit(done))
         return;
-    request it;
+    auto it = make_request(object_path(name), limits_.call_timeout);
     it.method = "PUT";
-    it.path = object_path(name);
-    it.timeout = limits_.call_timeout;
-    it.expected_version = expected_version;
-    it.value = value;
-    send(calls_.get(), it, [this, done = std::move(done)](const answer& got) {
+    it.header.emplace(expected_header, std::to_string(expected_version));
+    it.body = value;
+    send_call(it, [this, done = std::move(done)](const http_answer& got) {
         --call_count_;
         done(put_outcome(got));
     });
@@ -403,44 +232,43 @@
                                 std::vector<stored_object> found,
                                 std::function<void(list_result)> done)
 {
-    request it;
-    it.path = "/objects?prefix=" + escaped(prefix, nullptr) +
-              "&after=" + escaped(after, nullptr);
-    it.timeout = limits_.call_timeout;
-    send(calls_.get(), it,
-         [this, prefix, after, found = std::move(found),
-          done = std::move(done)](const answer& got) mutable {
-             if (got.status == status_too_many_requests) {
-                 done(store_error::rate_limited);
-                 return;
-             }
-             auto page = got.status == SOUP_STATUS_OK ? read_page(got.body)
-                                                      : std::nullopt;
-             if (!page) {
-                 done(store_error::unavailable);
-                 return;
-             }
-             for (auto& object : page->objects)
-                 found.push_back(std::move(object));
-             if (page->next.empty()) {
-                 done(std::move(found));
-                 return;
-             }
-             // A page that makes no progress would repeat for ever.
-             if (page->next <= after || found.size() > max_list_objects ||
-                 total_bytes(found) > max_list_bytes) {
-                 done(store_error::unavailable);
-                 return;
-             }
-             list_page(prefix, page->next, std::move(found), std::move(done));
-         });
+    auto path = "/objects?prefix=" + escaped(prefix, nullptr) +
+                "&after=" + escaped(after, nullptr);
+    send_call(make_request(path, limits_.call_timeout),
+              [this, prefix, after, found = std::move(found),
+               done = std::move(done)](const http_answer& got) mutable {
+                  if (got.status == status_too_many_requests) {
+                      done(store_error::rate_limited);
+                      return;
+                  }
+                  auto page = got.status == SOUP_STATUS_OK ? read_page(got.body)
+                                                           : std::nullopt;
+                  if (!page) {
+                      done(store_error::unavailable);
+                      return;
+                  }
+                  for (auto& object : page->objects)
+                      found.push_back(std::move(object));
+                  if (page->next.empty()) {
+                      done(std::move(found));
+                      return;
+                  }
+                  // A page that makes no progress would repeat for ever.
+                  if (page->next <= after || found.size() > max_list_objects ||
+                      total_bytes(found) > max_list_bytes) {
+                      done(store_error::unavailable);
+                      return;
+                  }
+                  list_page(prefix, page->next, std::move(found),
+                            std::move(done));
+              });
 }
 
 watch_id platform_client::watch(const std::string& name,
                                 std::uint64_t after_version,
                                 std::function<void(get_result)> on_change)
 {
-    auto id = ++last_id_;
+    auto id = ++last_watch_;
     if (watches_.size() >= limits_.max_watches) {
         loop_.call_after(duration(0), [on_change = std::move(on_change)] {
             on_change(store_error::rate_limited);
@@ -463,11 +291,7 @@
     if (it == watches_.end())
         return;
     loop_.cancel(it->second.timer);
-    auto running = exchanges_.find(it->second.exchange);
-    if (running != exchanges_.end()) {
-        running->second->abandon();
-        exchanges_.erase(running);
-    }
+    polls_.abandon(it->second.exchange);
     watches_.erase(it);
 }
 
@@ -478,17 +302,18 @@
     state.poll_started = loop_.now();
     auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
         limits_.watch_wait);
-    request it;
-    it.path = object_path(state.name) +
-              "?after=" + std::to_string(state.seen_version) +
-              "&wait_ms=" + std::to_string(wait.count());
-    it.timeout = limits_.watch_wait + limits_.watch_grace;
-    state.exchange = send(polls_.get(), it,
-                          [this, id](const answer& got) { on_poll(id, got); });
+    auto path = object_path(state.name) +
+                "?after=" + std::to_string(state.seen_version) +
+                "&wait_ms=" + std::to_string(wait.count());
+    state.exchange = polls_.send(
+        make_request(path, limits_.watch_wait + limits_.watch_grace),
+        [this, id](const http_answer& got) { on_poll(id, got); });
 }
 
-void platform_client::on_poll(std::uint64_t id, const answer& it)
+void platform_client::on_poll(std::uint64_t id, const http_answer& it)
 {
+    if (it.status != 0)
+        last_answer_ = loop_.now();
     auto& state = watches_.at(id);
     state.exchange = 0;
     auto earliest = state.poll_started + limits_.watch_min_interval;
--- a/src/process/platform_client.hpp
+++ b/src/process/platform_client.hpp
@@ -7,11 +7,11 @@
 #pragma once
 
 #include "process/event_loop.hpp"
+#include "process/http_client.hpp"
 #include "process/object_store.hpp"
 #include "process/peer_transport.hpp"
 #include "process/random_source.hpp"
 
-#include <libsoup/soup.h>
 #include <map>
 #include <memory>
 #include <optional>
@@ -66,30 +66,22 @@
     std::optional<time_point> last_answer() const { return last_answer_; }
 
 private:
-    class exchange;
-    struct answer;
-    struct request;
     struct watch_state;
-    using on_answer = std::function<void(const answer&)>;
-    struct unref {
-        void operator()(SoupSession* it) const { g_object_unref(it); }
-    };
-    using session = std::unique_ptr<SoupSession, unref>;
 
-    static session make_session();
-    static get_result get_outcome(const std::string& name, const answer& it);
-    static put_result put_outcome(const answer& it);
+    static get_result get_outcome(const std::string& name,
+                                  const http_answer& it);
+    static put_result put_outcome(const http_answer& it);
 
     // Counts the call, or refuses it if too many are in progress.
     template <typename Result>
     bool admit(const std::function<void(Result)>& done);
-    std::uint64_t send(SoupSession* through, const request& it, on_answer done);
-    void finish(std::uint64_t id, const answer& it);
+    http_request make_request(const std::string& path, duration limit) const;
+    void send_call(const http_request& it, http_client::on_answer done);
     void list_page(const std::string& prefix, const std::string& after,
                    std::vector<stored_object> found,
                    std::function<void(list_result)> done);
     void poll(std::uint64_t id);
-    void on_poll(std::uint64_t id, const answer& it);
+    void on_poll(std::uint64_t id, const http_answer& it);
 
     std::string base_uri_;
     event_loop& loop_;
@@ -97,10 +89,9 @@
     platform_limits limits_;
     // Watches have connections of their own, so that waiting ones never keep a
     // call from being sent.
-    session calls_;
-    session polls_;
-    std::uint64_t last_id_ = 0;
-    std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
+    http_client calls_;
+    http_client polls_;
+    std::uint64_t last_watch_ = 0;
     std::size_t call_count_ = 0;
     std::map<std::uint64_t, watch_state> watches_;
     std::optional<time_point> last_answer_;
