--- /dev/null
+++ b/src/process/platform_client.cpp
@@ -0,0 +1,347 @@
+#include "process/platform_client.hpp"
+
+#include "process/address.hpp"
+#include "process/json_text.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+// Connections to the platform, each for calls and for watches.
+constexpr int max_connections = 256;
+
+// A page of a list holds objects of at most 1 MB in all, or a single one; JSON
+// escapes may lengthen a value.
+constexpr std::size_t max_answer_bytes = 8'000'000;
+constexpr std::size_t max_list_objects = 20'000;
+constexpr std::size_t max_list_bytes = 64'000'000;
+
+// libsoup has no name for it.
+constexpr unsigned status_too_many_requests = 429;
+
+constexpr const char* version_header = "Object-Version";
+constexpr const char* expected_header = "Expected-Version";
+
+std::string escaped(const std::string& text, const char* allowed)
+{
+    auto* raw = g_uri_escape_string(text.c_str(), allowed, FALSE);
+    std::string result(raw);
+    g_free(raw);
+    return result;
+}
+
+std::string object_path(const std::string& name)
+{
+    return "/objects/" + escaped(name, "/");
+}
+
+std::optional<std::uint64_t> version_of(const http_answer& answer)
+{
+    if (!answer.header)
+        return std::nullopt;
+    std::string_view all(*answer.header);
+    std::uint64_t version = 0;
+    const auto* end = all.data() + all.size();
+    auto [rest, ec] = std::from_chars(all.data(), end, version);
+    if (ec != std::errc() || rest != end || version == 0)
+        return std::nullopt;
+    return version;
+}
+
+std::optional<stored_object> read_object(const Json::Value& json)
+{
+    if (!json.isObject() || !json["name"].isString() ||
+        !json["version"].isUInt64() || !json["value"].isString())
+        return std::nullopt;
+    return stored_object{json["name"].asString(), json["version"].asUInt64(),
+                         json["value"].asString()};
+}
+
+struct list_page_content {
+    std::vector<stored_object> objects;
+    // Name to go on after; empty on the last page.
+    std::string next;
+};
+
+std::optional<list_page_content> read_page(const std::string& body)
+{
+    auto json = parse_json(body);
+    if (!json || !json->isObject() || !(*json)["objects"].isArray() ||
+        !(*json)["next"].isString())
+        return std::nullopt;
+    list_page_content page;
+    for (const auto& it : (*json)["objects"]) {
+        auto object = read_object(it);
+        if (!object)
+            return std::nullopt;
+        page.objects.push_back(std::move(*object));
+    }
+    page.next = (*json)["next"].asString();
+    return page;
+}
+
+std::size_t total_bytes(const std::vector<stored_object>& objects)
+{
+    std::size_t total = 0;
+    for (const auto& it : objects)
+        total += it.value.size();
+    return total;
+}
+
+} // namespace
+
+struct platform_client::watch_state {
+    std::string name;
+    std::uint64_t seen_version = 0;
+    std::function<void(get_result)> on_change;
+    duration backoff{};
+    time_point poll_started;
+    // Of the poll in progress, or 0.
+    std::uint64_t exchange = 0;
+    timer_id timer{};
+};
+
+platform_client::platform_client(const peer_address& platform, event_loop& loop,
+                                 random_source& random, platform_limits limits)
+    : base_uri_("http://" + to_text(platform)), loop_(loop), random_(random),
+      limits_(limits), calls_(loop, max_connections),
+      polls_(loop, max_connections)
+{
+}
+
+platform_client::~platform_client()
+{
+    for (auto& [id, it] : watches_)
+        loop_.cancel(it.timer);
+}
+
+template <typename Result>
+bool platform_client::admit(const std::function<void(Result)>& done)
+{
+    if (call_count_ < limits_.max_calls) {
+        ++call_count_;
+        return true;
+    }
+    loop_.call_after(duration(0), [done] { done(store_error::rate_limited); });
+    return false;
+}
+
+http_request platform_client::make_request(const std::string& path,
+                                           duration limit) const
+{
+    http_request it;
+    it.uri = base_uri_ + path;
+    it.time_limit = limit;
+    it.max_answer_bytes = max_answer_bytes;
+    it.wanted_header = version_header;
+    return it;
+}
+
+void platform_client::send_call(const http_request& it,
+                                http_client::on_answer done)
+{
+    calls_.send(it, [this, done = std::move(done)](const http_answer& got) {
+        if (got.status != 0)
+            last_answer_ = loop_.now();
+        done(got);
+    });
+}
+
+get_result platform_client::get_outcome(const std::string& name,
+                                        const http_answer& it)
+{
+    switch (it.status) {
+    case SOUP_STATUS_OK:
+        if (auto version = version_of(it))
+            return stored_object{name, *version, it.body};
+        return store_error::unavailable;
+    case SOUP_STATUS_NOT_FOUND:
+        return store_error::not_found;
+    case status_too_many_requests:
+        return store_error::rate_limited;
+    default:
+        // A read has no effect, so a lost answer counts as not executed.
+        return store_error::unavailable;
+    }
+}
+
+put_result platform_client::put_outcome(const http_answer& it)
+{
+    if (it.sends == 0)
+        return store_error::unavailable;
+    if (auto version = version_of(it); version && it.status == SOUP_STATUS_OK)
+        return *version;
+    // These refuse this sending of the request; an earlier one may have taken
+    // effect, and a conflict may be with that very write.
+    if (it.sends == 1) {
+        if (it.status == SOUP_STATUS_CONFLICT)
+            return store_error::conflict;
+        if (it.status == status_too_many_requests)
+            return store_error::rate_limited;
+    }
+    return store_error::unknown_outcome;
+}
+
+void platform_client::get(const std::string& name,
+                          std::function<void(get_result)> done)
+{
+    if (!admit(done))
+        return;
+    send_call(make_request(object_path(name), limits_.call_timeout),
+              [this, name, done = std::move(done)](const http_answer& got) {
+                  --call_count_;
+                  done(get_outcome(name, got));
+              });
+}
+
+void platform_client::put(const std::string& name, const std::string& value,
+                          std::uint64_t expected_version,
+                          std::function<void(put_result)> done)
+{
+    if (!admit(done))
+        return;
+    auto it = make_request(object_path(name), limits_.call_timeout);
+    it.method = "PUT";
+    it.header.emplace(expected_header, std::to_string(expected_version));
+    it.body = value;
+    send_call(it, [this, done = std::move(done)](const http_answer& got) {
+        --call_count_;
+        done(put_outcome(got));
+    });
+}
+
+void platform_client::list(const std::string& prefix,
+                           std::function<void(list_result)> done)
+{
+    if (!admit(done))
+        return;
+    list_page(prefix, "", {}, [this, done = std::move(done)](auto result) {
+        --call_count_;
+        done(std::move(result));
+    });
+}
+
+void platform_client::list_page(const std::string& prefix,
+                                const std::string& after,
+                                std::vector<stored_object> found,
+                                std::function<void(list_result)> done)
+{
+    auto path = "/objects?prefix=" + escaped(prefix, nullptr) +
+                "&after=" + escaped(after, nullptr);
+    send_call(make_request(path, limits_.call_timeout),
+              [this, prefix, after, found = std::move(found),
+               done = std::move(done)](const http_answer& got) mutable {
+                  if (got.status == status_too_many_requests) {
+                      done(store_error::rate_limited);
+                      return;
+                  }
+                  auto page = got.status == SOUP_STATUS_OK ? read_page(got.body)
+                                                           : std::nullopt;
+                  if (!page) {
+                      done(store_error::unavailable);
+                      return;
+                  }
+                  for (auto& object : page->objects)
+                      found.push_back(std::move(object));
+                  if (page->next.empty()) {
+                      done(std::move(found));
+                      return;
+                  }
+                  // A page that makes no progress would repeat for ever.
+                  if (page->next <= after || found.size() > max_list_objects ||
+                      total_bytes(found) > max_list_bytes) {
+                      done(store_error::unavailable);
+                      return;
+                  }
+                  list_page(prefix, page->next, std::move(found),
+                            std::move(done));
+              });
+}
+
+watch_id platform_client::watch(const std::string& name,
+                                std::uint64_t after_version,
+                                std::function<void(get_result)> on_change)
+{
+    auto id = ++last_watch_;
+    if (watches_.size() >= limits_.max_watches) {
+        loop_.call_after(duration(0), [on_change = std::move(on_change)] {
+            on_change(store_error::rate_limited);
+        });
+        return watch_id{id};
+    }
+    watch_state it;
+    it.name = name;
+    it.seen_version = after_version;
+    it.on_change = std::move(on_change);
+    it.backoff = limits_.first_backoff;
+    it.timer = loop_.call_after(duration(0), [this, id] { poll(id); });
+    watches_.emplace(id, std::move(it));
+    return watch_id{id};
+}
+
+void platform_client::cancel(watch_id id)
+{
+    auto it = watches_.find(static_cast<std::uint64_t>(id));
+    if (it == watches_.end())
+        return;
+    loop_.cancel(it->second.timer);
+    polls_.abandon(it->second.exchange);
+    watches_.erase(it);
+}
+
+void platform_client::poll(std::uint64_t id)
+{
+    auto& state = watches_.at(id);
+    state.timer = {};
+    state.poll_started = loop_.now();
+    auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+        limits_.watch_wait);
+    auto path = object_path(state.name) +
+                "?after=" + std::to_string(state.seen_version) +
+                "&wait_ms=" + std::to_string(wait.count());
+    state.exchange = polls_.send(
+        make_request(path, limits_.watch_wait + limits_.watch_grace),
+        [this, id](const http_answer& got) { on_poll(id, got); });
+}
+
+void platform_client::on_poll(std::uint64_t id, const http_answer& it)
+{
+    if (it.status != 0)
+        last_answer_ = loop_.now();
+    auto& state = watches_.at(id);
+    state.exchange = 0;
+    auto earliest = state.poll_started + limits_.watch_min_interval;
+    auto wait = std::max(earliest - loop_.now(), duration(0));
+    std::optional<get_result> event;
+    if (it.status == SOUP_STATUS_NO_CONTENT) {
+        state.backoff = limits_.first_backoff;
+    } else {
+        event = get_outcome(state.name, it);
+        if (auto* object = std::get_if<stored_object>(&*event)) {
+            state.backoff = limits_.first_backoff;
+            if (object->version > state.seen_version)
+                state.seen_version = object->version;
+            else
+                event.reset();
+        } else {
+            auto half = static_cast<double>(state.backoff.count()) / 2;
+            wait = duration(
+                static_cast<duration::rep>(half + random_.unit() * half));
+            state.backoff = std::min(state.backoff * 2, limits_.max_backoff);
+        }
+    }
+    state.timer = loop_.call_after(wait, [this, id] { poll(id); });
+    if (!event)
+        return;
+    // The callback may cancel the watch.
+    auto on_change = state.on_change;
+    on_change(std::move(*event));
+}
+
+} // namespace shallotwood::process
