--- a/src/connection/http_listener.cpp
+++ b/src/connection/http_listener.cpp
@@ -1,9 +1,11 @@
 #include "connection/http_listener.hpp"
 
+#include <array>
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string_view>
+#include <sys/socket.h>
 #include <utility>
 
 namespace shallotwood::connection
@@ -26,10 +28,53 @@
     delete static_cast<std::weak_ptr<server_exchange>*>(data);
 }
 
+// Longer bodies than this are not a plausible request.
+constexpr std::uint64_t max_body_bytes = std::uint64_t{1} << 40;
+
 header_list refusal_headers()
 {
     return {{header_name::verdict, "not-run"},
-            {header_name::reason, "malformed"}};
+            {header_name::reason, "malformed"},
+            {"Connection", "close"}};
+}
+
+// RFC 9110, 5.6.2; libsoup accepts any word.
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    for (char c : text) {
+        if (!g_ascii_isalnum(c) && others.find(c) == std::string_view::npos)
+            return false;
+    }
+    return !text.empty();
+}
+
+// libsoup reads doubled and negative lengths without an error.
+bool has_valid_length(SoupMessageHeaders* headers)
+{
+    if (!soup_message_headers_get_list(headers, "Content-Length"))
+        return true;
+    auto text = single_header(headers, "Content-Length");
+    if (!text)
+        return false;
+    std::uint64_t length = 0;
+    auto [end, ec] =
+        std::from_chars(text->data(), text->data() + text->size(), length);
+    return ec == std::errc() && end == text->data() + text->size() &&
+           length <= max_body_bytes;
+}
+
+bool has_valid_framing(SoupMessageHeaders* headers)
+{
+    // Both at once is how a request is smuggled past a second parser.
+    if (soup_message_headers_get_list(headers, "Transfer-Encoding") &&
+        soup_message_headers_get_list(headers, "Content-Length"))
+        return false;
+    auto encoding = soup_message_headers_get_encoding(headers);
+    bool known = encoding == SOUP_ENCODING_NONE ||
+                 encoding == SOUP_ENCODING_CHUNKED ||
+                 encoding == SOUP_ENCODING_CONTENT_LENGTH;
+    return known && has_valid_length(headers);
 }
 
 } // namespace
@@ -61,12 +106,29 @@
                                   &http_listener::head_received, this, nullptr);
     soup_server_add_handler(server_.get(), nullptr,
                             &http_listener::body_received, this, nullptr);
+    keep_connections_open();
     g_socket_listener_set_backlog(G_SOCKET_LISTENER(service_.get()),
                                   listen_backlog);
     g_signal_connect(service_.get(), "incoming",
                      G_CALLBACK(&http_listener::accepted), this);
 }
 
+// libsoup closes each connection after one response unless its server has a
+// listener. Connections are accepted here, so it gets a socket that never
+// becomes readable.
+void http_listener::keep_connections_open()
+{
+    std::array<int, 2> ends{};
+    if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0,
+                     ends.data()) != 0)
+        return;
+    silent_.reset(g_socket_new_from_fd(ends[1], nullptr));
+    object_handle<GSocket> listener(g_socket_new_from_fd(ends[0], nullptr));
+    if (listener)
+        soup_server_listen_socket(server_.get(), listener.get(),
+                                  SoupServerListenOptions(0), nullptr);
+}
+
 http_listener::~http_listener()
 {
     stop_accepting();
@@ -165,13 +227,10 @@
     auto size = size_of(headers);
     if (size.count > limits_.header_count || size.bytes > limits_.header_bytes)
         return 431;
-    // Both at once is how a request is smuggled past a second parser.
-    if (soup_message_headers_get_list(headers, "Transfer-Encoding") &&
-        soup_message_headers_get_list(headers, "Content-Length"))
-        return SOUP_STATUS_BAD_REQUEST;
-    auto encoding = soup_message_headers_get_encoding(headers);
-    if (encoding != SOUP_ENCODING_NONE && encoding != SOUP_ENCODING_CHUNKED &&
-        encoding != SOUP_ENCODING_CONTENT_LENGTH)
+    std::string_view method = soup_server_message_get_method(message);
+    if (method == "CONNECT")
+        return SOUP_STATUS_METHOD_NOT_ALLOWED;
+    if (!is_token(method) || !has_valid_framing(headers))
         return SOUP_STATUS_BAD_REQUEST;
     return 0;
 }
--- a/src/connection/http_listener.hpp
+++ b/src/connection/http_listener.hpp
@@ -75,10 +75,13 @@
     static void body_received(SoupServer* server, SoupServerMessage* message,
                               const char* path, GHashTable* query,
                               gpointer data);
+    void keep_connections_open();
     int status_of_head(SoupServerMessage* message) const;
 
     listener_limits limits_;
     handler on_request_;
+    // The other end of the socket that libsoup takes for its listener.
+    object_handle<GSocket> silent_;
     object_handle<SoupServer> server_;
     object_handle<GSocketService> service_;
     std::shared_ptr<connection_count> connections_;
--- a/src/connection/server_exchange.cpp
+++ b/src/connection/server_exchange.cpp
@@ -1,6 +1,7 @@
 #include "connection/server_exchange.hpp"
 
 #include "connection/http_listener.hpp"
+#include "connection/lingering_close.hpp"
 
 #include <array>
 #include <sys/socket.h>
@@ -9,6 +10,21 @@
 namespace shallotwood::connection
 {
 
+namespace
+{
+
+// Dissolving the association sends a reset, so that a peer sees the break even
+// where the body has no length, and nothing more can be written: libsoup ends
+// a chunked body properly when it gives up a connection.
+void reset_connection(int socket)
+{
+    ::sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    ::connect(socket, &none, sizeof none);
+}
+
+} // namespace
+
 server_exchange::server_exchange(SoupServerMessage* message) : message_(message)
 {
 }
@@ -115,7 +131,11 @@
     if (!message_ || response_started_)
         return;
     response_started_ = true;
-    soup_server_message_set_status(message_, head.status, nullptr);
+    constexpr int header_fields_too_large = 431;
+    soup_server_message_set_status(message_, head.status,
+                                   head.status == header_fields_too_large
+                                       ? "Request Header Fields Too Large"
+                                       : nullptr);
     auto* headers = soup_server_message_get_response_headers(message_);
     // libsoup has added its own date already.
     for (const auto& it : head.headers) {
@@ -156,28 +176,48 @@
 {
     if (!message_ || response_started_)
         return;
+    if (!body_received_ && request_length() != 0)
+        return respond_and_close(status, headers, body);
     start_response({status, std::move(headers), body.size()});
     if (!body.empty())
         write(body, {});
     finish();
 }
 
+// libsoup writes no response before it has read the whole request.
+void server_exchange::respond_and_close(int status, const header_list& headers,
+                                        std::string_view body)
+{
+    object_handle<SoupServerMessage> keep(
+        SOUP_SERVER_MESSAGE(g_object_ref(message_)));
+    auto text = "HTTP/1.1 " + std::to_string(status) + " " +
+                soup_status_get_phrase(status) + "\r\n";
+    for (const auto& it : headers) {
+        if (g_ascii_strcasecmp(it.name.c_str(), "Connection") != 0)
+            text += it.name + ": " + it.value + "\r\n";
+    }
+    text +=
+        "Connection: close\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n";
+    text += body;
+    response_started_ = true;
+    response_complete_ = true;
+    auto* connected = socket();
+    close(false);
+    auto* stream = soup_server_message_steal_connection(keep.get());
+    if (stream && connected)
+        close_after(stream, connected, text);
+}
+
 void server_exchange::abort()
 {
     if (!message_)
         return;
     object_handle<SoupServerMessage> keep(
         SOUP_SERVER_MESSAGE(g_object_ref(message_)));
-    object_handle<GSocket> connection;
     if (auto* it = socket())
-        connection.reset(G_SOCKET(g_object_ref(it)));
+        reset_connection(g_socket_get_fd(it));
     close(false);
-    if (connection) {
-        // A reset, so that a peer whose response has no length sees the break.
-        ::linger reset{1, 0};
-        ::setsockopt(g_socket_get_fd(connection.get()), SOL_SOCKET, SO_LINGER,
-                     &reset, sizeof reset);
-    }
     object_handle<GIOStream> stream(
         soup_server_message_steal_connection(keep.get()));
     if (stream)
@@ -261,7 +301,10 @@
         self->socket_watch_.reset();
         return G_SOURCE_REMOVE;
     }
+    auto* message = self->message_;
     self->close(true);
+    // Lets libsoup find the broken connection and release it.
+    soup_server_message_unpause(message);
     return G_SOURCE_REMOVE;
 }
 
@@ -269,19 +312,15 @@
 {
     if (!message_)
         return;
-    auto* message = std::exchange(message_, nullptr);
+    message_ = nullptr;
     socket_watch_.reset();
     on_chunk_ = nullptr;
     on_end_ = nullptr;
     drained_ = nullptr;
     auto held = std::exchange(held_, nullptr);
     auto on_lost = std::exchange(on_lost_, nullptr);
-    if (!lost)
-        return;
-    if (on_lost)
+    if (lost && on_lost)
         on_lost();
-    // Lets libsoup find the broken connection and release it.
-    soup_server_message_unpause(message);
 }
 
 } // namespace shallotwood::connection
--- a/src/connection/server_exchange.hpp
+++ b/src/connection/server_exchange.hpp
@@ -87,6 +87,8 @@
     static void release(gpointer data, GClosure* closure);
     template <typename Handler>
     void connect(const char* signal, Handler handler);
+    void respond_and_close(int status, const header_list& headers,
+                           std::string_view body);
     void watch_socket();
     void close(bool lost);
     GSocket* socket() const;
--- a/src/process/data_path.cpp
+++ b/src/process/data_path.cpp
@@ -192,6 +192,7 @@
         return done(
             error_response(SOUP_STATUS_BAD_REQUEST,
                            "expected {service, port, slots, connections}"));
+    ++environment_.counts.at("announcements");
     if (on_announce_)
         on_announce_(*announcement);
     done({SOUP_STATUS_OK, "application/json", "{}\n"});
