--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,145 +1,127 @@
 #include "support/child_process.hpp"
 
-#include <catch2/catch.hpp>
-#include <cstdio>
-#include <libsoup/soup.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <spawn.h>
 #include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
 
-namespace shallotwood::test
+extern char** environ;
+
+namespace shallotwood::support
 {
 
 namespace
 {
 
-constexpr unsigned watchdog_seconds = 60;
+constexpr useconds_t poll_microseconds = 5000;
 
-std::vector<std::string> command_of(const std::string& name,
-                                    const std::vector<std::string>& arguments)
+std::string make_directory()
 {
-    std::vector<std::string> command{PROGRAM_DIRECTORY "/" + name};
-    command.insert(command.end(), arguments.begin(), arguments.end());
-    return command;
+    std::string path =
+        (std::filesystem::temp_directory_path() / "shallotwood-XXXXXX")
+            .string();
+    if (!::mkdtemp(path.data()))
+        throw std::runtime_error("can't make a temporary directory");
+    return path;
 }
 
-GSubprocess* start(const std::vector<std::string>& command, int flags)
+std::string read_file(const std::string& path)
 {
-    std::vector<const char*> argv;
-    argv.reserve(command.size() + 1);
-    for (const auto& it : command)
-        argv.push_back(it.c_str());
-    argv.push_back(nullptr);
-    GError* error = nullptr;
-    auto* process = g_subprocess_newv(
-        argv.data(), static_cast<GSubprocessFlags>(flags), &error);
-    if (!process) {
-        std::string message = error->message;
-        g_error_free(error);
-        throw std::runtime_error(message);
-    }
-    return process;
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
 }
 
-std::string take(char* text)
+} // namespace
+
+void pause_between_polls()
 {
-    std::string result(text ? text : "");
-    g_free(text);
-    return result;
+    ::usleep(poll_microseconds);
 }
 
-} // namespace
+child_process::child_process(const std::string& program,
+                             std::vector<std::string> arguments)
+    : directory_(make_directory())
+{
+    arguments.insert(arguments.begin(),
+                     std::string(PROGRAM_DIRECTORY "/") + program);
+    arguments.push_back("--port-file=" + directory_ + "/ports");
+    std::vector<char*> argv;
+    for (auto& it : arguments)
+        argv.push_back(it.data());
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
+                                       (directory_ + "/log").c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0600);
+    int ec =
+        ::posix_spawn(&id_, argv[0], &actions, nullptr, argv.data(), environ);
+    ::posix_spawn_file_actions_destroy(&actions);
+    if (ec != 0)
+        throw std::runtime_error("can't start " + program);
+    read_ports();
+}
 
-run_result run_program(const std::string& name,
-                       const std::vector<std::string>& arguments,
-                       const std::string& input)
+child_process::~child_process()
 {
-    auto* process =
-        start(command_of(name, arguments), G_SUBPROCESS_FLAGS_STDIN_PIPE |
-                                               G_SUBPROCESS_FLAGS_STDOUT_PIPE |
-                                               G_SUBPROCESS_FLAGS_STDERR_PIPE);
-    char* output = nullptr;
-    char* errors = nullptr;
-    g_subprocess_communicate_utf8(process, input.c_str(), nullptr, &output,
-                                  &errors, nullptr);
-    run_result result;
-    result.output = take(output);
-    result.errors = take(errors);
-    if (g_subprocess_get_if_exited(process))
-        result.exit_code = g_subprocess_get_exit_status(process);
-    g_object_unref(process);
-    return result;
+    if (!poll_status()) {
+        ::kill(id_, SIGKILL);
+        ::waitpid(id_, nullptr, 0);
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(directory_, ignored);
 }
 
-void iterate_until(const std::function<bool()>& done)
+void child_process::read_ports()
 {
-    bool expired = false;
-    auto* watchdog = g_timeout_source_new_seconds(watchdog_seconds);
-    g_source_set_callback(
-        watchdog,
-        [](gpointer data) -> gboolean {
-            *static_cast<bool*>(data) = true;
-            return G_SOURCE_REMOVE;
-        },
-        &expired, nullptr);
-    g_source_attach(watchdog, nullptr);
-    while (!done() && !expired)
-        g_main_context_iteration(nullptr, TRUE);
-    g_source_destroy(watchdog);
-    g_source_unref(watchdog);
-    REQUIRE_FALSE(expired);
+    auto path = directory_ + "/ports";
+    bool written = eventually([&] {
+        return std::filesystem::exists(path) || poll_status().has_value();
+    });
+    std::ifstream file(path);
+    for (std::uint16_t port = 0; file >> port;)
+        ports_.push_back(port);
+    if (!written || ports_.empty())
+        throw std::runtime_error("no ports: " + log());
 }
 
-platform_process::platform_process(const std::vector<std::string>& arguments)
+void child_process::signal(int number) const
 {
-    auto command =
-        command_of("platform_standin",
-                   {"--port=0", "--control-port=0", "--exit-with-stdin"});
-    command.insert(command.end(), arguments.begin(), arguments.end());
-    process_ = start(command, G_SUBPROCESS_FLAGS_STDIN_PIPE |
-                                  G_SUBPROCESS_FLAGS_STDOUT_PIPE);
-    auto* lines =
-        g_data_input_stream_new(g_subprocess_get_stdout_pipe(process_));
-    auto line =
-        take(g_data_input_stream_read_line(lines, nullptr, nullptr, nullptr));
-    g_object_unref(lines);
-    if (std::sscanf(line.c_str(), "ready port=%hu control_port=%hu", &port_,
-                    &control_port_) != 2)
-        throw std::runtime_error("platform_standin did not start: " + line);
+    ::kill(id_, number);
 }
 
-platform_process::~platform_process()
+std::optional<int> child_process::poll_status()
 {
-    g_subprocess_force_exit(process_);
-    g_subprocess_wait(process_, nullptr, nullptr);
-    g_object_unref(process_);
+    int raw = 0;
+    if (!status_ && ::waitpid(id_, &raw, WNOHANG) == id_)
+        status_ = WIFEXITED(raw) ? WEXITSTATUS(raw) : -1;
+    return status_;
 }
 
-std::string platform_process::address() const
+int child_process::wait()
 {
-    return "127.0.0.1:" + std::to_string(port_);
+    eventually([this] { return poll_status().has_value(); });
+    return status_.value_or(-1);
 }
 
-std::string platform_process::control(const std::string& json)
+std::string child_process::log() const
 {
-    auto* session = soup_session_new();
-    soup_session_set_proxy_resolver(session, nullptr);
-    auto uri = "http://127.0.0.1:" + std::to_string(control_port_) + "/control";
-    auto* message = soup_message_new("POST", uri.c_str());
-    auto* body = g_bytes_new(json.data(), json.size());
-    soup_message_set_request_body_from_bytes(message, "application/json", body);
-    g_bytes_unref(body);
-    auto* answer =
-        soup_session_send_and_read(session, message, nullptr, nullptr);
-    std::string text;
-    if (answer && soup_message_get_status(message) == SOUP_STATUS_OK) {
-        gsize size = 0;
-        const auto* data =
-            static_cast<const char*>(g_bytes_get_data(answer, &size));
-        text.assign(data, size);
-    }
-    g_clear_pointer(&answer, g_bytes_unref);
-    g_object_unref(message);
-    g_object_unref(session);
-    return text;
+    return read_file(directory_ + "/log");
+}
+
+std::size_t child_process::peak_kilobytes() const
+{
+    auto text = read_file("/proc/" + std::to_string(id_) + "/status");
+    auto n = text.find("VmHWM:");
+    return n == std::string::npos
+               ? 0
+               : std::strtoull(text.c_str() + n + 6, nullptr, 10);
 }
 
-} // namespace shallotwood::test
+} // namespace shallotwood::support
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -1,50 +1,63 @@
-// Programs of this project that a test starts, on loopback ports that the
-// system selects. A child ends with its test, even if the test crashes.
+// A program of the build as a child process, ended with the object.
 #pragma once
 
-#include <functional>
-#include <gio/gio.h>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <sys/types.h>
 #include <vector>
 
-namespace shallotwood::test
+namespace shallotwood::support
 {
 
-struct run_result {
-    int exit_code = -1;
-    std::string output;
-    std::string errors;
-};
-
-// Runs the program of the build directory to its end.
-run_result run_program(const std::string& name,
-                       const std::vector<std::string>& arguments,
-                       const std::string& input = "");
-
-// Iterates the default context until `done` is true. Fails the test after a
-// time that no correct run comes near.
-void iterate_until(const std::function<bool()>& done);
-
-class platform_process
+class child_process
 {
 public:
-    // Throws std::runtime_error if it does not start.
-    explicit platform_process(const std::vector<std::string>& arguments = {});
-    ~platform_process();
-    platform_process(const platform_process&) = delete;
-    platform_process& operator=(const platform_process&) = delete;
-
-    std::uint16_t port() const { return port_; }
-    std::string address() const;
-
-    // Sends JSON to the control endpoint and returns the answer's body; empty
-    // if it was not accepted.
-    std::string control(const std::string& json);
+    // Starts PROGRAM_DIRECTORY/`program`; each child gets `--port-file` and
+    // its standard error goes to a file. Throws if it does not write its ports.
+    child_process(const std::string& program,
+                  std::vector<std::string> arguments);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    std::uint16_t port(std::size_t n) const { return ports_.at(n); }
+    pid_t id() const { return id_; }
+    void signal(int number) const;
+    // Waits for the process to end; its exit status, or -1 after a signal or
+    // if it does not end in time.
+    int wait();
+    // What it has written to standard error.
+    std::string log() const;
+    // Largest resident size so far.
+    std::size_t peak_kilobytes() const;
 
 private:
-    GSubprocess* process_ = nullptr;
-    std::uint16_t port_ = 0;
-    std::uint16_t control_port_ = 0;
+    void read_ports();
+    std::optional<int> poll_status();
+
+    pid_t id_ = 0;
+    std::string directory_;
+    std::vector<std::uint16_t> ports_;
+    std::optional<int> status_;
 };
 
-} // namespace shallotwood::test
+// Polls until `condition` holds; false after ten seconds.
+template <typename Condition>
+bool eventually(Condition condition);
+
+void pause_between_polls();
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    constexpr int max_polls = 2000;
+    for (int n = 0; n < max_polls; ++n) {
+        if (condition())
+            return true;
+        pause_between_polls();
+    }
+    return false;
+}
+
+} // namespace shallotwood::support
