--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -1118,17 +1118,22 @@
             return;
         }
         entry.key.insert(0, client + ":");
+        number(*slot.term, entry);
         begin_copy(slot, {std::move(entry)}, std::move(done));
     }
 
+    // The number tells which of two states of an entry is newer, so it is
+    // given when the state is read, not when it is sent.
+    static void number(shard_term& term, shard_entry& it)
+    {
+        it.epoch = term.epoch;
+        it.sequence = ++term.last_sequence;
+    }
+
     void begin_copy(shard_slot& slot, std::vector<shard_entry> entries,
                     std::function<void(bool)> done, bool transfer = false)
     {
         auto& term = *slot.term;
-        for (auto& it : entries) {
-            it.epoch = term.epoch;
-            it.sequence = ++term.last_sequence;
-        }
         auto id = ++term.last_id;
         auto& it = term.copies[id];
         it.entries = std::move(entries);
@@ -1375,7 +1380,10 @@
 
         term.asked_all = {};
         extend(slot);
-        change.pages = pages_of(collect(slot.id, copy_purpose::witness));
+        auto entries = collect(slot.id, copy_purpose::witness);
+        for (auto& it : entries)
+            number(term, it);
+        change.pages = pages_of(std::move(entries));
         std::reverse(change.pages.begin(), change.pages.end());
         continue_transfer(slot);
     }
--- a/src/process/rate_ledger.hpp
+++ b/src/process/rate_ledger.hpp
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "process/ownership.hpp"
+#include "process/token_bucket.hpp"
 #include "request/verdict.hpp"
 
 #include <optional>
@@ -23,13 +24,6 @@
 namespace shallotwood::process
 {
 
-struct rate_limit {
-    // Tokens per second.
-    double rate = 0;
-    // Tokens.
-    double burst = 0;
-};
-
 // The limit of the workspace in the configuration in force; empty if there is
 // no such workspace.
 using rate_lookup =
@@ -43,9 +37,12 @@
     // at most `wait_limit`.
     double wait_share = 0.25;
     duration wait_limit = std::chrono::seconds(1);
+    // A request waits this long at most when the owner answered that there is
+    // no token; longer waits would delay the requests that are granted.
+    duration shortage_wait = std::chrono::milliseconds(100);
     // An unanswered question is sent again this often.
     duration resend_period = std::chrono::milliseconds(50);
-    // Least time between two questions after a refusal for the same workspace.
+    // Least time between two questions after a shortage of the workspace.
     duration refusal_pause = std::chrono::milliseconds(20);
     // A node keeps this many workspaces; the owner as many.
     std::size_t max_workspaces = 4096;
--- a/src/process/record_store.hpp
+++ b/src/process/record_store.hpp
@@ -33,7 +33,10 @@
     // `answer_limit`; an answer that comes later is void.
     double wait_share = 0.25;
     duration answer_limit = std::chrono::seconds(2);
-    // A finish is sent again until answered, for at most this time.
+    // A claim that was not finished for this long counts as "may have run".
+    duration run_limit = std::chrono::minutes(10);
+    // A finish is sent again until answered, for at most this time. Its
+    // `done` is called after `answer_limit` at the latest.
     duration finish_limit = std::chrono::seconds(30);
     duration resend_period = std::chrono::milliseconds(50);
     // Claims of this node that wait for an answer, run, or are being finished.
