Add scenarios of ownership, rates and records

Each runs several nodes on the virtual clock, checks every 5 ms that no shard has two owners, and checks the rate bound over every pair of spends and the runs of each key after every step.

Found by them and fixed in this commit: - A takeover after two witnesses restarted never got a lease, because it kept the old witnesses; it may now replace them once the old owner is excluded. - An isolated owner with the platform in reach dropped all its witnesses and could not be fenced afterwards. The object now lists the earlier owners that are not excluded, a successor asks them directly, and an owner without witnesses gives its state in the answer. - A silent witness was asked to be its own replacement, which left a fleet of two nodes without an owner for 4 s. - Spent tokens counted as outstanding until the next question: 57 of 900 requests inside a rate of 20/s, burst 10 were refused. They are now reported at once by quiet nodes and within 100 ms by busy ones; none is refused.

build/shallotwood_tests '* scenarios': all pass.

--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -18,6 +18,11 @@
 
 // Nodes that may take a shard, in order; the rest do not watch it.
 constexpr std::size_t acting_candidates = 3;
+// Owners that may be acting, in the object of a shard.
+constexpr std::size_t max_earlier = 8;
+// A node that hears from no other is alone after this time; before that, the
+// others may be alive and about to take the shard over.
+constexpr duration alone_limit = std::chrono::seconds(30);
 // Kept a shard, so that the loss of a few needs no search of the membership.
 constexpr std::size_t kept_candidates = 8;
 constexpr std::size_t fewest_candidates = 4;
@@ -127,9 +132,13 @@
     time_point next_nudge{};
 
     // Takeover.
-    node_ref predecessor;
-    bool predecessor_gone = false;
-    bool predecessor_settled = false;
+    // Owners that may still be acting, and those of them that said, or whose
+    // restart proved, that they hold no lower epoch and never will.
+    std::vector<node_ref> earlier;
+    std::set<std::string> gone;
+    // One of them told its whole state, because it had no witness.
+    bool told_state = false;
+    time_point next_direct{};
     std::map<std::string, fence_progress> fences;
     resend_state fencing;
     // Latest end of a lease that an answer told of.
@@ -173,6 +182,13 @@
     std::map<std::uint64_t, std::vector<shard_entry>> pages;
 };
 
+// The state of an owner without witnesses that a successor has stopped; kept
+// because the answer that carries it may be lost.
+struct farewell {
+    bool complete = false;
+    std::vector<shard_entry> entries;
+};
+
 struct owner_hint {
     std::uint64_t epoch = 0;
     peer_address address;
@@ -204,6 +220,7 @@
     std::uint64_t begun_epoch = 0;
     std::shared_ptr<shard_term> term;
     std::shared_ptr<departure> leaving;
+    std::optional<farewell> last_state;
     std::optional<arrival> incoming;
     // New witnesses for a shard that has no object yet.
     std::optional<witness_change> first_witnesses;
@@ -654,18 +671,75 @@
         if (now < slot.next_check || owner.instance.empty())
             return;
         slot.next_check = now + settings.extend_period;
-        transport.send(owner.address, "ownership.check", message(slot));
+        send_check_to(slot, owner, 0);
     }
 
-    void check(shard_slot& slot, const peer_address& from, const Json::Value&)
+    void send_check_to(shard_slot& slot, const node_ref& owner,
+                       std::uint64_t epoch)
     {
         auto out = message(slot);
+        out["epoch"] = Json::UInt64(epoch);
+        transport.send(owner.address, "ownership.check", out);
+    }
+
+    void check(shard_slot& slot, const peer_address& from,
+               const Json::Value& params)
+    {
+        message_fields in(params);
+        auto epoch = in.number("epoch");
+        if (!in.valid()) {
+            ++malformed;
+            return;
+        }
+        auto out = message(slot);
+        if (epoch > 0)
+            yield_to(slot, epoch, out);
         out["boot"] = boot;
         out["status"] = status(slot);
         out["owner"] = hint(slot);
         transport.send(from, "ownership.checked", out);
     }
 
+    // A successor under `epoch` asks this node to promise that it will not act
+    // under a lower one. An owner with witnesses leaves that to them, because
+    // they hold its state; one without must give the state itself.
+    void yield_to(shard_slot& slot, std::uint64_t epoch, Json::Value& out)
+    {
+        auto term = slot.term;
+        if (term && term->epoch < epoch) {
+            bool alone = term->quorum.all().empty();
+            bool acting = term->phase == term_phase::active;
+            if (acting && !alone)
+                return;
+            if (acting)
+                slot.last_state = last_state(slot);
+            step_down(slot);
+        }
+        if (slot.leaving && slot.leaving->epoch <= epoch)
+            return;
+        slot.begun_epoch = std::max(slot.begun_epoch, epoch - 1);
+        out["below"] = Json::UInt64(epoch);
+        if (!slot.last_state)
+            return;
+        out["complete"] = slot.last_state->complete;
+        out["entries"] = Json::Value(Json::arrayValue);
+        for (const auto& it : slot.last_state->entries)
+            out["entries"].append(to_json(it));
+    }
+
+    farewell last_state(shard_slot& slot)
+    {
+        auto entries = collect(slot.id, copy_purpose::witness);
+        for (auto& it : entries)
+            number(*slot.term, it);
+        auto pages = pages_of(std::move(entries));
+        farewell it;
+        it.complete = pages.size() <= 1;
+        if (!pages.empty())
+            it.entries = std::move(pages.front());
+        return it;
+    }
+
     // A node that holds the state of a shard can resume it sooner than anyone
     // can take it over, so it is "busy" for a while after its lease lapsed.
     const char* status(const shard_slot& slot) const
@@ -691,9 +765,8 @@
             return;
         }
         auto& term = slot.term;
-        if (term && from == term->predecessor.address &&
-            owner_boot != term->predecessor.boot)
-            term->predecessor_gone = true;
+        if (term && !term->excluded_at)
+            note_gone(*term, from, owner_boot, params);
         if (!slot.object_known || from != slot.object.owner.address)
             return;
         if (owner_boot != slot.object.owner.boot)
@@ -707,6 +780,47 @@
             slot.object_known = false;
     }
 
+    void note_gone(shard_term& term, const peer_address& from,
+                   const std::string& its_boot, const Json::Value& params)
+    {
+        message_fields in(params);
+        for (const auto& it : term.earlier) {
+            if (it.address != from)
+                continue;
+            bool promised = in.optional("below").isUInt64() &&
+                            in.number("below") == term.epoch;
+            if (it.boot != its_boot)
+                term.gone.insert(it.boot);
+            else if (promised)
+                take_farewell(term, it, in);
+        }
+    }
+
+    void take_farewell(shard_term& term, const node_ref& node,
+                       message_fields& in)
+    {
+        term.gone.insert(node.boot);
+        if (in.optional("entries").isNull())
+            return;
+        auto entries = entries_from_json(in.optional("entries"));
+        bool complete = in.flag("complete");
+        if (!entries || !in.valid()) {
+            ++malformed;
+            return;
+        }
+        merge(term, *entries);
+        term.told_state = term.told_state || complete;
+    }
+
+    static void merge(shard_term& term, const std::vector<shard_entry>& entries)
+    {
+        for (const auto& it : entries) {
+            auto [known, added] = term.gathered.emplace(it.key, it);
+            if (!added && is_newer(it, known->second))
+                known->second = it;
+        }
+    }
+
     // --- First owner --------------------------------------------------------
 
     void create(shard_slot& slot)
@@ -724,7 +838,7 @@
         }
         if (!may_call())
             return;
-        shard_object wanted{1, self(), change->known, true};
+        shard_object wanted{1, self(), change->known, {}};
         change.reset();
         write(slot, wanted, 0,
               [this, &slot, wanted](std::optional<std::uint64_t> version) {
@@ -749,21 +863,23 @@
                 is_leaving)
                 return;
             auto old = slot.object;
-            auto gone = slot.owner_gone || old.owner.instance.empty();
-            shard_object wanted{old.epoch + 1, self(), old.witnesses, false};
+            auto earlier = old.earlier;
+            if (!old.owner.instance.empty() &&
+                std::find(earlier.begin(), earlier.end(), old.owner) ==
+                    earlier.end())
+                earlier.push_back(old.owner);
+            if (earlier.size() > max_earlier) {
+                back_off(slot);
+                return;
+            }
+            shard_object wanted{old.epoch + 1, self(), old.witnesses, earlier};
             write(slot, wanted, seen,
-                  [this, &slot, wanted, old,
-                   gone](std::optional<std::uint64_t> version) {
+                  [this, &slot, wanted](std::optional<std::uint64_t> version) {
                       if (!version)
                           return;
                       ++takeovers;
                       begin_term(slot, wanted, *version,
                                  shard_state::origin::takeover);
-                      if (slot.term) {
-                          slot.term->predecessor = old.owner;
-                          slot.term->predecessor_settled = old.settled;
-                          slot.term->predecessor_gone = gone;
-                      }
                   });
         });
     }
@@ -787,7 +903,9 @@
         term.started = loop.now();
         term.state.from = from;
         term.state.entries = std::move(entries);
-        term.settled = object.settled;
+        term.earlier = object.earlier;
+        term.settled = object.earlier.empty();
+        slot.last_state.reset();
         if (from == shard_state::origin::takeover) {
             for (const auto& it : object.witnesses)
                 term.fences[it.boot];
@@ -824,11 +942,26 @@
             for (const auto& it : term.quorum.current())
                 send_fence(slot, it);
         }
-        if (!term.predecessor_gone)
-            send_check(slot, term.predecessor);
+        if (loop.now() >= term.next_direct) {
+            term.next_direct = loop.now() + settings.extend_period;
+            for (const auto& it : term.earlier)
+                send_direct(slot, it);
+        }
         evaluate_fencing(slot);
     }
 
+    void send_direct(shard_slot& slot, const node_ref& owner)
+    {
+        auto& term = *slot.term;
+        if (term.gone.count(owner.boot) != 0)
+            return;
+        // An earlier term of this process ended before this one began.
+        if (owner.boot == boot)
+            term.gone.insert(boot);
+        else
+            send_check_to(slot, owner, term.epoch);
+    }
+
     void send_fence(shard_slot& slot, const node_ref& witness)
     {
         const auto& progress = slot.term->fences[witness.boot];
@@ -883,11 +1016,7 @@
         }
         if (progress.complete || cursor != progress.cursor)
             return false;
-        for (auto& it : *entries) {
-            auto [known, added] = term.gathered.emplace(it.key, it);
-            if (!added && is_newer(it, known->second))
-                known->second = it;
-        }
+        merge(term, *entries);
         term.lease_bound =
             std::max(term.lease_bound, loop.now() + duration(left));
         if (in.optional("next").isString()) {
@@ -918,7 +1047,7 @@
         }
         bool fenced_majority = n > 0 && complete + restarted >= majority(n);
         bool presumed = now - term.started >= settings.presume_lost_after;
-        bool ended = term.predecessor_gone && term.predecessor_settled;
+        bool ended = term.gone.size() == term.earlier.size();
         if (!fenced_majority && !ended && !presumed)
             return;
         // With fewer answers, all copies of an entry may be at the others.
@@ -932,7 +1061,7 @@
             term.lease_bound =
                 std::max(term.lease_bound,
                          now + settings.lease_term + settings.clock_margin);
-        term.state.complete = complete >= needed;
+        term.state.complete = complete >= needed || (n == 0 && term.told_state);
         term.excluded_at = std::max(now, term.lease_bound);
         extend(slot);
     }
@@ -941,9 +1070,10 @@
     {
         auto& term = *slot.term;
         auto now = loop.now();
-        if (!term.excluded_at || now < *term.excluded_at ||
-            now >= term.lease_end)
+        if (!term.excluded_at || now < *term.excluded_at)
             return;
+        // The lease may come later: if the witnesses are lost, new ones must
+        // get the state first. The clients check owns() before each act.
         term.phase = term_phase::active;
         for (auto& [key, it] : term.gathered) {
             if (!it.removed)
@@ -1244,6 +1374,14 @@
                    const std::map<std::string, time_point>& avoided)
     {
         std::set<std::string> excluded{members.self().instance};
+        // A witness that went silent would only delay the change; one that
+        // restarted may be a witness again.
+        if (slot.term) {
+            for (const auto& it : slot.term->quorum.current()) {
+                if (slot.term->restarted.count(it.boot) == 0)
+                    excluded.insert(it.instance);
+            }
+        }
         std::set<std::string> domains{members.self().failure_domain};
         for (const auto& it : kept) {
             excluded.insert(it.instance);
@@ -1288,7 +1426,13 @@
         auto& change = *term.change;
         if (change.writing)
             return;
-        if (loop.now() - change.started > 2 * settings.witness_limit) {
+        bool hopeless = std::any_of(change.asked.begin(), change.asked.end(),
+                                    [&](const auto& it) {
+                                        auto known = members.find(it.instance);
+                                        return !known || !may_act(*known);
+                                    });
+        if (hopeless ||
+            loop.now() - change.started > 2 * settings.witness_limit) {
             abandon_change(slot);
             return;
         }
@@ -1326,6 +1470,11 @@
                     healthy.size() + own.size() >= majority(current.size());
         if (keep && term.settled)
             return;
+        // An owner that lost all of several witnesses is more likely cut off
+        // than alone, and a successor can fence them sooner.
+        if (!keep && healthy.empty() && picked.empty() && current.size() > 1 &&
+            now - term.lease_end < alone_limit)
+            return;
         term.change.emplace();
         term.change->known = keep ? current : healthy;
         term.change->asked = picked;
@@ -1416,7 +1565,7 @@
         auto term = slot.term;
         term->change->writing = true;
         term->lease_end = current_lease(*term);
-        shard_object wanted{term->epoch, self(), *term->quorum.next(), true};
+        shard_object wanted{term->epoch, self(), *term->quorum.next(), {}};
         write(slot, wanted, term->version,
               [this, &slot, term](std::optional<std::uint64_t> version) {
                   if (slot.term != term)
@@ -1605,7 +1754,7 @@
         if (slot.busy || !may_call())
             return;
         it->writing = true;
-        shard_object wanted{it->epoch, {}, it->witnesses, true};
+        shard_object wanted{it->epoch, {}, it->witnesses, {}};
         if (it->successor)
             wanted.owner = {it->successor->instance, it->successor_boot,
                             it->successor->peer};
@@ -1746,7 +1895,7 @@
                 entries.push_back(std::move(entry));
         }
         step_down(slot);
-        shard_object object{epoch, self(), *nodes, true};
+        shard_object object{epoch, self(), *nodes, {}};
         written(slot, object, version);
         begin_term(slot, object, version, shard_state::origin::hand_over,
                    std::move(entries));
--- a/src/process/ownership.hpp
+++ b/src/process/ownership.hpp
@@ -106,11 +106,11 @@
 public:
     virtual ~shard_client() = default;
 
-    // This node owns the shard from now on, until released().
+    // This node alone has the shard from now on, until released(). It may act
+    // only while owns() says so.
     virtual void acquired(shard_id shard, const shard_state& state) = 0;
 
-    // This node must not act for the shard any more. The lease may have ended
-    // earlier: check owns() before each act.
+    // This node has lost the shard; its lease may have ended earlier.
     virtual void released(shard_id shard) = 0;
 
     // The whole state, for a new witness or for a planned successor.
--- a/src/process/rate_ledger.cpp
+++ b/src/process/rate_ledger.cpp
@@ -71,6 +71,9 @@
     timer_id pause_timer{};
     bool pause_pending = false;
     bool return_pending = false;
+    // Tokens spent since the owner was last told.
+    bool unreported = false;
+    bool report_pending = false;
     // The owner's last answer was a shortage, for the reason of a refusal.
     bool short_of_tokens = false;
 
@@ -425,7 +428,7 @@
             auto& pool = it->second;
             bool idle = pool.grants.empty() && pool.waiting.empty() &&
                         !pool.question && !pool.pause_pending &&
-                        !pool.return_pending &&
+                        !pool.return_pending && !pool.report_pending &&
                         now - pool.demand_at > settings.validity;
             it = idle ? pools.erase(it) : std::next(it);
         }
@@ -454,15 +457,33 @@
             pool.grants.pop_front();
     }
 
-    static bool spend(token_pool& pool, time_point now)
+    bool spend(token_pool& pool, time_point now)
     {
         drop_void(pool, now);
         if (pool.grants.empty())
             return false;
         --pool.grants.front().count;
+        pool.unreported = true;
+        report_later(pool);
         return true;
     }
 
+    // Until the owner knows that a token was spent, it counts as outstanding
+    // and keeps the bucket from filling. A node whose demand needs no question
+    // ahead reports at once; a busy one mostly with its next question.
+    void report_later(token_pool& pool)
+    {
+        if (pool.report_pending)
+            return;
+        pool.report_pending = true;
+        auto delay = target(pool) == 0 ? duration(0) : settings.report_period;
+        loop.call_after(delay, guarded([this, &pool] {
+                            pool.report_pending = false;
+                            if (pool.unreported && !pool.question && !stopped)
+                                give_back(pool, 0);
+                        }));
+    }
+
     void ask_ahead(token_pool& pool, time_point now)
     {
         auto wanted = target(pool);
@@ -541,6 +562,7 @@
         auto wanted = target(pool);
         it.ahead = wanted > it.held ? wanted - it.held : 0;
         pool.question = it;
+        pool.unreported = false;
         ++asked;
         send_question(pool);
     }
@@ -657,6 +679,9 @@
             return;
         }
         end_question(pool);
+        // Tokens may have been spent since the question was sent.
+        if (pool.unreported)
+            report_later(pool);
         auto void_at = question.asked + settings.validity;
         if (now >= void_at) {
             ++void_grants;
@@ -746,6 +771,7 @@
 
     void give_back(token_pool& pool, std::uint64_t count)
     {
+        pool.unreported = false;
         auto out = message(pool, ++pool.last_sequence);
         out["held"] = Json::UInt64(pool.held());
         out["returned"] = Json::UInt64(count);
--- a/src/process/rate_ledger.hpp
+++ b/src/process/rate_ledger.hpp
@@ -40,6 +40,8 @@
     // A request waits this long at most when the owner answered that there is
     // no token; longer waits would delay the requests that are granted.
     duration shortage_wait = std::chrono::milliseconds(100);
+    // Spent tokens are reported within this time.
+    duration report_period = std::chrono::milliseconds(100);
     // An unanswered question is sent again this often.
     duration resend_period = std::chrono::milliseconds(50);
     // Least time between two questions after a shortage of the workspace.
--- a/src/process/shard_messages.cpp
+++ b/src/process/shard_messages.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-// More than any setting of `witnesses` that makes sense.
-constexpr std::size_t max_witnesses = 16;
+// Nodes in one list: more than any setting of `witnesses` that makes sense.
+constexpr std::size_t max_nodes = 16;
 // A year; keeps sums of durations far from overflow.
 constexpr std::uint64_t max_lifetime_ms = 31'536'000'000;
 
@@ -56,7 +56,7 @@
 
 std::optional<std::vector<node_ref>> nodes_from_json(const Json::Value& it)
 {
-    if (!it.isArray() || it.size() > max_witnesses)
+    if (!it.isArray() || it.size() > max_nodes)
         return std::nullopt;
     std::vector<node_ref> nodes;
     for (const auto& item : it) {
@@ -74,7 +74,7 @@
     out["epoch"] = Json::UInt64(it.epoch);
     out["owner"] = to_json(it.owner);
     out["witnesses"] = to_json(it.witnesses);
-    out["settled"] = it.settled;
+    out["earlier"] = to_json(it.earlier);
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
     return Json::writeString(builder, out);
@@ -97,11 +97,13 @@
     message_fields in(parsed);
     shard_object it;
     it.epoch = in.number("epoch");
-    it.settled = in.flag("settled");
+
     auto owner = node_from_json(in.optional("owner"));
     auto witnesses = nodes_from_json(in.optional("witnesses"));
-    if (!in.valid() || !owner || !witnesses)
+    auto earlier = nodes_from_json(in.optional("earlier"));
+    if (!in.valid() || !owner || !witnesses || !earlier)
         return std::nullopt;
+    it.earlier = std::move(*earlier);
     it.owner = std::move(*owner);
     it.witnesses = std::move(*witnesses);
     return it;
--- a/src/process/shard_messages.hpp
+++ b/src/process/shard_messages.hpp
@@ -40,14 +40,14 @@
     // An empty instance if the last owner left without a successor.
     node_ref owner;
     std::vector<node_ref> witnesses;
-    // True once the owner has excluded all earlier ones. Until then one of
-    // them may still be acting, so the end of this owner proves nothing.
-    bool settled = false;
+    // Earlier owners that this one has not excluded yet: one of them may still
+    // be acting. Empty once it has.
+    std::vector<node_ref> earlier;
 
     friend bool operator==(const shard_object& a, const shard_object& b)
     {
         return a.epoch == b.epoch && a.owner == b.owner &&
-               a.witnesses == b.witnesses && a.settled == b.settled;
+               a.witnesses == b.witnesses && a.earlier == b.earlier;
     }
 };
 
--- /dev/null
+++ b/tests/test_ownership_scenarios.cpp
@@ -0,0 +1,13 @@
+#include "support/fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+TEST_CASE("ownership scenarios")
+{
+    run_fleet_scenarios("ownership_");
+}
+
+} // namespace shallotwood::test
--- /dev/null
+++ b/tests/test_record_scenarios.cpp
@@ -0,0 +1,13 @@
+#include "support/fleet_world.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+TEST_CASE("record scenarios")
+{
+    run_fleet_scenarios("record_");
+}
+
+} // namespace shallotwood::test
