Add the transport between nodes on real sockets

JSON-RPC notifications under a keyed hash, by UDP up to 1,200 bytes and by pooled TCP connections above. Compressed when shorter, so that entries of members and most configuration changes fit one datagram.

libjsonrpccpp validates and dispatches; its client header declares dynamic exception specifications, which C++17 rejects, so the notification's three members are set by hand. The receiver's address is under the keyed hash, so a message can't be redirected; a replay equals a duplicate.

--- /dev/null
+++ b/src/process/peer_message.cpp
@@ -0,0 +1,219 @@
+#include "process/peer_message.hpp"
+
+#include "process/keyed_hash.hpp"
+
+#include <array>
+#include <charconv>
+#include <exception>
+#include <gio/gio.h>
+#include <jsonrpccpp/common/errors.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr char plain = 0;
+constexpr char compressed = 1;
+constexpr std::size_t header_bytes = hash_bytes + 1;
+// Shorter texts don't shrink enough to pay for the work.
+constexpr std::size_t least_compressed_bytes = 400;
+// The fastest level; the texts are small and repetitive.
+constexpr int compression_level = 1;
+
+// Runs all of the input through the converter. Empty if it fails or the result
+// exceeds the bound.
+std::optional<std::string> convert(GConverter* by, std::string_view input,
+                                   std::size_t limit)
+{
+    std::string output;
+    std::array<char, 16'384> buf{};
+    while (true) {
+        gsize taken = 0;
+        gsize made = 0;
+        auto result = g_converter_convert(
+            by, input.data(), input.size(), buf.data(), buf.size(),
+            G_CONVERTER_INPUT_AT_END, &taken, &made, nullptr);
+        if (result == G_CONVERTER_ERROR || output.size() + made > limit)
+            return std::nullopt;
+        output.append(buf.data(), made);
+        input.remove_prefix(taken);
+        if (result == G_CONVERTER_FINISHED)
+            return output;
+    }
+}
+
+std::optional<std::string> compress(std::string_view text)
+{
+    auto* by =
+        g_zlib_compressor_new(G_ZLIB_COMPRESSOR_FORMAT_RAW, compression_level);
+    auto result = convert(G_CONVERTER(by), text, text.size());
+    g_object_unref(by);
+    return result;
+}
+
+std::optional<std::string> expand(std::string_view bytes)
+{
+    auto* by = g_zlib_decompressor_new(G_ZLIB_COMPRESSOR_FORMAT_RAW);
+    auto result = convert(G_CONVERTER(by), bytes, max_message_bytes);
+    g_object_unref(by);
+    return result;
+}
+
+std::string to_text(const peer_address& it)
+{
+    return it.host + ':' + std::to_string(it.port);
+}
+
+std::optional<peer_address> parse_address(const std::string& text)
+{
+    auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return std::nullopt;
+    peer_address it;
+    it.host = text.substr(0, colon);
+    const auto* end = text.data() + text.size();
+    auto [rest, ec] = std::from_chars(text.data() + colon + 1, end, it.port);
+    if (ec != std::errc() || rest != end)
+        return std::nullopt;
+    return it;
+}
+
+} // namespace
+
+std::string_view name_of(message_error it)
+{
+    switch (it) {
+    case message_error::too_large:
+        return "too-large";
+    case message_error::unauthenticated:
+        return "unauthenticated";
+    case message_error::malformed:
+        return "malformed";
+    case message_error::misdirected:
+        return "misdirected";
+    case message_error::unknown_method:
+        return "unknown-method";
+    }
+    return "";
+}
+
+// The client side of libjsonrpccpp declares dynamic exception specifications,
+// which C++17 rejects, so the three members are set here.
+std::variant<std::string, message_error>
+seal_message(const peer_message& it, std::string_view fleet_secret)
+{
+    Json::Value call;
+    call["jsonrpc"] = "2.0";
+    call["method"] = it.method;
+    call["params"]["from"] = to_text(it.from);
+    call["params"]["to"] = to_text(it.to);
+    call["params"]["body"] = it.body;
+    static const auto builder = [] {
+        Json::StreamWriterBuilder made;
+        made["indentation"] = "";
+        return made;
+    }();
+    auto text = Json::writeString(builder, call);
+    if (text.size() > max_message_bytes)
+        return message_error::too_large;
+    std::string content(1, plain);
+    auto shorter =
+        text.size() >= least_compressed_bytes ? compress(text) : std::nullopt;
+    if (shorter) {
+        content[0] = compressed;
+        content += *shorter;
+    } else {
+        content += text;
+    }
+    return keyed_hash(content, fleet_secret) + content;
+}
+
+std::variant<std::string, message_error>
+open_message(std::string_view sealed, std::string_view fleet_secret)
+{
+    if (sealed.size() > max_message_bytes + header_bytes)
+        return message_error::too_large;
+    if (sealed.size() <= header_bytes)
+        return message_error::malformed;
+    auto content = sealed.substr(hash_bytes);
+    if (!keyed_hash_matches(sealed.substr(0, hash_bytes), content,
+                            fleet_secret))
+        return message_error::unauthenticated;
+    auto form = content[0];
+    content.remove_prefix(1);
+    if (form == plain)
+        return std::string(content);
+    if (form != compressed)
+        return message_error::malformed;
+    if (auto text = expand(content))
+        return *text;
+    return message_error::malformed;
+}
+
+notification_dispatcher::notification_dispatcher(peer_address self)
+    : self_(std::move(self)),
+      protocol_(jsonrpc::RequestHandlerFactory::createProtocolHandler(
+          jsonrpc::JSONRPC_SERVER_V2, *this))
+{
+}
+
+notification_dispatcher::~notification_dispatcher() = default;
+
+void notification_dispatcher::subscribe(const std::string& method,
+                                        peer_transport::handler it)
+{
+    if (handlers_.count(method) == 0) {
+        jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME, "from",
+                                     jsonrpc::JSON_STRING, "to",
+                                     jsonrpc::JSON_STRING, nullptr);
+        protocol_->AddProcedure(procedure);
+    }
+    handlers_[method] = std::move(it);
+}
+
+std::optional<message_error>
+notification_dispatcher::dispatch(const std::string& text)
+{
+    outcome_ = message_error::malformed;
+    std::string answer;
+    try {
+        protocol_->HandleRequest(text, answer);
+    } catch (const Json::Exception&) {
+        // Nested deeper than the parser allows.
+        return message_error::malformed;
+    }
+    static const auto not_found =
+        std::to_string(jsonrpc::Errors::ERROR_RPC_METHOD_NOT_FOUND);
+    if (outcome_ && answer.find(not_found) != std::string::npos)
+        return message_error::unknown_method;
+    return outcome_;
+}
+
+// No method with a reply is ever added.
+void notification_dispatcher::HandleMethodCall(jsonrpc::Procedure&,
+                                               const Json::Value&, Json::Value&)
+{
+}
+
+void notification_dispatcher::HandleNotificationCall(jsonrpc::Procedure& it,
+                                                     const Json::Value& input)
+{
+    auto from = parse_address(input["from"].asString());
+    auto to = parse_address(input["to"].asString());
+    if (!from || !to)
+        return;
+    if (*to != self_) {
+        outcome_ = message_error::misdirected;
+        return;
+    }
+    // A handler may send to this node again, or subscribe.
+    auto handler = handlers_[it.GetProcedureName()];
+    outcome_.reset();
+    handler(*from, input["body"]);
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/peer_message.hpp
@@ -0,0 +1,87 @@
+// The form of a message between nodes: a JSON-RPC 2.0 notification,
+// compressed when that makes it shorter, behind a keyed hash under the fleet
+// secret.
+//
+//     32 bytes  keyed hash of all that follows
+//      1 byte   0: text as it is, 1: zlib
+//      n bytes  the notification; its parameters are `from` and `to`, the
+//               listening addresses of both nodes, and `body`
+//
+// A message is bound to its receiver, so it can't be redirected to another
+// node. One that is replayed to the same node is like a duplicate or a late
+// message, which every protocol over peer_transport has to bear anyway.
+//
+// Bounds: max_message_bytes, sealed and expanded; nothing is expanded or
+// parsed before its keyed hash has been checked.
+#pragma once
+
+#include "process/peer_transport.hpp"
+
+#include <jsonrpccpp/server/iclientconnectionhandler.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace shallotwood::process
+{
+
+constexpr std::size_t max_message_bytes = 1'000'000;
+
+struct peer_message {
+    peer_address from;
+    peer_address to;
+    std::string method;
+    Json::Value body;
+};
+
+enum class message_error {
+    too_large,
+    unauthenticated,
+    malformed,
+    // For another node.
+    misdirected,
+    unknown_method,
+};
+
+std::string_view name_of(message_error it);
+
+std::variant<std::string, message_error>
+seal_message(const peer_message& it, std::string_view fleet_secret);
+
+// The text of the notification. Never throws on untrusted input.
+std::variant<std::string, message_error>
+open_message(std::string_view sealed, std::string_view fleet_secret);
+
+// Validates notifications and calls the handler of their method.
+class notification_dispatcher final : jsonrpc::IProcedureInvokationHandler
+{
+public:
+    // Takes messages to the listening address `self`.
+    explicit notification_dispatcher(peer_address self);
+    ~notification_dispatcher() override;
+    notification_dispatcher(const notification_dispatcher&) = delete;
+    notification_dispatcher& operator=(const notification_dispatcher&) = delete;
+
+    void subscribe(const std::string& method, peer_transport::handler it);
+
+    // Empty if a handler was called. Never throws on untrusted input.
+    std::optional<message_error> dispatch(const std::string& text);
+
+private:
+    void HandleMethodCall(jsonrpc::Procedure& it, const Json::Value& input,
+                          Json::Value& output) override;
+    void HandleNotificationCall(jsonrpc::Procedure& it,
+                                const Json::Value& input) override;
+
+    peer_address self_;
+    std::unique_ptr<jsonrpc::IProtocolHandler> protocol_;
+    std::map<std::string, peer_transport::handler> handlers_;
+    // Of the message being dispatched.
+    std::optional<message_error> outcome_;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/peer_socket.cpp
@@ -0,0 +1,472 @@
+#include "process/peer_socket.hpp"
+
+#include <array>
+#include <deque>
+#include <sys/socket.h>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t read_bytes = 64 * 1024;
+// Datagrams read before other events of the loop get their turn.
+constexpr int datagrams_per_turn = 64;
+constexpr int control_buffer_bytes = 1'000'000;
+constexpr duration sweep_period = std::chrono::seconds(5);
+
+std::string text_of(GError* error)
+{
+    std::string text = error != nullptr ? error->message : "unknown error";
+    g_clear_error(&error);
+    return text;
+}
+
+std::string length_of(const std::string& sealed)
+{
+    std::string prefix;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        prefix.push_back(static_cast<char>(sealed.size() >> shift & 0xff));
+    return prefix;
+}
+
+std::size_t read_length(std::string_view prefix)
+{
+    std::size_t length = 0;
+    for (auto it : prefix.substr(0, length_bytes))
+        length = length << 8 | static_cast<unsigned char>(it);
+    return length;
+}
+
+} // namespace
+
+// A connection to another node. Callbacks of pending operations hold it; its
+// owner is null once the connection is closed.
+struct peer_socket::outgoing {
+    peer_socket* owner;
+    peer_address to;
+    GCancellable* cancel = g_cancellable_new();
+    GSocketConnection* connection = nullptr;
+    std::deque<std::string> queue;
+    std::size_t queued_bytes = 0;
+    bool writing = false;
+    time_point used;
+
+    outgoing(peer_socket* socket, peer_address address, time_point now)
+        : owner(socket), to(std::move(address)), used(now)
+    {
+    }
+    outgoing(const outgoing&) = delete;
+    outgoing& operator=(const outgoing&) = delete;
+    ~outgoing()
+    {
+        g_clear_object(&connection);
+        g_clear_object(&cancel);
+    }
+};
+
+struct peer_socket::incoming {
+    peer_socket* owner;
+    GCancellable* cancel = g_cancellable_new();
+    GSocketConnection* connection;
+    // The start of a message that is not whole yet.
+    std::string held;
+    std::array<char, read_bytes> buf{};
+    // When the message began that is not whole, or the last one ended.
+    time_point since;
+
+    incoming(peer_socket* socket, GSocketConnection* it, time_point now)
+        : owner(socket),
+          connection(static_cast<GSocketConnection*>(g_object_ref(it))),
+          since(now)
+    {
+    }
+    incoming(const incoming&) = delete;
+    incoming& operator=(const incoming&) = delete;
+    ~incoming()
+    {
+        g_clear_object(&connection);
+        g_clear_object(&cancel);
+    }
+};
+
+std::variant<std::unique_ptr<peer_socket>, std::string>
+peer_socket::open(event_loop& loop, counters& counts, const peer_address& self,
+                  std::uint16_t control_port, const std::string& fleet_secret)
+{
+    std::unique_ptr<peer_socket> made(
+        new peer_socket(loop, counts, self, control_port, fleet_secret));
+    if (auto error = made->listen(); !error.empty())
+        return "control address " + self.host + ':' +
+               std::to_string(control_port) + ": " + error;
+    return made;
+}
+
+peer_socket::peer_socket(event_loop& loop, counters& counts,
+                         const peer_address& self, std::uint16_t control_port,
+                         const std::string& fleet_secret)
+    : loop_(loop), counts_(counts), self_(self),
+      port_difference_(control_port - self.port), fleet_secret_(fleet_secret),
+      dispatcher_(self)
+{
+}
+
+peer_socket::~peer_socket()
+{
+    if (sweep_timer_)
+        loop_.cancel(*sweep_timer_);
+    while (!outgoing_.empty())
+        close(outgoing_.begin()->second);
+    while (!incoming_.empty())
+        close(*incoming_.begin());
+    if (udp_source_ != nullptr) {
+        g_source_destroy(udp_source_);
+        g_source_unref(udp_source_);
+    }
+    if (service_ != nullptr) {
+        g_signal_handlers_disconnect_by_data(service_, this);
+        g_socket_service_stop(service_);
+        g_socket_listener_close(G_SOCKET_LISTENER(service_));
+    }
+    g_clear_object(&service_);
+    g_clear_object(&client_);
+    g_clear_object(&udp_);
+}
+
+std::string peer_socket::listen()
+{
+    auto port = self_.port + port_difference_;
+    auto* address = g_inet_socket_address_new_from_string(
+        self_.host.c_str(), static_cast<guint>(port));
+    if (address == nullptr)
+        return "not an IP number";
+    auto error = listen_udp(address);
+    if (error.empty())
+        error = listen_tcp(address);
+    g_object_unref(address);
+    if (!error.empty())
+        return error;
+    client_ = g_socket_client_new();
+    // Looking up a proxy may block and never applies between nodes.
+    g_socket_client_set_enable_proxy(client_, FALSE);
+    sweep_timer_ = loop_.call_after(sweep_period, [this] { sweep(); });
+    return "";
+}
+
+std::string peer_socket::listen_udp(GSocketAddress* address)
+{
+    GError* error = nullptr;
+    udp_ = g_socket_new(g_socket_address_get_family(address),
+                        G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, &error);
+    if (udp_ == nullptr)
+        return text_of(error);
+    g_socket_set_blocking(udp_, FALSE);
+    g_socket_set_option(udp_, SOL_SOCKET, SO_RCVBUF, control_buffer_bytes,
+                        nullptr);
+    if (!g_socket_bind(udp_, address, FALSE, &error))
+        return text_of(error);
+    udp_source_ = g_socket_create_source(udp_, G_IO_IN, nullptr);
+    GSocketSourceFunc ready = [](GSocket*, GIOCondition, gpointer data) {
+        static_cast<peer_socket*>(data)->read_datagrams();
+        return gboolean(G_SOURCE_CONTINUE);
+    };
+    g_source_set_callback(udp_source_, G_SOURCE_FUNC(ready), this, nullptr);
+    g_source_attach(udp_source_, nullptr);
+    return "";
+}
+
+std::string peer_socket::listen_tcp(GSocketAddress* address)
+{
+    GError* error = nullptr;
+    service_ = g_socket_service_new();
+    if (!g_socket_listener_add_address(
+            G_SOCKET_LISTENER(service_), address, G_SOCKET_TYPE_STREAM,
+            G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, &error))
+        return text_of(error);
+    auto on_incoming = +[](GSocketService*, GSocketConnection* connection,
+                           GObject*, gpointer data) {
+        static_cast<peer_socket*>(data)->accept(connection);
+        return gboolean(TRUE);
+    };
+    g_signal_connect(service_, "incoming", G_CALLBACK(on_incoming), this);
+    g_socket_service_start(service_);
+    return "";
+}
+
+void peer_socket::send(const peer_address& to, const std::string& method,
+                       const Json::Value& params)
+{
+    auto sealed = seal_message({self_, to, method, params}, fleet_secret_);
+    if (const auto* error = std::get_if<message_error>(&sealed)) {
+        reject(name_of(*error));
+        return;
+    }
+    auto port = to.port + port_difference_;
+    auto* address = port > 0 && port <= 65'535
+                        ? g_inet_socket_address_new_from_string(
+                              to.host.c_str(), static_cast<guint>(port))
+                        : nullptr;
+    if (address == nullptr) {
+        reject("bad-address");
+        return;
+    }
+    const auto& bytes = std::get<std::string>(sealed);
+    if (bytes.size() <= max_datagram_bytes)
+        send_datagram(address, bytes);
+    else
+        send_stream(to, address, bytes);
+    g_object_unref(address);
+}
+
+void peer_socket::subscribe(const std::string& method, handler on_message)
+{
+    dispatcher_.subscribe(method, std::move(on_message));
+}
+
+void peer_socket::send_datagram(GSocketAddress* to, const std::string& sealed)
+{
+    auto sent = g_socket_send_to(udp_, to, sealed.data(), sealed.size(),
+                                 nullptr, nullptr);
+    if (sent < 0) {
+        reject("not-sent");
+        return;
+    }
+    ++counts_.at("peer_messages_sent");
+    counts_.at("peer_bytes_sent") += sealed.size();
+}
+
+void peer_socket::send_stream(const peer_address& to, GSocketAddress* address,
+                              const std::string& sealed)
+{
+    auto found = outgoing_.find(to);
+    if (found == outgoing_.end() && outgoing_.size() >= max_outgoing) {
+        reject("connections-full");
+        return;
+    }
+    bool fresh = found == outgoing_.end();
+    auto it = fresh ? std::make_shared<outgoing>(this, to, loop_.now())
+                    : found->second;
+    if (it->queued_bytes + sealed.size() > max_queued_bytes) {
+        reject("queue-full");
+        return;
+    }
+    it->queue.push_back(length_of(sealed) + sealed);
+    it->queued_bytes += sealed.size();
+    if (fresh) {
+        outgoing_[to] = it;
+        connect(it, address);
+    } else if (it->connection != nullptr) {
+        write_next(it);
+    }
+}
+
+void peer_socket::connect(const std::shared_ptr<outgoing>& it,
+                          GSocketAddress* address)
+{
+    auto done = [](GObject* source, GAsyncResult* result, gpointer data) {
+        std::unique_ptr<std::shared_ptr<outgoing>> held(
+            static_cast<std::shared_ptr<outgoing>*>(data));
+        auto& target = **held;
+        GError* error = nullptr;
+        auto* connection = g_socket_client_connect_finish(
+            G_SOCKET_CLIENT(source), result, &error);
+        if (target.owner == nullptr) {
+            g_clear_object(&connection);
+            g_clear_error(&error);
+        } else if (connection == nullptr) {
+            g_clear_error(&error);
+            target.owner->reject("not-sent");
+            target.owner->close(*held);
+        } else {
+            target.connection = connection;
+            target.owner->write_next(*held);
+        }
+    };
+    g_socket_client_connect_async(client_, G_SOCKET_CONNECTABLE(address),
+                                  it->cancel, done,
+                                  new std::shared_ptr<outgoing>(it));
+}
+
+void peer_socket::write_next(const std::shared_ptr<outgoing>& it)
+{
+    if (it->writing || it->queue.empty())
+        return;
+    it->writing = true;
+    it->used = loop_.now();
+    auto done = [](GObject* source, GAsyncResult* result, gpointer data) {
+        std::unique_ptr<std::shared_ptr<outgoing>> held(
+            static_cast<std::shared_ptr<outgoing>*>(data));
+        auto& target = **held;
+        bool whole = g_output_stream_write_all_finish(G_OUTPUT_STREAM(source),
+                                                      result, nullptr, nullptr);
+        if (target.owner == nullptr)
+            return;
+        auto& owner = *target.owner;
+        if (!whole) {
+            owner.reject("not-sent");
+            owner.close(*held);
+            return;
+        }
+        auto bytes = target.queue.front().size();
+        ++owner.counts_.at("peer_messages_sent");
+        owner.counts_.at("peer_bytes_sent") += bytes;
+        target.queued_bytes -= bytes - length_bytes;
+        target.queue.pop_front();
+        target.writing = false;
+        owner.write_next(*held);
+    };
+    const auto& next = it->queue.front();
+    g_output_stream_write_all_async(
+        g_io_stream_get_output_stream(G_IO_STREAM(it->connection)), next.data(),
+        next.size(), G_PRIORITY_DEFAULT, it->cancel, done,
+        new std::shared_ptr<outgoing>(it));
+}
+
+void peer_socket::close(const std::shared_ptr<outgoing>& it)
+{
+    auto held = it;
+    held->owner = nullptr;
+    outgoing_.erase(held->to);
+    g_cancellable_cancel(held->cancel);
+}
+
+void peer_socket::read_datagrams()
+{
+    // One byte more than allowed shows that a datagram is oversize.
+    std::array<char, max_datagram_bytes + 1> buf{};
+    for (int n = 0; n < datagrams_per_turn; ++n) {
+        auto size =
+            g_socket_receive(udp_, buf.data(), buf.size(), nullptr, nullptr);
+        if (size < 0)
+            return;
+        auto length = static_cast<std::size_t>(size);
+        if (length > max_datagram_bytes)
+            reject("too-large");
+        else
+            receive({buf.data(), length});
+    }
+}
+
+void peer_socket::accept(GSocketConnection* connection)
+{
+    if (incoming_.size() >= max_incoming) {
+        reject("connections-full");
+        return;
+    }
+    auto it = std::make_shared<incoming>(this, connection, loop_.now());
+    incoming_.insert(it);
+    read_more(it);
+}
+
+void peer_socket::read_more(const std::shared_ptr<incoming>& it)
+{
+    auto done = [](GObject* source, GAsyncResult* result, gpointer data) {
+        std::unique_ptr<std::shared_ptr<incoming>> held(
+            static_cast<std::shared_ptr<incoming>*>(data));
+        auto& target = **held;
+        auto size =
+            g_input_stream_read_finish(G_INPUT_STREAM(source), result, nullptr);
+        if (target.owner == nullptr)
+            return;
+        if (size <= 0) {
+            target.owner->close(*held);
+            return;
+        }
+        auto n = static_cast<std::size_t>(size);
+        if (target.held.empty())
+            target.since = target.owner->loop_.now();
+        target.held.append(target.buf.data(), n);
+        target.owner->incoming_bytes_ += n;
+        if (target.owner->take_messages(*held))
+            target.owner->read_more(*held);
+        else if (target.owner != nullptr)
+            target.owner->close(*held);
+    };
+    g_input_stream_read_async(
+        g_io_stream_get_input_stream(G_IO_STREAM(it->connection)),
+        it->buf.data(), it->buf.size(), G_PRIORITY_DEFAULT, it->cancel, done,
+        new std::shared_ptr<incoming>(it));
+}
+
+// False if the connection is to be closed.
+bool peer_socket::take_messages(const std::shared_ptr<incoming>& it)
+{
+    std::size_t start = 0;
+    std::string_view held = it->held;
+    while (held.size() - start >= length_bytes) {
+        auto length = read_length(held.substr(start));
+        if (length > max_message_bytes) {
+            reject("too-large");
+            return false;
+        }
+        if (held.size() - start - length_bytes < length)
+            break;
+        auto sealed = held.substr(start + length_bytes, length);
+        start += length_bytes + length;
+        if (!receive(sealed))
+            return false;
+    }
+    if (start > 0) {
+        it->held.erase(0, start);
+        it->since = loop_.now();
+        incoming_bytes_ -= start;
+    }
+    if (incoming_bytes_ > max_incoming_bytes) {
+        reject("memory-full");
+        return false;
+    }
+    return true;
+}
+
+void peer_socket::close(const std::shared_ptr<incoming>& it)
+{
+    auto held = it;
+    held->owner = nullptr;
+    incoming_bytes_ -= held->held.size();
+    incoming_.erase(held);
+    g_cancellable_cancel(held->cancel);
+}
+
+// False if the message does not come from a node of this fleet.
+bool peer_socket::receive(std::string_view sealed)
+{
+    counts_.at("peer_bytes_received") += sealed.size();
+    auto opened = open_message(sealed, fleet_secret_);
+    if (const auto* error = std::get_if<message_error>(&opened)) {
+        reject(name_of(*error));
+        return false;
+    }
+    ++counts_.at("peer_messages_received");
+    if (auto error = dispatcher_.dispatch(std::get<std::string>(opened)))
+        reject(name_of(*error));
+    return true;
+}
+
+void peer_socket::reject(std::string_view reason)
+{
+    ++counts_.at("peer_messages_dropped",
+                 "reason=\"" + std::string(reason) + "\"");
+}
+
+// Closes connections that are idle or stuck.
+void peer_socket::sweep()
+{
+    sweep_timer_ = loop_.call_after(sweep_period, [this] { sweep(); });
+    auto now = loop_.now();
+    auto all_outgoing = outgoing_;
+    for (const auto& [to, it] : all_outgoing) {
+        auto limit = it->queue.empty() ? idle_limit : message_limit;
+        if (now - it->used > limit)
+            close(it);
+    }
+    auto all_incoming = incoming_;
+    for (const auto& it : all_incoming) {
+        auto limit = it->held.empty() ? 2 * idle_limit : message_limit;
+        if (now - it->since > limit)
+            close(it);
+    }
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/peer_socket.hpp
@@ -0,0 +1,100 @@
+// The transport between nodes on real sockets: UDP up to max_datagram_bytes,
+// else TCP with a length before each message.
+//
+// Nodes are addressed by their peer address, the one in the membership. The
+// control port differs, because HTTP has the TCP port of the peer address; all
+// nodes of a fleet have the same difference between the two ports, and each
+// node finds the others' control ports by its own difference.
+//
+// Bounds: max_outgoing connections with max_queued_bytes waiting on each,
+// max_incoming connections holding max_incoming_bytes together; a message has
+// message_limit to arrive and an idle connection is closed after idle_limit.
+// What exceeds a bound, is malformed or not authenticated is counted and
+// dropped, and the connection it came on is closed.
+#pragma once
+
+#include "process/counters.hpp"
+#include "process/event_loop.hpp"
+#include "process/peer_message.hpp"
+#include "process/peer_transport.hpp"
+
+#include <gio/gio.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace shallotwood::process
+{
+
+class peer_socket final : public peer_transport
+{
+public:
+    static constexpr std::size_t max_datagram_bytes = 1'200;
+    static constexpr std::size_t max_outgoing = 64;
+    static constexpr std::size_t max_queued_bytes = 2'000'000;
+    static constexpr std::size_t max_incoming = 256;
+    static constexpr std::size_t max_incoming_bytes = 16'000'000;
+    static constexpr duration message_limit = std::chrono::seconds(10);
+    static constexpr duration idle_limit = std::chrono::seconds(30);
+
+    // Listens on the control port of the host of `self`, which is the peer
+    // address by which others know this node. Gives the reason when it can't.
+    static std::variant<std::unique_ptr<peer_socket>, std::string>
+    open(event_loop& loop, counters& counts, const peer_address& self,
+         std::uint16_t control_port, const std::string& fleet_secret);
+
+    ~peer_socket() override;
+    peer_socket(const peer_socket&) = delete;
+    peer_socket& operator=(const peer_socket&) = delete;
+
+    void send(const peer_address& to, const std::string& method,
+              const Json::Value& params) override;
+    void subscribe(const std::string& method, handler on_message) override;
+
+private:
+    struct outgoing;
+    struct incoming;
+
+    peer_socket(event_loop& loop, counters& counts, const peer_address& self,
+                std::uint16_t control_port, const std::string& fleet_secret);
+    std::string listen();
+    std::string listen_udp(GSocketAddress* address);
+    std::string listen_tcp(GSocketAddress* address);
+
+    void send_datagram(GSocketAddress* to, const std::string& sealed);
+    void send_stream(const peer_address& to, GSocketAddress* address,
+                     const std::string& sealed);
+    void connect(const std::shared_ptr<outgoing>& it, GSocketAddress* address);
+    void write_next(const std::shared_ptr<outgoing>& it);
+    void close(const std::shared_ptr<outgoing>& it);
+
+    void read_datagrams();
+    void accept(GSocketConnection* connection);
+    void read_more(const std::shared_ptr<incoming>& it);
+    bool take_messages(const std::shared_ptr<incoming>& it);
+    void close(const std::shared_ptr<incoming>& it);
+    bool receive(std::string_view sealed);
+    void reject(std::string_view reason);
+    void sweep();
+
+    event_loop& loop_;
+    counters& counts_;
+    const peer_address self_;
+    const int port_difference_;
+    const std::string fleet_secret_;
+    notification_dispatcher dispatcher_;
+
+    GSocket* udp_ = nullptr;
+    GSource* udp_source_ = nullptr;
+    GSocketService* service_ = nullptr;
+    GSocketClient* client_ = nullptr;
+    std::map<peer_address, std::shared_ptr<outgoing>> outgoing_;
+    std::set<std::shared_ptr<incoming>> incoming_;
+    std::size_t incoming_bytes_ = 0;
+    std::optional<timer_id> sweep_timer_;
+};
+
+} // namespace shallotwood::process
