--- a/programs/shallotwoodd.cpp
+++ b/programs/shallotwoodd.cpp
@@ -1,230 +1,76 @@
-// The node, with the pass-through policy.
-#include "process/data_path.hpp"
-#include "process/glib_event_loop.hpp"
-#include "process/keyed_hash.hpp"
-#include "process/log.hpp"
-#include "process/pass_through_policy.hpp"
+// The node: one process beside each backend server.
+#include "shallotwood/shallotwood.hpp"
 
 #include <boost/program_options.hpp>
-#include <csignal>
-#include <fstream>
-#include <glib-unix.h>
 #include <iostream>
 
 namespace
 {
 
 namespace options = boost::program_options;
-using namespace shallotwood;
 
-struct usage_error : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
-options::options_description described_options()
+options::options_description describe_options()
 {
-    options::options_description all("shallotwoodd");
+    options::options_description all("Options");
     auto add = all.add_options();
-    add("help", "print this help");
-    add("version", "print the version");
-    add("caller", options::value<std::string>()->default_value("127.0.0.1:0"),
-        "address for callers");
-    add("peer", options::value<std::string>()->default_value("127.0.0.1:0"),
-        "address for other nodes");
-    add("local", options::value<std::string>()->default_value("127.0.0.1:0"),
-        "loopback address for the backend server and the operator");
+    add("help", "print this text and exit");
+    add("version", "print the version and exit");
+    add("config", options::value<std::string>(), "settings file of the node");
+    add("check-config", options::value<std::string>(),
+        "check a settings file: exit 0 if it is valid, or print each fault "
+        "with its line and exit 2");
     add("port-file", options::value<std::string>(),
-        "write the ports in use to this file: caller, peer, local");
-    add("fleet-secret-file", options::value<std::string>(),
-        "file with the fleet secret");
-    add("route", options::value<std::vector<std::string>>()->composing(),
-        "PREFIX=SERVICE; PREFIX=SERVICE! if requests run at most once");
-    add("member", options::value<std::vector<std::string>>()->composing(),
-        "SERVICE=ADDRESS:PORT of a node's peer address, or SERVICE=self");
-    add("retries", options::value<int>()->default_value(0),
-        "retries for each request");
-    add("head-limit-ms", options::value<int>()->default_value(10000),
-        "longest wait for the head of a response from another node");
-    add("body-limit-ms", options::value<int>()->default_value(5000),
-        "longest wait for the next bytes of a body");
-    add("max-connections", options::value<std::size_t>()->default_value(4096),
-        "connections at a time on each address");
-    add("drain-limit-ms", options::value<int>()->default_value(30000),
-        "longest time that shutdown waits for requests in flight");
-    add("log-level", options::value<std::string>()->default_value("info"),
-        "lowest level that is logged");
+        "write the ports in use to this file: caller, peer, local, control");
+    add("ephemeral-ports",
+        "let the system choose all ports, whatever the settings say; for "
+        "tests");
     return all;
 }
 
-connection::listen_address address_of(const std::string& text)
-{
-    auto it = connection::parse_address(text);
-    if (!it)
-        throw usage_error("not an address and port: " + text);
-    return *it;
-}
-
-std::pair<std::string, std::string> split_pair(const std::string& text)
-{
-    auto n = text.find('=');
-    if (n == std::string::npos || n == 0 || n + 1 == text.size())
-        throw usage_error("expected NAME=VALUE: " + text);
-    return {text.substr(0, n), text.substr(n + 1)};
-}
-
-std::vector<std::string> list_of(const options::variables_map& values,
-                                 const char* name)
-{
-    if (values.count(name) == 0)
-        return {};
-    return values[name].as<std::vector<std::string>>();
-}
-
-std::string read_secret(const options::variables_map& values)
-{
-    if (values.count("fleet-secret-file") == 0)
-        return process::random_token(process::hash_bytes);
-    std::ifstream file(values["fleet-secret-file"].as<std::string>());
-    std::string secret;
-    if (!std::getline(file, secret) || secret.empty())
-        throw usage_error("the fleet secret file is not readable or empty");
-    return secret;
-}
-
-process::duration milliseconds_of(const options::variables_map& values,
-                                  const char* name)
-{
-    return std::chrono::milliseconds(values[name].as<int>());
-}
-
-process::data_path_settings settings_of(const options::variables_map& values)
-{
-    process::data_path_settings it;
-    it.caller = address_of(values["caller"].as<std::string>());
-    it.peer = address_of(values["peer"].as<std::string>());
-    it.local = address_of(values["local"].as<std::string>());
-    it.fleet_secret = read_secret(values);
-    it.head_progress_limit = milliseconds_of(values, "head-limit-ms");
-    it.body_progress_limit = milliseconds_of(values, "body-limit-ms");
-    it.listener_limits.connections =
-        values["max-connections"].as<std::size_t>();
-    return it;
-}
-
-process::pass_through_settings
-policy_settings_of(const options::variables_map& values)
-{
-    process::pass_through_settings it;
-    it.retries = values["retries"].as<int>();
-    for (const auto& text : list_of(values, "route")) {
-        auto [prefix, service] = split_pair(text);
-        bool once = service.back() == '!';
-        if (once)
-            service.pop_back();
-        it.routes.push_back({prefix, service, !once});
-    }
-    return it;
-}
-
-void add_members(process::pass_through_policy& policy,
-                 const options::variables_map& values, std::uint16_t own_port)
+void print_usage(std::ostream& out, const options::options_description& all)
 {
-    for (const auto& text : list_of(values, "member")) {
-        auto [service, where] = split_pair(text);
-        auto address = where == "self"
-                           ? connection::listen_address{"127.0.0.1", own_port}
-                           : address_of(where);
-        policy.add_member(service, {where, address.host, address.port});
-    }
+    out << "Usage: shallotwoodd --config FILE [OPTION]...\n"
+           "Runs the node beside a backend server until SIGTERM, which lets\n"
+           "what is in flight finish; a second SIGTERM ends it at once.\n\n"
+        << all
+        << "\nExit status: 0 after a graceful shutdown; 1 if it could not\n"
+           "start or was ended early; 2 for invalid arguments or settings.\n";
 }
 
-// Written under another name first, so that a reader never sees a part.
-void write_ports(const std::string& path, const process::data_path& node)
+int check(const std::string& file)
 {
-    {
-        std::ofstream file(path + ".new");
-        file << node.caller_port() << ' ' << node.peer_port() << ' '
-             << node.local_port() << '\n';
-    }
-    if (std::rename((path + ".new").c_str(), path.c_str()) != 0)
-        throw usage_error("can't write " + path);
+    auto faults = shallotwood::check_settings(file);
+    for (const auto& it : faults)
+        std::cerr << it << '\n';
+    return faults.empty() ? 0 : 2;
 }
 
-// Drains on the first signal; ends on the second or at the drain limit.
-class shutdown_handler
+int run(int argc, char** argv)
 {
-public:
-    shutdown_handler(process::glib_event_loop& loop, process::data_path& node,
-                     process::duration limit)
-        : loop_(loop), node_(node), limit_(limit)
-    {
-        g_unix_signal_add(SIGTERM, &shutdown_handler::signalled, this);
-        g_unix_signal_add(SIGINT, &shutdown_handler::signalled, this);
-    }
-
-    int status() const { return status_; }
-
-private:
-    static gboolean signalled(gpointer data)
-    {
-        static_cast<shutdown_handler*>(data)->shut_down();
-        return G_SOURCE_CONTINUE;
-    }
-
-    void shut_down()
-    {
-        if (draining_)
-            return end("second signal");
-        draining_ = true;
-        SHALLOTWOOD_LOG(info)
-            << "event=drain" << process::field("in_flight", node_.in_flight());
-        node_.drain([this] { loop_.stop(); });
-        loop_.call_after(limit_, [this] { end("drain limit"); });
+    auto all = describe_options();
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, all), values);
+    options::notify(values);
+    if (values.count("help") != 0) {
+        print_usage(std::cout, all);
+        return 0;
     }
-
-    void end(const char* why)
-    {
-        SHALLOTWOOD_LOG(warning)
-            << "event=end" << process::field("why", why)
-            << process::field("in_flight", node_.in_flight());
-        status_ = 1;
-        loop_.stop();
+    if (values.count("version") != 0) {
+        std::cout << "shallotwoodd " << shallotwood::version_text() << '\n';
+        return 0;
     }
-
-    process::glib_event_loop& loop_;
-    process::data_path& node_;
-    process::duration limit_;
-    bool draining_ = false;
-    int status_ = 0;
-};
-
-int run(const options::variables_map& values)
-{
-    process::glib_event_loop loop;
-    process::random_source random(
-        process::stable_hash(process::random_token(process::hash_bytes)));
-    process::counters counts;
-    process::pass_through_policy policy(policy_settings_of(values));
-    process::data_path node(settings_of(values), loop, random, counts, policy,
-                            policy, policy);
-    node.on_announce(
-        [&](const auto& it) { policy.set_backend(it.host, it.port); });
-    node.on_leave([&] { policy.clear_backend(); });
-    if (auto error = node.start(); !error.empty()) {
-        std::cerr << "shallotwoodd: " << error << '\n';
-        return 1;
+    if (values.count("check-config") != 0)
+        return check(values["check-config"].as<std::string>());
+    if (values.count("config") == 0) {
+        print_usage(std::cerr, all);
+        return 2;
     }
-    add_members(policy, values, node.peer_port());
-    shutdown_handler shutdown(loop, node,
-                              milliseconds_of(values, "drain-limit-ms"));
-    if (values.count("port-file"))
-        write_ports(values["port-file"].as<std::string>(), node);
-    SHALLOTWOOD_LOG(info) << "event=start"
-                          << process::field("caller", node.caller_port())
-                          << process::field("peer", node.peer_port())
-                          << process::field("local", node.local_port());
-    loop.run();
-    return shutdown.status();
+    shallotwood::node_options it;
+    it.settings_file = values["config"].as<std::string>();
+    it.ephemeral_ports = values.count("ephemeral-ports") != 0;
+    if (values.count("port-file") != 0)
+        it.port_file = values["port-file"].as<std::string>();
+    return shallotwood::run_node(it, std::cerr);
 }
 
 } // namespace
@@ -232,26 +78,12 @@
 int main(int argc, char** argv)
 {
     try {
-        auto known = described_options();
-        options::variables_map values;
-        options::store(options::parse_command_line(argc, argv, known), values);
-        options::notify(values);
-        if (values.count("help")) {
-            std::cout << known;
-            return 0;
-        }
-        if (values.count("version")) {
-            std::cout << "shallotwoodd " << SHALLOTWOOD_VERSION << '\n';
-            return 0;
-        }
-        auto level = boost::log::trivial::info;
-        if (!process::parse_log_level(values["log-level"].as<std::string>(),
-                                      level))
-            throw usage_error("unknown log level");
-        process::start_log(level);
-        return run(values);
-    } catch (const std::exception& error) {
+        return run(argc, argv);
+    } catch (const options::error& error) {
         std::cerr << "shallotwoodd: " << error.what() << '\n';
         return 2;
+    } catch (const std::exception& error) {
+        std::cerr << "shallotwoodd: " << error.what() << '\n';
+        return 1;
     }
 }
--- a/src/connection/http_headers.cpp
+++ b/src/connection/http_headers.cpp
@@ -153,17 +153,19 @@
     text += it.feedback.final ? ";1;" : ";0;";
     if (it.retry_after)
         text += std::to_string(it.retry_after->count());
+    text += ';' + it.feedback.redirect;
     return text;
 }
 
 std::optional<feedback_header> parse_feedback(std::string_view text)
 {
     auto parts = split(text, ';');
-    if (parts.size() != 7)
+    if (parts.size() != 8)
         return std::nullopt;
     feedback_header it;
     it.attempt_id = parts[0];
     it.feedback.final = parts[5] == "1";
+    it.feedback.redirect = parts[7];
     if (!request::parse_execution(parts[1], it.feedback.what.run) ||
         !request::parse_reason(parts[2], it.feedback.what.why) ||
         !parse(parts[3], it.feedback.unused_retries) ||
--- /dev/null
+++ b/src/process/backend_presence.cpp
@@ -0,0 +1,69 @@
+#include "process/backend_presence.hpp"
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+// An announcement that was under way when the backend server left.
+constexpr duration leave_grace = std::chrono::milliseconds(1500);
+
+} // namespace
+
+backend_presence::backend_presence(event_loop& loop, listener on_change)
+    : loop_(loop), on_change_(std::move(on_change))
+{
+}
+
+backend_presence::~backend_presence()
+{
+    if (silence_)
+        loop_.cancel(*silence_);
+}
+
+void backend_presence::announced(const backend_announcement& it)
+{
+    if (loop_.now() < ignore_until_)
+        return;
+    wait_for_silence();
+    if (current_ == it)
+        return;
+    current_ = it;
+    on_change_.present(it);
+}
+
+void backend_presence::wait_for_silence()
+{
+    if (silence_)
+        loop_.cancel(*silence_);
+    silence_ = loop_.call_after(presence_silence_limit, [this] {
+        silence_.reset();
+        become_absent(true);
+    });
+}
+
+void backend_presence::connection_refused()
+{
+    become_absent(true);
+}
+
+void backend_presence::left()
+{
+    ignore_until_ = loop_.now() + leave_grace;
+    become_absent(false);
+}
+
+void backend_presence::become_absent(bool lost)
+{
+    if (!current_)
+        return;
+    current_.reset();
+    if (silence_) {
+        loop_.cancel(*silence_);
+        silence_.reset();
+    }
+    on_change_.absent(lost);
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/configuration_source.hpp
@@ -0,0 +1,34 @@
+// Joins the stored form of configurations to the feed that spreads them.
+#pragma once
+
+#include "process/configuration_feed.hpp"
+#include "process/object_store.hpp"
+
+namespace shallotwood::process
+{
+
+class json_configuration_codec final : public configuration_codec
+{
+public:
+    std::string write(const version::configuration& it) const override;
+    version::configuration_ptr read(const std::string& text) const override;
+    version::configuration_ptr apply(const version::configuration& base,
+                                     const std::string& change) const override;
+};
+
+// Applies the head's own changes where they reach back to the base, and reads
+// the snapshot from the platform otherwise.
+class platform_configuration_loader final : public configuration_loader
+{
+public:
+    explicit platform_configuration_loader(object_store& from) : store_(from) {}
+
+    void load(
+        const stored_object& head, const version::configuration_ptr& base,
+        std::function<void(std::optional<loaded_configuration>)> done) override;
+
+private:
+    object_store& store_;
+};
+
+} // namespace shallotwood::process
--- a/src/process/data_path.hpp
+++ b/src/process/data_path.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace shallotwood::process
 {
@@ -20,6 +21,16 @@
     std::uint16_t port = 0;
     int slots = 0;
     int connections = 0;
+
+    auto fields() const
+    {
+        return std::tie(service, host, port, slots, connections);
+    }
+    friend bool operator==(const backend_announcement& a,
+                           const backend_announcement& b)
+    {
+        return a.fields() == b.fields();
+    }
 };
 
 // A request that the data path does not serve itself, with its whole body.
--- /dev/null
+++ b/src/process/entry_controller.cpp
@@ -0,0 +1,300 @@
+#include "process/entry_controller.hpp"
+
+#include "process/keyed_hash.hpp"
+#include "process/log.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+using request::execution;
+using request::reason;
+using request::refusal;
+using request::verdict;
+
+// What a shed caller is told to wait, before spreading: the lifetime of a cut.
+constexpr duration overload_pause = std::chrono::seconds(1);
+
+void log_decision(const request::call& it, std::string_view decision,
+                  reason why)
+{
+    SHALLOTWOOD_LOG(info) << "event=entry"
+                          << field("request", it.context.request_id)
+                          << field("workspace", it.context.workspace)
+                          << field("route", it.context.route)
+                          << field("decision", decision)
+                          << field("reason", name_of(why));
+}
+
+} // namespace
+
+int status_of(reason why)
+{
+    switch (why) {
+    case reason::no_route:
+        return 404;
+    case reason::unknown_key:
+        return 401;
+    case reason::wrong_workspace:
+        return 403;
+    case reason::missing_idempotency_key:
+    case reason::malformed:
+        return 400;
+    case reason::over_rate:
+        return 429;
+    case reason::duplicate_in_progress:
+    case reason::duplicate:
+        return 409;
+    case reason::suspected_crash:
+        return 422;
+    case reason::deadline:
+        return 504;
+    case reason::connection_failed:
+    case reason::connection_silent:
+    case reason::backend_server_failed:
+        return 502;
+    default:
+        return 503;
+    }
+}
+
+entry_controller::entry_controller(const modules& parts) : parts_(parts) {}
+
+void entry_controller::enter(const request::caller_request& it,
+                             std::function<void(request::entry_result)> done)
+{
+    auto result = check(it);
+    if (auto* refused = std::get_if<refusal>(&result)) {
+        done(*refused);
+        return;
+    }
+    auto& accepted = std::get<request::call>(result);
+    auto deadline = parts_.time.now() + accepted.context.remaining;
+    charge({std::move(accepted), deadline, std::move(done)});
+}
+
+std::variant<request::call, refusal>
+entry_controller::check(const request::caller_request& it)
+{
+    if (parts_.state.draining())
+        return make_refusal(reason::draining);
+    auto configuration = parts_.state.configuration();
+    if (!configuration)
+        return make_refusal(reason::no_configuration);
+    const auto* on = version::find_route(*configuration, it.path);
+    if (!on)
+        return make_refusal(reason::no_route);
+    auto found = find_workspace(it, *on, *configuration);
+    if (auto* why = std::get_if<verdict>(&found))
+        return make_refusal(why->why);
+    if (!on->repeatable && it.idempotency_key.empty())
+        return make_refusal(reason::missing_idempotency_key);
+    auto made = make_call(it, *on, std::get<std::string>(found));
+    if (made.context.key >= std::min(parts_.cuts.of_route(on->name),
+                                     parts_.cuts.of_service(on->service))) {
+        log_decision(made, "refuse", reason::overload);
+        return make_refusal(reason::overload);
+    }
+    return made;
+}
+
+std::variant<std::string, verdict>
+entry_controller::find_workspace(const request::caller_request& it,
+                                 const version::route& on,
+                                 const version::configuration& in) const
+{
+    if (on.open)
+        return std::string();
+    if (parts_.state.isolated())
+        return verdict{execution::not_run, reason::isolated};
+    auto key = in.keys.find(hash_of_key(it.key));
+    if (it.key.empty() || key == in.keys.end())
+        return verdict{execution::not_run, reason::unknown_key};
+    if (in.workspaces.count(key->second) == 0)
+        return verdict{execution::not_run, reason::wrong_workspace};
+    return key->second;
+}
+
+request::call entry_controller::make_call(const request::caller_request& it,
+                                          const version::route& on,
+                                          const std::string& workspace)
+{
+    request::call made;
+    auto& context = made.context;
+    context.request_id =
+        parts_.state.boot() + "-" + std::to_string(++last_request_);
+    context.attempt_id = context.request_id + ".1";
+    context.workspace = workspace;
+    context.route = on.name;
+    context.level = on.level;
+    context.key = make_shed_key(on.level, context.request_id,
+                                parts_.demand.count(workspace));
+    context.repeatable = on.repeatable;
+    context.idempotency_key = it.idempotency_key;
+    context.remaining = std::min(it.timeout.value_or(on.timeout), on.timeout);
+    context.retries = parts_.retry_allowance;
+    made.service = on.service;
+    made.path = it.path;
+    made.fingerprint = it.fingerprint;
+    return made;
+}
+
+void entry_controller::charge(pending it)
+{
+    if (it.it.context.workspace.empty()) {
+        claim(std::move(it));
+        return;
+    }
+    auto workspace = it.it.context.workspace;
+    auto deadline = it.deadline;
+    parts_.rates.charge(
+        workspace, deadline,
+        [this, it = std::move(it)](const charge_result& result) mutable {
+            if (const auto* why = std::get_if<charge_refusal>(&result))
+                refuse(std::move(it), {execution::not_run, why->why},
+                       status_of(why->why), spread(why->retry_after));
+            else
+                claim(std::move(it));
+        });
+}
+
+void entry_controller::claim(pending it)
+{
+    if (it.it.context.repeatable) {
+        accept(std::move(it));
+        return;
+    }
+    auto workspace = it.it.context.workspace;
+    auto key = it.it.context.idempotency_key;
+    auto deadline = it.deadline;
+    parts_.records.claim(
+        workspace, key, deadline,
+        [this, it = std::move(it)](const claim_result& result) mutable {
+            if (const auto* granted = std::get_if<claim_granted>(&result)) {
+                claims_[it.it.context.request_id] = granted->claim;
+                accept(std::move(it));
+            } else if (const auto* ended = std::get_if<claim_done>(&result)) {
+                repeat(std::move(it), ended->response);
+            } else if (std::get_if<claim_in_progress>(&result)) {
+                refuse(std::move(it),
+                       {execution::may_have_run, reason::duplicate_in_progress},
+                       status_of(reason::duplicate_in_progress),
+                       spread(overload_pause));
+            } else if (std::get_if<claim_may_have_run>(&result)) {
+                refuse(std::move(it),
+                       {execution::may_have_run, reason::backend_server_failed},
+                       status_of(reason::backend_server_failed), std::nullopt);
+            } else {
+                auto why = std::get<claim_refused>(result).why;
+                refuse(std::move(it), {execution::not_run, why}, status_of(why),
+                       spread(overload_pause));
+            }
+        });
+}
+
+void entry_controller::repeat(pending it,
+                              const request::recorded_response& response)
+{
+    if (!response.body_recorded) {
+        refuse(std::move(it), {execution::ran, reason::duplicate},
+               status_of(reason::duplicate), std::nullopt);
+        return;
+    }
+    log_decision(it.it, "repeat", reason::none);
+    it.done(response);
+}
+
+void entry_controller::accept(pending it)
+{
+    auto remaining = it.deadline - parts_.time.now();
+    if (remaining <= duration::zero()) {
+        leave_unrun(it.it);
+        refuse(std::move(it), {execution::not_run, reason::deadline},
+               status_of(reason::deadline), std::nullopt);
+        return;
+    }
+    it.it.context.remaining = remaining;
+    ++open_;
+    ++parts_.counts.at("requests_accepted");
+    log_decision(it.it, "accept", reason::none);
+    request::entry_result accepted(std::in_place_type<request::call>,
+                                   std::move(it.it));
+    it.done(std::move(accepted));
+}
+
+void entry_controller::refuse(pending it, verdict what, int status,
+                              std::optional<duration> retry_after)
+{
+    log_decision(it.it, "refuse", what.why);
+    ++parts_.counts.at("requests_refused",
+                       "reason=\"" + std::string(name_of(what.why)) + "\"");
+    it.done(refusal{what, status, retry_after});
+}
+
+refusal entry_controller::make_refusal(reason why)
+{
+    ++parts_.counts.at("requests_refused",
+                       "reason=\"" + std::string(name_of(why)) + "\"");
+    refusal made{{execution::not_run, why}, status_of(why), std::nullopt};
+    if (made.status == 503)
+        made.retry_after = spread(overload_pause);
+    return made;
+}
+
+// Callers that were refused together must not return together.
+duration entry_controller::spread(duration base)
+{
+    auto factor = 1.0 + parts_.random.unit();
+    return duration(static_cast<duration::rep>(
+        static_cast<double>(std::max(base, duration(1)).count()) * factor));
+}
+
+void entry_controller::leave_unrun(const request::call& it)
+{
+    auto claim = claims_.extract(it.context.request_id);
+    if (!claim.empty())
+        parts_.records.finish(claim.mapped(), execution::not_run, [](bool) {});
+}
+
+void entry_controller::record(const request::call& it,
+                              const request::recorded_response& response,
+                              std::function<void(std::optional<refusal>)> done)
+{
+    auto claim = claims_.extract(it.context.request_id);
+    if (claim.empty()) {
+        done(std::nullopt);
+        return;
+    }
+    // The caller gets its response also if the outcome could not be recorded:
+    // the claim alone keeps the request from running again.
+    parts_.records.finish(claim.mapped(), response,
+                          [this, done = std::move(done)](bool recorded) {
+                              if (!recorded)
+                                  ++parts_.counts.at("outcomes_not_recorded");
+                              done(std::nullopt);
+                          });
+}
+
+void entry_controller::leave(const request::call& it,
+                             const request::call_feedback& feedback)
+{
+    --open_;
+    parts_.cuts.note_route(it.context.route, feedback.cut);
+    auto ran = feedback.what.run == execution::ran;
+    if (ran && feedback.what.why == reason::none)
+        parts_.retries.succeeded();
+    if (feedback.what.run == execution::not_run) {
+        leave_unrun(it);
+        return;
+    }
+    auto claim = claims_.extract(it.context.request_id);
+    if (!claim.empty())
+        parts_.records.finish(claim.mapped(), execution::may_have_run,
+                              [](bool) {});
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/exclusive_run.hpp
@@ -0,0 +1,63 @@
+// Runs suspect requests alone on the local backend server.
+//
+// A request that was in flight when a backend server died may be what killed
+// it. It runs with nothing beside it, so that a second crash condemns it and
+// nothing else. While one waits for what runs to end, and while it runs, new
+// calls are held.
+//
+// Bounds: max_held calls are held and max_waiting suspects wait; further ones
+// are refused.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace shallotwood::process
+{
+
+class exclusive_run
+{
+public:
+    static constexpr std::size_t max_held = 1024;
+    static constexpr std::size_t max_waiting = 64;
+
+    // True while new calls must be held.
+    bool holds() const { return running_ || !waiting_.empty(); }
+
+    // `resume` takes the call up again; false if there is no room.
+    bool hold(const std::string& attempt_id, std::function<void()> resume);
+
+    // `start` runs the suspect; false if there is no room.
+    bool wait(const std::string& attempt_id, std::function<void()> start);
+
+    // The sender left. True if the call was held or waiting.
+    bool cancel(const std::string& attempt_id);
+
+    // Nothing runs on the backend server now: starts the next suspect, or
+    // takes up what was held.
+    void idle();
+
+    // The suspect that runs has ended, or was not started after all.
+    void finished(const std::string& attempt_id);
+
+    // Takes up everything; for shutdown, where each call is then refused.
+    void release_all();
+
+private:
+    struct item {
+        std::string attempt_id;
+        std::function<void()> task;
+    };
+
+    static bool remove(std::deque<item>& from, const std::string& attempt_id);
+    static void run_all(std::deque<item>& from);
+
+    std::optional<std::string> running_;
+    std::deque<item> waiting_;
+    std::deque<item> held_;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/execution_controller.cpp
@@ -0,0 +1,274 @@
+#include "process/execution_controller.hpp"
+
+#include "process/entry_controller.hpp"
+#include "process/log.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+using request::execution;
+using request::execution_end;
+using request::reason;
+using request::refusal;
+using request::verdict;
+
+// A process that dies may still accept connections when its first connection
+// breaks; after this time it no longer does.
+constexpr duration second_look = std::chrono::milliseconds(20);
+
+bool is_success(execution_end how, int status)
+{
+    return how == execution_end::response && status < 500;
+}
+
+} // namespace
+
+execution_controller::execution_controller(const modules& parts) : parts_(parts)
+{
+}
+
+execution_controller::~execution_controller() = default;
+
+void execution_controller::server_present(const backend_announcement& it)
+{
+    if (!gate_)
+        gate_ = std::make_unique<admission>(parts_.loop, parts_.loop, it.slots,
+                                            parts_.queue);
+    else if (!server_)
+        gate_->restart();
+    gate_->set_slots(it.slots);
+    server_ = it;
+    SHALLOTWOOD_LOG(info) << "event=server_present"
+                          << field("service", it.service)
+                          << field("slots", it.slots);
+}
+
+void execution_controller::server_absent(bool lost)
+{
+    SHALLOTWOOD_LOG(info) << "event=server_absent" << field("lost", lost)
+                          << field("running", running());
+    server_.reset();
+    if (lost)
+        parts_.suspects.crashed();
+}
+
+void execution_controller::arrive(const request::call& it, arrive_done done)
+{
+    judge({it, parts_.loop.now() + it.context.remaining, std::move(done)});
+}
+
+std::optional<reason>
+execution_controller::reason_to_refuse(const arrival& it) const
+{
+    if (draining_)
+        return reason::draining;
+    if (!server_ || server_->service != it.it.service)
+        return reason::no_backend_server;
+    if (it.it.context.depth > request::max_depth)
+        return reason::malformed;
+    if (it.deadline <= parts_.loop.now())
+        return reason::deadline;
+    return std::nullopt;
+}
+
+void execution_controller::judge(const arrival& it)
+{
+    if (auto why = reason_to_refuse(it)) {
+        refuse(it, *why);
+        return;
+    }
+    const auto& id = it.it.context.attempt_id;
+    auto placed = parts_.suspects.judge(it.it.fingerprint);
+    switch (placed.what) {
+    case suspect_table::advice::run:
+        admit(it);
+        return;
+    case suspect_table::advice::run_alone:
+        if (!exclusive_.wait(id, [this, it] { start(it); }))
+            refuse(it, reason::overload);
+        else if (gate_->running() == 0)
+            exclusive_.idle();
+        return;
+    case suspect_table::advice::elsewhere:
+        refuse(it, reason::suspected_crash,
+               placed.where ? placed.where->instance : "");
+        return;
+    case suspect_table::advice::busy:
+    case suspect_table::advice::refuse:
+        refuse(it, reason::suspected_crash);
+        return;
+    }
+}
+
+void execution_controller::admit(const arrival& it)
+{
+    const auto& id = it.it.context.attempt_id;
+    if (exclusive_.holds()) {
+        if (!exclusive_.hold(id, [this, it] { judge(it); }))
+            refuse(it, reason::overload);
+        return;
+    }
+    gate_->arrive(it.it.context, it.deadline,
+                  [this, it](const std::optional<verdict>& refused) {
+                      if (refused)
+                          refuse(it, refused->why);
+                      else
+                          start(it);
+                  });
+}
+
+void execution_controller::start(const arrival& it)
+{
+    const auto& id = it.it.context.attempt_id;
+    auto give_up = [&](reason why) {
+        gate_->finished(id, false);
+        exclusive_.finished(id);
+        refuse(it, why);
+        took_end();
+    };
+    if (auto why = reason_to_refuse(it)) {
+        give_up(*why);
+        return;
+    }
+    using state = attempt_register::admission;
+    auto registered = parts_.attempts.start(id);
+    if (registered != state::started) {
+        give_up(registered == state::full ? reason::overload : reason::fenced);
+        return;
+    }
+    auto remaining = it.deadline - parts_.loop.now();
+    auto token = parts_.calls.open(
+        {it.it, it.deadline, request::retry_allowance(it.it.context.retries)});
+    runs_[id] = {token, parts_.suspects.began(it.it.fingerprint)};
+    SHALLOTWOOD_LOG(info) << "event=run"
+                          << field("request", it.it.context.request_id)
+                          << field("attempt", id)
+                          << field("running", gate_->running())
+                          << field("limit", gate_->limit());
+    it.done(request::execution_permit{token, server_->host, server_->port,
+                                      remaining});
+}
+
+void execution_controller::refuse(const arrival& it, reason why,
+                                  const std::string& redirect)
+{
+    SHALLOTWOOD_LOG(info) << "event=refuse"
+                          << field("request", it.it.context.request_id)
+                          << field("attempt", it.it.context.attempt_id)
+                          << field("reason", name_of(why));
+    ++parts_.counts.at("calls_refused",
+                       "reason=\"" + std::string(name_of(why)) + "\"");
+    refused_retries_ = it.it.context.retries;
+    refused_redirect_ = redirect;
+    it.done(refusal{{execution::not_run, why}, status_of(why), std::nullopt});
+    refused_retries_ = 0;
+    refused_redirect_.clear();
+}
+
+void execution_controller::cancel(const std::string& attempt_id)
+{
+    if (!exclusive_.cancel(attempt_id) && gate_)
+        gate_->cancel(attempt_id);
+}
+
+void execution_controller::ended(const std::string& attempt_id,
+                                 execution_end how, int status)
+{
+    auto ended_run = runs_.extract(attempt_id);
+    if (ended_run.empty())
+        return;
+    const auto& [token, run_id] = ended_run.mapped();
+    duration downstream{};
+    if (const auto* it = parts_.calls.find(token)) {
+        downstream = it->downstream;
+        if (it->open_children > 0)
+            downstream += parts_.loop.now() - it->children_since;
+    }
+    parts_.calls.close(token);
+    bool refused = how == execution_end::refused;
+    parts_.attempts.finish(attempt_id, refused
+                                           ? execution::not_run
+                                           : (how == execution_end::response
+                                                  ? execution::ran
+                                                  : execution::may_have_run));
+    if (how == execution_end::failed)
+        failed(run_id);
+    else if (how == execution_end::response)
+        parts_.suspects.completed(run_id);
+    else
+        parts_.suspects.ended(run_id);
+    gate_->finished(attempt_id, is_success(how, status), downstream);
+    exclusive_.finished(attempt_id);
+    took_end();
+}
+
+// A run that was not whole: either its connection alone broke, or the backend
+// server has died. Reports must leave before the sender is told.
+void execution_controller::failed(suspect_table::run_id id)
+{
+    if (server_has_ended())
+        return;
+    parts_.loop.call_after(second_look,
+                           [this, id, alive = std::weak_ptr<bool>(alive_)] {
+                               if (!alive.expired() && !server_has_ended())
+                                   parts_.suspects.ended(id);
+                           });
+}
+
+bool execution_controller::server_has_ended()
+{
+    if (!server_ || !parts_.refuses_connections(*server_))
+        return false;
+    // Ends in server_absent(), which reports the crash.
+    parts_.server_ended();
+    return true;
+}
+
+void execution_controller::took_end()
+{
+    if (exclusive_.holds() && gate_->running() == 0)
+        exclusive_.idle();
+    else if (!exclusive_.holds())
+        exclusive_.idle();
+}
+
+request::call_feedback
+execution_controller::feedback(const std::string& attempt_id,
+                               const verdict& what)
+{
+    request::call_feedback made;
+    made.what = what;
+    made.cut = cut();
+    auto it = runs_.find(attempt_id);
+    if (it == runs_.end()) {
+        made.unused_retries = refused_retries_;
+        made.redirect = refused_redirect_;
+        return made;
+    }
+    if (auto* running = parts_.calls.find(it->second.token)) {
+        // Calls that the backend server makes after this report must not spend
+        // what it gives back.
+        made.unused_retries = running->allowance.left();
+        running->allowance = request::retry_allowance(0);
+        made.cut = std::min(made.cut, running->cut_below);
+        made.final = running->overload_below;
+    }
+    return made;
+}
+
+void execution_controller::drain(std::function<void()> idle)
+{
+    draining_ = true;
+    exclusive_.release_all();
+    if (gate_)
+        gate_->drain(std::move(idle));
+    else
+        idle();
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/execution_controller.hpp
@@ -0,0 +1,112 @@
+// Decides when a call from a peer runs on the local backend server.
+//
+// This node alone sees everything in flight there, so it alone admits, queues,
+// sheds, fences and drains; no other node has to agree. In this order:
+// suspects, admission, start of the attempt. An attempt is "not run" until its
+// start is registered, and only then gets a permit.
+//
+// Bounds: running and queued calls are limited by admission, attempts and
+// suspects by their tables.
+#pragma once
+
+#include "process/admission.hpp"
+#include "process/attempt_register.hpp"
+#include "process/backend_presence.hpp"
+#include "process/call_table.hpp"
+#include "process/counters.hpp"
+#include "process/exclusive_run.hpp"
+#include "process/suspect_table.hpp"
+#include "request/call_policy.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace shallotwood::process
+{
+
+class execution_controller final : public request::execution_policy
+{
+public:
+    struct modules {
+        event_loop& loop;
+        call_table& calls;
+        attempt_register& attempts;
+        suspect_table& suspects;
+        counters& counts;
+        admission_settings queue;
+        // Whether the backend server refuses connections, which shows that its
+        // process has ended. Must not block.
+        std::function<bool(const backend_announcement&)> refuses_connections;
+        // Called when that was found.
+        std::function<void()> server_ended;
+    };
+
+    explicit execution_controller(const modules& parts);
+    ~execution_controller() override;
+
+    void arrive(const request::call& it,
+                std::function<void(
+                    std::variant<request::execution_permit, request::refusal>)>
+                    done) override;
+    void cancel(const std::string& attempt_id) override;
+    void ended(const std::string& attempt_id, request::execution_end how,
+               int status) override;
+    request::call_feedback feedback(const std::string& attempt_id,
+                                    const request::verdict& what) override;
+
+    // The backend server beside this node announced itself, or is gone. `lost`
+    // if it fell silent or its process has ended.
+    void server_present(const backend_announcement& it);
+    void server_absent(bool lost);
+
+    // Refuses new calls; `idle` is called when nothing runs any more.
+    void drain(std::function<void()> idle);
+
+    int running() const { return gate_ ? gate_->running() : 0; }
+    std::size_t queued() const { return gate_ ? gate_->queued() : 0; }
+    request::shed_key cut() const
+    {
+        return gate_ ? gate_->cut() : request::no_cut;
+    }
+
+private:
+    using arrive_done = std::function<void(
+        std::variant<request::execution_permit, request::refusal>)>;
+
+    struct arrival {
+        request::call it;
+        time_point deadline;
+        arrive_done done;
+    };
+    struct run {
+        std::string token;
+        suspect_table::run_id id{};
+    };
+
+    std::optional<request::reason> reason_to_refuse(const arrival& it) const;
+    void judge(const arrival& it);
+    void admit(const arrival& it);
+    void start(const arrival& it);
+    void refuse(const arrival& it, request::reason why,
+                const std::string& redirect = "");
+    void failed(suspect_table::run_id id);
+    bool server_has_ended();
+    void took_end();
+
+    modules parts_;
+    std::optional<backend_announcement> server_;
+    // Absent until a backend server has announced itself.
+    std::unique_ptr<admission> gate_;
+    exclusive_run exclusive_;
+    bool draining_ = false;
+    // By attempt id, from the permit to ended().
+    std::unordered_map<std::string, run> runs_;
+    // What feedback() reports for the call that is being refused.
+    int refused_retries_ = 0;
+    std::string refused_redirect_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace shallotwood::process
--- a/src/process/http_entry.cpp
+++ b/src/process/http_entry.cpp
@@ -138,7 +138,7 @@
 }
 
 void entered(const std::shared_ptr<entry_state>& it,
-             request::entry_result result)
+             request::entry_result&& result)
 {
     if (auto* call = std::get_if<request::call>(&result))
         return enter_call(it, std::move(*call));
@@ -208,8 +208,9 @@
         it->body = std::move(body);
         it->what.fingerprint =
             fingerprint_of(it->what.method, it->what.path, *it->body);
-        it->in.entry.enter(
-            it->what, [it](auto result) { entered(it, std::move(result)); });
+        it->in.entry.enter(it->what, [it](request::entry_result&& result) {
+            entered(it, std::move(result));
+        });
     });
 }
 
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -36,7 +36,7 @@
 
 // JSON punctuation and numbers of an entry.
 constexpr std::size_t short_entry_bytes = 26;
-constexpr std::size_t full_entry_bytes = 52;
+constexpr std::size_t full_entry_bytes = 58;
 // Envelope, authentication and UDP/IP headers of a message.
 constexpr std::size_t envelope_bytes = 230;
 
@@ -79,6 +79,7 @@
     entry.append(it.slots);
     entry.append(it.failure_domain);
     entry.append(it.region);
+    entry.append(it.http_port);
     return entry;
 }
 
@@ -114,6 +115,9 @@
         return false;
     it.peer.port = static_cast<std::uint16_t>(entry[5].asUInt());
     it.slots = std::max(0, entry[6].asInt());
+    if (!entry[9].isUInt() || entry[9].asUInt() > 65'535)
+        return false;
+    it.http_port = static_cast<std::uint16_t>(entry[9].asUInt());
     return read_name(entry[7], it.failure_domain) &&
            read_name(entry[8], it.region);
 }
@@ -121,7 +125,7 @@
 std::optional<member> parse_entry(const Json::Value& entry)
 {
     member it;
-    if (!entry.isArray() || (entry.size() != 3 && entry.size() != 9) ||
+    if (!entry.isArray() || (entry.size() != 3 && entry.size() != 10) ||
         !read_name(entry[0], it.instance) || it.instance.empty() ||
         !entry[1].isUInt64() || !entry[2].isInt())
         return std::nullopt;
@@ -135,7 +139,7 @@
     it.state = states[rank];
     if (is_short(it) != (entry.size() == 3))
         return std::nullopt;
-    if (entry.size() == 9 && !read_details(entry, it))
+    if (entry.size() == 10 && !read_details(entry, it))
         return std::nullopt;
     return it;
 }
@@ -255,6 +259,15 @@
     join();
 }
 
+void membership::listen_on(std::uint16_t http_port)
+{
+    self_.http_port = http_port;
+    for (auto& it : members_) {
+        if (it.instance == self_.instance)
+            it = self_;
+    }
+}
+
 void membership::announce(const std::string& service, int slots)
 {
     if (stopped_ || (self_.state == member_state::active &&
--- a/src/process/membership.hpp
+++ b/src/process/membership.hpp
@@ -87,6 +87,9 @@
     membership(const membership&) = delete;
     membership& operator=(const membership&) = delete;
 
+    // Where this node takes calls from other nodes; before start().
+    void listen_on(std::uint16_t http_port);
+
     // Starts probing, and joins through the seeds.
     void start();
 
--- /dev/null
+++ b/src/process/node.cpp
@@ -0,0 +1,186 @@
+#include "process/node.hpp"
+
+#include "process/json_text.hpp"
+#include "process/keyed_hash.hpp"
+#include "process/log.hpp"
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr std::size_t boot_bytes = 9;
+
+// Part of the drain limit that is left for handing over tokens and shards once
+// nothing is in flight.
+constexpr int hand_over_share = 4;
+
+// Dynamic ports, from which a control port is drawn for tests.
+constexpr std::uint16_t first_dynamic_port = 49152;
+constexpr int max_port_trials = 50;
+
+connection::listen_address listen_on(const peer_address& it, bool ephemeral)
+{
+    return {it.host, ephemeral ? std::uint16_t(0) : it.port};
+}
+
+// Exceeds the incarnations of earlier starts of this instance, as long as the
+// wall clock was not set back by more than the time between them.
+std::uint64_t wall_clock_incarnation()
+{
+    return static_cast<std::uint64_t>(g_get_real_time());
+}
+
+node_core_settings core_settings(const settings& from)
+{
+    node_core_settings it;
+    it.members.seeds = from.seeds;
+    it.feed.isolation_limit = from.isolation_limit;
+    it.owners.shards = static_cast<std::uint32_t>(from.shards);
+    it.rates.validity = from.token_grant_validity;
+    it.records.window = from.record_window;
+    it.records.max_records = static_cast<std::size_t>(from.record_count_limit);
+    it.records.max_bytes = static_cast<std::size_t>(from.record_bytes_limit);
+    it.queue.max_wait = from.queue_time_limit;
+    it.retry_allowance = static_cast<int>(from.retry_allowance);
+    return it;
+}
+
+// True if nothing listens there any more. On the loopback interface the answer
+// to a connection request comes at once, so this does not block.
+bool refuses_connections(const backend_announcement& server)
+{
+    connection::object_handle<GSocketAddress> address(
+        g_inet_socket_address_new_from_string(server.host.c_str(),
+                                              server.port));
+    if (!address)
+        return false;
+    connection::object_handle<GSocket> probe(
+        g_socket_new(g_socket_address_get_family(address.get()),
+                     G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr));
+    if (!probe)
+        return false;
+    g_socket_set_blocking(probe.get(), FALSE);
+    GError* error = nullptr;
+    if (g_socket_connect(probe.get(), address.get(), nullptr, &error))
+        return false;
+    connection::error_handle failure(error);
+    return g_error_matches(failure.get(), G_IO_ERROR,
+                           G_IO_ERROR_CONNECTION_REFUSED) != FALSE;
+}
+
+} // namespace
+
+node::node(glib_event_loop& loop, const settings& from)
+    : loop_(loop), settings_(from), boot_(random_token(boot_bytes)),
+      random_(stable_hash(boot_))
+{
+}
+
+node::~node() = default;
+
+std::variant<std::unique_ptr<node>, std::string>
+node::open(glib_event_loop& loop, const settings& from,
+           const std::string& fleet_secret, bool ephemeral_ports)
+{
+    std::unique_ptr<node> made(new node(loop, from));
+    made->platform_ = std::make_unique<platform_client>(from.platform_address,
+                                                        loop, made->random_);
+    auto error = made->open_control(fleet_secret, ephemeral_ports);
+    if (!error.empty())
+        return error;
+    made->make_core();
+    error = made->open_data_path(fleet_secret, ephemeral_ports);
+    if (!error.empty())
+        return error;
+    made->core_->start(made->data_path_->peer_port());
+    return made;
+}
+
+std::string node::open_control(const std::string& fleet_secret,
+                               bool ephemeral_ports)
+{
+    int trials = ephemeral_ports ? max_port_trials : 1;
+    std::string error;
+    for (int n = 0; n < trials; ++n) {
+        control_ = settings_.control_address;
+        if (ephemeral_ports)
+            control_.port = static_cast<std::uint16_t>(
+                first_dynamic_port + random_.below(65536 - first_dynamic_port));
+        auto opened = peer_socket::open(loop_, counts_, control_, control_.port,
+                                        fleet_secret);
+        if (auto* it = std::get_if<std::unique_ptr<peer_socket>>(&opened)) {
+            transport_ = std::move(*it);
+            return {};
+        }
+        error = std::get<std::string>(opened);
+    }
+    return error;
+}
+
+void node::make_core()
+{
+    member self;
+    self.instance = settings_.instance;
+    self.incarnation = wall_clock_incarnation();
+    self.peer = control_;
+    self.failure_domain = settings_.failure_domain;
+    self.region = settings_.region;
+    core_ = std::make_unique<node_core>(
+        loop_, *transport_, *platform_, counts_, core_settings(settings_), self,
+        boot_, random_.below(UINT64_MAX), refuses_connections);
+}
+
+std::string node::open_data_path(const std::string& fleet_secret,
+                                 bool ephemeral_ports)
+{
+    data_path_settings it;
+    it.caller = listen_on(settings_.caller_address, ephemeral_ports);
+    it.peer = listen_on(settings_.peer_address, ephemeral_ports);
+    it.local = listen_on(settings_.local_address, ephemeral_ports);
+    it.fleet_secret = fleet_secret;
+    data_path_ = std::make_unique<data_path>(
+        std::move(it), loop_, random_, counts_, core_->entry(),
+        core_->routing(), core_->execution());
+    data_path_->on_announce([this](const backend_announcement& server) {
+        core_->server().announced(server);
+    });
+    data_path_->on_leave([this] { core_->server().left(); });
+    data_path_->on_local_control(
+        [this](const control_request& asked,
+               const std::function<void(control_response)>& done) {
+            answer_local(asked, done);
+        });
+    return data_path_->start();
+}
+
+void node::answer_local(const control_request& it,
+                        const std::function<void(control_response)>& done) const
+{
+    if (it.method != "GET" || it.path != "/status") {
+        done({404, "application/json", "{\"error\":\"no such path\"}\n"});
+        return;
+    }
+    done({200, "application/json", write_json(core_->status()) + "\n"});
+}
+
+node_ports node::ports() const
+{
+    return {data_path_->caller_port(), data_path_->peer_port(),
+            data_path_->local_port(), control_.port};
+}
+
+void node::drain(std::function<void()> done)
+{
+    auto hand_over_limit = settings_.drain_limit / hand_over_share;
+    auto both = std::make_shared<int>(2);
+    auto one_done = [both, done = std::move(done)] {
+        if (--*both == 0)
+            done();
+    };
+    core_->drain(hand_over_limit, one_done);
+    data_path_->drain(one_done);
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/node.hpp
@@ -0,0 +1,72 @@
+// A running node: the decision modules on their sockets.
+//
+// Owns the platform's client, the control socket, the HTTP listeners and the
+// node core, in the order in which they depend on each other.
+#pragma once
+
+#include "process/data_path.hpp"
+#include "process/glib_event_loop.hpp"
+#include "process/node_core.hpp"
+#include "process/peer_socket.hpp"
+#include "process/platform_client.hpp"
+#include "process/settings.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace shallotwood::process
+{
+
+struct node_ports {
+    std::uint16_t caller = 0;
+    std::uint16_t peer = 0;
+    std::uint16_t local = 0;
+    std::uint16_t control = 0;
+};
+
+class node
+{
+public:
+    // Listens on the addresses of the settings, or gives the reason why it
+    // can't. With `ephemeral_ports` the system chooses the ports; for tests.
+    static std::variant<std::unique_ptr<node>, std::string>
+    open(glib_event_loop& loop, const settings& from,
+         const std::string& fleet_secret, bool ephemeral_ports);
+
+    ~node();
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    node_ports ports() const;
+
+    // Graceful shutdown; `done` is called once nothing is in flight and what
+    // this node holds is handed over.
+    void drain(std::function<void()> done);
+
+    std::size_t in_flight() const { return data_path_->in_flight(); }
+
+private:
+    node(glib_event_loop& loop, const settings& from);
+
+    std::string open_control(const std::string& fleet_secret,
+                             bool ephemeral_ports);
+    void make_core();
+    std::string open_data_path(const std::string& fleet_secret,
+                               bool ephemeral_ports);
+    void answer_local(const control_request& it,
+                      const std::function<void(control_response)>& done) const;
+
+    glib_event_loop& loop_;
+    const settings settings_;
+    const std::string boot_;
+    random_source random_;
+    counters counts_;
+    peer_address control_;
+    std::unique_ptr<platform_client> platform_;
+    std::unique_ptr<peer_socket> transport_;
+    std::unique_ptr<node_core> core_;
+    std::unique_ptr<data_path> data_path_;
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/node_core.cpp
@@ -0,0 +1,150 @@
+#include "process/node_core.hpp"
+
+#include "process/log.hpp"
+
+namespace shallotwood::process
+{
+
+namespace
+{
+constexpr duration join_poll_period = std::chrono::milliseconds(200);
+}
+
+node_core::node_core(
+    event_loop& loop, peer_transport& transport, object_store& store,
+    counters& counts, const node_core_settings& settings, const member& self,
+    const std::string& boot, std::uint64_t seed,
+    std::function<bool(const backend_announcement&)> refuses_connections)
+    : loop_(loop), boot_(boot), counts_(counts), settings_(settings),
+      random_(seed), members_(loop, transport, store, counts, settings.members,
+                              self, random_.below(UINT64_MAX)),
+      loader_(store), feed_(loop, transport, store, members_, codec_, loader_,
+                            counts, settings.feed),
+      owners_(loop, transport, store, members_, counts,
+              random_.below(UINT64_MAX), boot, settings.owners),
+      rates_(
+          loop, transport, owners_, counts,
+          [this](const std::string& workspace) { return limit_of(workspace); },
+          settings.rates),
+      records_(loop, transport, owners_, counts, settings.records),
+      attempts_(loop, transport, counts, settings.attempts),
+      suspects_(loop, transport, members_, counts, settings.suspects),
+      cuts_(loop), demand_(loop),
+      balancer_(loop, random_, {self.failure_domain}),
+      entry_({loop, *this, rates_, records_, cuts_, demand_, retries_, random_,
+              counts, settings.retry_allowance}),
+      routing_({loop, *this, members_, balancer_, calls_, cuts_, retries_,
+                attempts_, counts}),
+      execution_({loop, calls_, attempts_, suspects_, counts, settings.queue,
+                  std::move(refuses_connections),
+                  [this] { server_.connection_refused(); }}),
+      server_(loop,
+              {[this](const backend_announcement& it) { server_present(it); },
+               [this](bool lost) { server_absent(lost); }})
+{
+}
+
+node_core::~node_core() = default;
+
+void node_core::start(std::uint16_t http_port)
+{
+    members_.listen_on(http_port);
+    feed_.listen([this](const version::configuration_ptr& now) {
+        SHALLOTWOOD_LOG(info)
+            << "event=configuration" << field("revision", now->revision);
+        routing_.reassign_all();
+    });
+    members_.start();
+    feed_.start();
+    owners_.start();
+    await_joined();
+}
+
+// Which incarnations belong to this process is only known once a peer has told
+// what it remembers of earlier ones.
+void node_core::await_joined()
+{
+    if (members_.joined()) {
+        attempts_.set_first_incarnation(members_.first_incarnation());
+        return;
+    }
+    loop_.call_after(join_poll_period,
+                     [this, alive = std::weak_ptr<bool>(alive_)] {
+                         if (!alive.expired())
+                             await_joined();
+                     });
+}
+
+version::configuration_ptr node_core::configuration() const
+{
+    return feed_.in_force();
+}
+
+bool node_core::isolated() const
+{
+    return feed_.isolated();
+}
+
+std::optional<rate_limit>
+node_core::limit_of(const std::string& workspace) const
+{
+    const auto& now = feed_.in_force();
+    if (!now)
+        return std::nullopt;
+    auto it = now->workspaces.find(workspace);
+    if (it == now->workspaces.end())
+        return std::nullopt;
+    return rate_limit{it->second.rate, it->second.burst};
+}
+
+void node_core::server_present(const backend_announcement& it)
+{
+    if (draining_)
+        return;
+    execution_.server_present(it);
+    members_.announce(it.service, it.slots);
+}
+
+void node_core::server_absent(bool lost)
+{
+    execution_.server_absent(lost);
+    members_.leave();
+}
+
+void node_core::drain(duration limit, std::function<void()> done)
+{
+    draining_ = true;
+    hand_over_limit_ = limit;
+    drained_ = std::move(done);
+    members_.leave();
+    loop_.call_after(settings_.leave_notice,
+                     [this] { execution_.drain([this] { hand_over(); }); });
+}
+
+void node_core::hand_over()
+{
+    rates_.stop();
+    owners_.leave(hand_over_limit_, [this] {
+        members_.stop();
+        drained_();
+    });
+}
+
+Json::Value node_core::status() const
+{
+    Json::Value it;
+    const auto& now = feed_.in_force();
+    it["instance"] = members_.self().instance;
+    it["revision"] = Json::UInt64(now ? now->revision : 0);
+    it["members"] = Json::UInt64(members_.members().size());
+    it["isolated"] = feed_.isolated();
+    it["draining"] = draining_;
+    it["watches_platform"] = feed_.watches();
+    it["running"] = execution_.running();
+    it["queued"] = Json::UInt64(execution_.queued());
+    const auto& server = server_.current();
+    it["service"] = server ? server->service : "";
+    return it;
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/node_core.hpp
@@ -0,0 +1,117 @@
+// A node without its sockets: the decision modules, joined.
+//
+// The daemon gives it a GLib loop, the peer socket and the platform's client;
+// a scenario gives it a virtual loop and fakes. Everything that a node decides
+// is decided by the same objects in both.
+#pragma once
+
+#include "process/backend_presence.hpp"
+#include "process/configuration_feed.hpp"
+#include "process/configuration_source.hpp"
+#include "process/entry_controller.hpp"
+#include "process/execution_controller.hpp"
+#include "process/membership.hpp"
+#include "process/ownership.hpp"
+#include "process/rate_ledger.hpp"
+#include "process/record_store.hpp"
+#include "process/routing_controller.hpp"
+
+#include <json/json.h>
+#include <memory>
+#include <string>
+
+namespace shallotwood::process
+{
+
+struct node_core_settings {
+    membership_settings members;
+    configuration_feed_settings feed;
+    ownership_settings owners;
+    rate_settings rates;
+    record_settings records;
+    admission_settings queue;
+    int retry_allowance = 2;
+    // After leaving, other nodes may still send calls for this long; they are
+    // refused as draining.
+    duration leave_notice = std::chrono::seconds(1);
+    attempt_register_settings attempts;
+    suspect_table_settings suspects;
+};
+
+class node_core final : private node_state
+{
+public:
+    // All references outlive this object. `self` names this node; its
+    // incarnation must exceed those of its earlier starts. `boot` is unique to
+    // this start.
+    node_core(
+        event_loop& loop, peer_transport& transport, object_store& store,
+        counters& counts, const node_core_settings& settings,
+        const member& self, const std::string& boot, std::uint64_t seed,
+        std::function<bool(const backend_announcement&)> refuses_connections);
+    ~node_core() override;
+    node_core(const node_core&) = delete;
+    node_core& operator=(const node_core&) = delete;
+
+    // `http_port` takes calls from other nodes.
+    void start(std::uint16_t http_port);
+
+    request::entry_policy& entry() { return entry_; }
+    request::routing_policy& routing() { return routing_; }
+    request::execution_policy& execution() { return execution_; }
+    backend_presence& server() { return server_; }
+    const membership& members() const { return members_; }
+    const configuration_feed& feed() const { return feed_; }
+    const ownership& owners() const { return owners_; }
+
+    // Planned end: announces that this node leaves, refuses new requests,
+    // finishes what runs, returns tokens, hands over ownership. Calls `done`
+    // once, at the latest after `limit` for the hand-over.
+    void drain(duration limit, std::function<void()> done);
+
+    // For /status.
+    Json::Value status() const;
+
+private:
+    version::configuration_ptr configuration() const override;
+    bool isolated() const override;
+    bool draining() const override { return draining_; }
+    const std::string& boot() const override { return boot_; }
+
+    std::optional<rate_limit> limit_of(const std::string& workspace) const;
+    void server_present(const backend_announcement& it);
+    void server_absent(bool lost);
+    void hand_over();
+    void await_joined();
+
+    event_loop& loop_;
+    const std::string boot_;
+    counters& counts_;
+    const node_core_settings settings_;
+    random_source random_;
+    bool draining_ = false;
+    duration hand_over_limit_{};
+    std::function<void()> drained_;
+
+    membership members_;
+    json_configuration_codec codec_;
+    platform_configuration_loader loader_;
+    configuration_feed feed_;
+    ownership owners_;
+    rate_ledger rates_;
+    record_store records_;
+    attempt_register attempts_;
+    suspect_table suspects_;
+    cut_table cuts_;
+    demand_estimator demand_;
+    retry_ratio retries_;
+    balancer balancer_;
+    call_table calls_;
+    entry_controller entry_;
+    routing_controller routing_;
+    execution_controller execution_;
+    backend_presence server_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/routing_controller.cpp
@@ -0,0 +1,248 @@
+#include "process/routing_controller.hpp"
+
+#include "process/log.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+using request::execution;
+using request::reason;
+using request::refusal;
+using request::verdict;
+
+refusal refuse(reason why)
+{
+    return {{execution::not_run, why}, status_of(why), std::nullopt};
+}
+
+attempt_outcome outcome_of(const verdict& what)
+{
+    switch (what.why) {
+    case reason::none:
+        return attempt_outcome::success;
+    case reason::overload:
+    case reason::draining:
+        return attempt_outcome::refused;
+    case reason::connection_failed:
+    case reason::connection_silent:
+    case reason::backend_server_failed:
+        return attempt_outcome::failed;
+    default:
+        return attempt_outcome::unknown;
+    }
+}
+
+// Refusals that another backend server would repeat.
+bool is_final(reason why)
+{
+    switch (why) {
+    case reason::overload:
+    case reason::draining:
+    case reason::fenced:
+    case reason::no_backend_server:
+    case reason::connection_failed:
+    case reason::connection_silent:
+    case reason::backend_server_failed:
+        return false;
+    default:
+        return true;
+    }
+}
+
+// What the failed attempt left of the call's allowance. An attempt that never
+// reached a node used none of it; one that ended without a report may have
+// used it all.
+int retries_left(const request::call_context& of,
+                 const request::call_feedback& feedback)
+{
+    bool unsent =
+        feedback.what == verdict{execution::not_run, reason::connection_failed};
+    return unsent ? of.retries : std::min(of.retries, feedback.unused_retries);
+}
+
+} // namespace
+
+routing_controller::routing_controller(const modules& parts) : parts_(parts)
+{
+    parts_.members.listen([this](const member& changed) {
+        if (assigned_.count(changed.service) != 0)
+            assign(changed.service);
+    });
+}
+
+void routing_controller::assign(const std::string& service)
+{
+    auto serving = parts_.members.serving(service);
+    if (auto configuration = parts_.state.configuration()) {
+        auto leaves = [&](const member& it) {
+            auto intent = configuration->servers.find(it.instance);
+            return intent != configuration->servers.end() &&
+                   intent->second == version::server_intent::leave;
+        };
+        serving.erase(std::remove_if(serving.begin(), serving.end(), leaves),
+                      serving.end());
+    }
+    parts_.servers.assign(service, serving);
+}
+
+void routing_controller::reassign_all()
+{
+    for (const auto& it : assigned_)
+        assign(it);
+}
+
+std::variant<request::target, refusal>
+routing_controller::choose(const request::call& it,
+                           const std::vector<std::string>& tried)
+{
+    if (assigned_.insert(it.service).second)
+        assign(it.service);
+    if (!it.instance.empty())
+        return redirect(it, tried);
+    const auto* chosen = parts_.servers.choose(it.service, tried);
+    SHALLOTWOOD_LOG(info) << "event=placement"
+                          << field("request", it.context.request_id)
+                          << field("attempt", it.context.attempt_id)
+                          << field("service", it.service)
+                          << field("instance",
+                                   chosen ? chosen->instance : "none")
+                          << field("tried", tried.size());
+    if (!chosen) {
+        ++parts_.counts.at("calls_without_backend_server");
+        return refuse(reason::no_backend_server);
+    }
+    return request::target{chosen->instance, chosen->peer.host,
+                           chosen->http_port};
+}
+
+std::variant<request::target, refusal>
+routing_controller::redirect(const request::call& it,
+                             const std::vector<std::string>& tried) const
+{
+    auto found = parts_.members.find(it.instance);
+    bool used =
+        std::find(tried.begin(), tried.end(), it.instance) != tried.end();
+    if (!found || used || found->service != it.service)
+        return refuse(reason::no_backend_server);
+    return request::target{found->instance, found->peer.host, found->http_port};
+}
+
+void routing_controller::sent(const request::call& it,
+                              const request::target& to)
+{
+    ++parts_.counts.at("attempts");
+    auto known = parts_.members.find(to.instance);
+    sent_[it.context.attempt_id] = {parts_.time.now(),
+                                    known ? known->incarnation : 0};
+    parts_.servers.sent(it.service, to.instance);
+}
+
+void routing_controller::answered(const request::call& it,
+                                  const request::target& to,
+                                  const request::call_feedback& feedback,
+                                  duration elapsed)
+{
+    sent_.erase(it.context.attempt_id);
+    parts_.servers.answered(it.service, to.instance, outcome_of(feedback.what),
+                            elapsed);
+    parts_.cuts.note_service(it.service, feedback.cut);
+}
+
+bool routing_controller::retry(request::call& it,
+                               const request::call_feedback& feedback)
+{
+    if (feedback.redirect.empty() &&
+        (feedback.final || is_final(feedback.what.why)))
+        return false;
+    if (!it.context.repeatable && feedback.what.run != execution::not_run)
+        return false;
+    auto left = retries_left(it.context, feedback);
+    if (left <= 0 || !parts_.retries.spend())
+        return false;
+    it.context.retries = left - 1;
+    it.instance = feedback.redirect;
+    it.context.attempt_id = next_attempt_id(it.context);
+    ++parts_.counts.at("retries");
+    return true;
+}
+
+std::string routing_controller::next_attempt_id(const request::call_context& of)
+{
+    return of.request_id + "." + parts_.state.boot() + "." +
+           std::to_string(++last_attempt_);
+}
+
+void routing_controller::fence(const request::call& it,
+                               const request::target& to,
+                               std::function<void(execution)> done)
+{
+    ++parts_.counts.at("fences");
+    auto found = parts_.members.find(to.instance);
+    auto sending = sent_.find(it.context.attempt_id);
+    if (!found || sending == sent_.end()) {
+        done(execution::may_have_run);
+        return;
+    }
+    parts_.attempts.ask(
+        found->peer, it.context.attempt_id, sending->second.incarnation,
+        parts_.time.now() - sending->second.at, std::move(done));
+}
+
+std::variant<request::call, refusal>
+routing_controller::begin_child(const std::string& token,
+                                const std::string& service,
+                                const std::string& path)
+{
+    auto* parent = parts_.calls.find(token);
+    if (!parent || parent->open_children >= max_open_children)
+        return refuse(reason::malformed);
+    const auto& above = parent->it.context;
+    auto remaining = parent->deadline - parts_.time.now();
+    if (remaining <= duration::zero())
+        return refuse(reason::deadline);
+    if (above.depth + 1 > request::max_depth)
+        return refuse(reason::malformed);
+    if (above.key >= parts_.cuts.of_service(service)) {
+        parent->overload_below = true;
+        parent->cut_below =
+            std::min(parent->cut_below, parts_.cuts.of_service(service));
+        return refuse(reason::overload);
+    }
+    request::call child;
+    child.context = above;
+    child.context.attempt_id = next_attempt_id(above);
+    child.context.remaining = remaining;
+    child.context.retries = parent->allowance.lend();
+    child.context.depth = above.depth + 1;
+    child.service = service;
+    child.path = path;
+    child.fingerprint = parent->it.fingerprint + "/" + service;
+    if (parent->open_children++ == 0)
+        parent->children_since = parts_.time.now();
+    return child;
+}
+
+void routing_controller::end_child(const std::string& token,
+                                   const request::call& child,
+                                   const request::call_feedback& feedback)
+{
+    if (feedback.what.run == execution::ran &&
+        feedback.what.why == reason::none)
+        parts_.retries.succeeded();
+    auto* parent = parts_.calls.find(token);
+    if (!parent)
+        return;
+    parent->allowance.take_back(child.context.retries, feedback.unused_retries);
+    parent->cut_below = std::min(parent->cut_below, feedback.cut);
+    if (feedback.what.why == reason::overload)
+        parent->overload_below = true;
+    if (--parent->open_children == 0)
+        parent->downstream += parts_.time.now() - parent->children_since;
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/routing_controller.hpp
@@ -0,0 +1,85 @@
+// Selects the node for each attempt and decides on further attempts, for calls
+// of this node's callers and of its backend server.
+//
+// A call that may not be repeated gets another attempt only if the last one
+// provably did not run. Retries are paid from the call's allowance and from
+// the node's retry ratio; a refusal for overload in the call tree below gets
+// none.
+#pragma once
+
+#include "process/attempt_register.hpp"
+#include "process/balancer.hpp"
+#include "process/call_table.hpp"
+#include "process/counters.hpp"
+#include "process/cut_table.hpp"
+#include "process/entry_controller.hpp"
+#include "process/member.hpp"
+#include "process/retry_ratio.hpp"
+#include "request/call_policy.hpp"
+
+#include <set>
+#include <unordered_map>
+
+namespace shallotwood::process
+{
+
+class routing_controller final : public request::routing_policy
+{
+public:
+    struct modules {
+        const clock& time;
+        const node_state& state;
+        member_view& members;
+        balancer& servers;
+        call_table& calls;
+        cut_table& cuts;
+        retry_ratio& retries;
+        attempt_register& attempts;
+        counters& counts;
+    };
+
+    // Listens to the members for as long as they live.
+    explicit routing_controller(const modules& parts);
+
+    std::variant<request::target, request::refusal>
+    choose(const request::call& it,
+           const std::vector<std::string>& tried) override;
+    void sent(const request::call& it, const request::target& to) override;
+    void answered(const request::call& it, const request::target& to,
+                  const request::call_feedback& feedback,
+                  duration elapsed) override;
+    bool retry(request::call& it,
+               const request::call_feedback& feedback) override;
+    void fence(const request::call& it, const request::target& to,
+               std::function<void(request::execution)> done) override;
+    std::variant<request::call, request::refusal>
+    begin_child(const std::string& token, const std::string& service,
+                const std::string& path) override;
+    void end_child(const std::string& token, const request::call& child,
+                   const request::call_feedback& feedback) override;
+
+    // A new configuration may have changed which backend servers serve.
+    void reassign_all();
+
+private:
+    std::variant<request::target, request::refusal>
+    redirect(const request::call& it,
+             const std::vector<std::string>& tried) const;
+    void assign(const std::string& service);
+    std::string next_attempt_id(const request::call_context& of);
+
+    // What the fencing of an attempt needs to know about its sending.
+    struct sent_attempt {
+        time_point at;
+        std::uint64_t incarnation = 0;
+    };
+
+    modules parts_;
+    // From sent() to answered().
+    std::unordered_map<std::string, sent_attempt> sent_;
+    // Services that this node has chosen from; bounded by the membership.
+    std::set<std::string> assigned_;
+    std::uint64_t last_attempt_ = 0;
+};
+
+} // namespace shallotwood::process
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -74,7 +74,10 @@
          form::any, "HTTP address for callers."},
         {"peer_address", &settings::peer_address, required, "IP:PORT", 0, 0,
          form::reachable_address,
-         "HTTP and UDP address for other nodes, which connect to it."},
+         "HTTP address for calls from other nodes, which connect to it."},
+        {"control_address", &settings::control_address, required, "IP:PORT", 0,
+         0, form::reachable_address,
+         "UDP and TCP address for control messages from other nodes."},
         {"local_address", &settings::local_address, required, "IP:PORT", 0, 0,
          form::loopback_address,
          "HTTP address for the backend server beside this node and for the "
@@ -84,7 +87,8 @@
          "HTTP address of the platform's object API."},
         {"seeds", &settings::seeds, optional, "list of IP:PORT", 0, max_seeds,
          form::reachable_address,
-         "Peer addresses of nodes to join at the start, besides those that the "
+         "Control addresses of nodes to join at the start, besides those that "
+         "the "
          "platform names."},
         {"fleet_secret_file", &settings::fleet_secret_file, optional, "path", 1,
          max_path_bytes, form::any,
@@ -406,6 +410,7 @@
         for (const auto& [name, address] :
              {std::pair("caller_address", &result_.caller_address),
               std::pair("peer_address", &result_.peer_address),
+              std::pair("control_address", &result_.control_address),
               std::pair("local_address", &result_.local_address)}) {
             auto [it, added] = used.emplace(*address, name);
             if (!added)
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -31,6 +31,7 @@
     std::string region;
     process::peer_address caller_address;
     process::peer_address peer_address;
+    process::peer_address control_address;
     process::peer_address local_address;
     process::peer_address platform_address;
     std::vector<process::peer_address> seeds;
--- a/src/request/call_policy.hpp
+++ b/src/request/call_policy.hpp
@@ -56,6 +56,8 @@
     // Path and query at the backend server.
     std::string path;
     std::string fingerprint;
+    // Where the next attempt has to go; empty to choose freely.
+    std::string instance;
 };
 
 // What comes back with a response, in `Shallotwood-Feedback`.
@@ -67,6 +69,8 @@
     shed_key cut = no_cut;
     // True if no other attempt at this hop can help: overload below.
     bool final = false;
+    // The only instance that would take another attempt; empty if any might.
+    std::string redirect = {};
 };
 
 using entry_result = std::variant<call, refusal, recorded_response>;
--- a/src/request/verdict.hpp
+++ b/src/request/verdict.hpp
@@ -26,6 +26,8 @@
     record_owner_unknown,
     record_capacity,
     duplicate_in_progress,
+    // It ran before; the response was too large to be recorded.
+    duplicate,
     suspected_crash,
     no_backend_server,
     // Ended on the way.
--- a/tests/test_process_path.cpp
+++ b/tests/test_process_path.cpp
@@ -57,7 +57,7 @@
 
     explicit served_instance(const std::string& service,
                              const arguments& node_arguments = {})
-        : node("shallotwoodd",
+        : node("pass_through_node",
                arguments{"--fleet-secret-file=" + secret_file()} +
                    node_arguments),
           backend("backend_standin",
@@ -88,9 +88,10 @@
 
 child_process entry_node(const arguments& more)
 {
-    return {"shallotwoodd", arguments{"--fleet-secret-file=" + secret_file(),
-                                      "--route=/=alpha", "--retries=2"} +
-                                more};
+    return {"pass_through_node",
+            arguments{"--fleet-secret-file=" + secret_file(), "--route=/=alpha",
+                      "--retries=2"} +
+                more};
 }
 
 std::string digest_of(const std::string& body)
@@ -376,7 +377,7 @@
     served_instance two("alpha");
     auto members =
         arguments{one.member("alpha"), two.member("alpha"), "--retries=1"};
-    child_process entry("shallotwoodd",
+    child_process entry("pass_through_node",
                         arguments{"--fleet-secret-file=" + secret_file(),
                                   "--route=/once=alpha!", "--route=/=alpha"} +
                             members);
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -21,6 +21,7 @@
 local_address = "127.0.0.1:3"
 platform_address = "127.0.0.1:4"
 fleet_secret = "0123456789abcdef0123456789abcdef"
+control_address = "127.0.0.1:5"
 )";
 
 settings_faults faults_of(const std::string& text)
@@ -75,22 +76,22 @@
         std::string text;
         settings_fault expected;
     } const cases[] = {
-        {minimal + "colour = 1\n", {9, "colour", "is not a known field"}},
-        {minimal + "shards = 0\n", {9, "shards", "must be 1 to 4096 shards"}},
-        {minimal + "shards = 1.5\n", {9, "shards", "must be a whole number"}},
+        {minimal + "colour = 1\n", {10, "colour", "is not a known field"}},
+        {minimal + "shards = 0\n", {10, "shards", "must be 1 to 4096 shards"}},
+        {minimal + "shards = 1.5\n", {10, "shards", "must be a whole number"}},
         {minimal + "drain_limit = nan\n",
-         {9, "drain_limit", "must be 0.1 to 3600 s"}},
+         {10, "drain_limit", "must be 0.1 to 3600 s"}},
         {minimal + "drain_limit = \"1\"\n",
-         {9, "drain_limit", "must be a number of seconds"}},
+         {10, "drain_limit", "must be a number of seconds"}},
         {minimal + "log_level = \"loud\"\n",
-         {9, "log_level",
+         {10, "log_level",
           "must be trace, debug, info, warning, error or fatal"}},
-        {minimal + "region = \"b\"\n", {9, "region", "is set twice"}},
+        {minimal + "region = \"b\"\n", {10, "region", "is set twice"}},
         {minimal + "seeds = [\"127.0.0.1:9\", \"127.0.0.1:9\"]\n",
-         {9, "seeds", "names 127.0.0.1:9 twice"}},
+         {10, "seeds", "names 127.0.0.1:9 twice"}},
         {minimal + "fleet_secret_file = \"x\"\n",
-         {9, "fleet_secret", "is set twice, as fleet_secret_file is set too"}},
-        {replaced("instance = \"a\"\n", ""), {7, "instance", "is missing"}},
+         {10, "fleet_secret", "is set twice, as fleet_secret_file is set too"}},
+        {replaced("instance = \"a\"\n", ""), {8, "instance", "is missing"}},
         {replaced("\"slo\"", "7"), {3, "region", "must be a text"}},
         {replaced(":3", ":2"),
          {6, "local_address", "is the same as peer_address"}},
@@ -140,6 +141,7 @@
         {11, "failure_domain"},
         {11, "caller_address"},
         {11, "peer_address"},
+        {11, "control_address"},
         {11, "local_address"},
         {11, "platform_address"},
         {11, "fleet_secret_file"},
