--- /dev/null
+++ b/src/process/node_status.cpp
@@ -0,0 +1,42 @@
+#include "process/node_status.hpp"
+
+#include "process/address.hpp"
+#include "process/json_text.hpp"
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr int max_connections = 16;
+constexpr auto time_limit = std::chrono::seconds(3);
+
+std::optional<std::uint64_t> revision_of(const http_answer& answer)
+{
+    if (answer.status != SOUP_STATUS_OK)
+        return std::nullopt;
+    auto json = parse_json(answer.body);
+    if (!json || !json->isObject() || !(*json)["revision"].isUInt64())
+        return std::nullopt;
+    return (*json)["revision"].asUInt64();
+}
+
+} // namespace
+
+http_node_status_reader::http_node_status_reader(event_loop& loop)
+    : client_(loop, max_connections)
+{
+}
+
+void http_node_status_reader::read(const peer_address& local, on_revision done)
+{
+    http_request it;
+    it.uri = "http://" + to_text(local) + "/status";
+    it.time_limit = time_limit;
+    client_.send(it, [done = std::move(done)](const http_answer& answer) {
+        done(revision_of(answer));
+    });
+}
+
+} // namespace shallotwood::process
--- a/src/version/plan.cpp
+++ b/src/version/plan.cpp
@@ -146,26 +146,36 @@
     return json;
 }
 
+// The differences are shown on a terminal before anything else checks them.
+std::string read_plain(object_reader& reader, const char* name)
+{
+    auto text = reader.text(name, max_text_bytes);
+    if (!std::all_of(text.begin(), text.end(),
+                     [](char c) { return c >= ' ' && c < 0x7f; }))
+        reader.fail(std::string(name) + " must be printable ASCII");
+    return text;
+}
+
 field_difference read_field(object_reader& reader)
 {
     field_difference it;
-    it.name = reader.text("name", max_text_bytes);
-    it.before = reader.text("before", max_text_bytes);
-    it.after = reader.text("after", max_text_bytes);
+    it.name = read_plain(reader, "name");
+    it.before = read_plain(reader, "before");
+    it.after = read_plain(reader, "after");
     return it;
 }
 
 difference read_difference(object_reader& reader)
 {
     difference it;
-    auto kind = reader.text("kind", max_text_bytes);
+    auto kind = read_plain(reader, "kind");
     const auto* found = std::find(kind_names.begin(), kind_names.end(), kind);
     if (found == kind_names.end())
         reader.fail("kind must be add, modify or remove");
     else
         it.kind = static_cast<difference_kind>(found - kind_names.begin());
-    it.entry = reader.text("entry", max_text_bytes);
-    it.name = reader.text("name", max_text_bytes);
+    it.entry = read_plain(reader, "entry");
+    it.name = read_plain(reader, "name");
     for (const auto& json : reader.list("fields", max_fields)) {
         object_reader field(json, "field");
         it.fields.push_back(read_field(field));
