--- a/tests/test_operator_command.cpp
+++ b/tests/test_operator_command.cpp
@@ -3,7 +3,7 @@
 #include "process/json_text.hpp"
 #include "process/keyed_hash.hpp"
 #include "process/operator_command.hpp"
-#include "support/child_process.hpp"
+#include "support/platform_process.hpp"
 #include "support/fake_object_store.hpp"
 #include "support/virtual_loop.hpp"
 
