--- /dev/null
+++ b/src/process/attempt_register.hpp
@@ -0,0 +1,147 @@
+// What became of each attempt that was sent to this node, told truthfully to
+// senders that got no response.
+//
+// A sender may make another attempt of a request that must not run twice only
+// if it hears "not run" here. That answer is given for an attempt that has not
+// started, and from then on it never starts. It is also given only to senders
+// that knew this very process when they sent the attempt, and only while
+// finished attempts of that age are still known here; everything else "may
+// have run".
+//
+// Retention counts the time in which this process runs: while it is paused,
+// late attempts wait in its sockets and its entries must wait with them.
+//
+// Bounds: max_attempts entries. At the bound new attempts are refused and new
+// fences answer "may have run"; nothing is forgotten early. Asking: max_asks.
+#pragma once
+
+#include "process/counters.hpp"
+#include "process/event_loop.hpp"
+#include "process/peer_transport.hpp"
+#include "request/verdict.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace shallotwood::process
+{
+
+struct attempt_register_settings {
+    std::size_t max_attempts = 100'000;
+    // How long a finished attempt is known.
+    duration keep_finished = std::chrono::seconds(60);
+    // An attempt sent longer ago than this is not answered with "not run" if
+    // it is unknown. Half of keep_finished leaves room for the trip of the
+    // question.
+    duration oldest_asked = std::chrono::seconds(30);
+    // How long a fenced attempt is known. TCP gives up retransmission after
+    // about 15 minutes by Linux's default, so nothing older still arrives.
+    duration keep_fenced = std::chrono::minutes(30);
+
+    // A sender asks again after each step and gives up after the limit.
+    duration ask_step = std::chrono::milliseconds(150);
+    duration ask_limit = std::chrono::milliseconds(600);
+    std::size_t max_asks = 10'000;
+};
+
+class attempt_register
+{
+public:
+    attempt_register(event_loop& loop, peer_transport& transport,
+                     counters& counts,
+                     const attempt_register_settings& settings);
+    ~attempt_register();
+    attempt_register(const attempt_register&) = delete;
+    attempt_register& operator=(const attempt_register&) = delete;
+
+    // The lowest incarnation of this node that belongs to this process, from
+    // membership::first_incarnation() once the membership has joined. Until
+    // then every fence answers "may have run". A lower value than before is
+    // ignored.
+    void set_first_incarnation(std::uint64_t incarnation);
+
+    enum class admission {
+        // It may run now, and is known to have started.
+        started,
+        // It was fenced: "not run" has been told, so it must not run.
+        fenced,
+        // An attempt with this id has started before.
+        duplicate,
+        // At the bound; it must not run.
+        full,
+    };
+
+    // Immediately before the attempt goes to the backend server.
+    admission start(const std::string& attempt_id);
+
+    // The attempt has ended. `how` is not_run only if the backend server
+    // refused it unrun.
+    void finish(const std::string& attempt_id, request::execution how);
+
+    // Keeps the attempt from starting if it has not started. `sent_ago` is how
+    // long ago the sender sent it, and `incarnation` the one of this node that
+    // the sender knew then.
+    request::execution fence(const std::string& attempt_id,
+                             std::uint64_t incarnation, duration sent_ago);
+
+    // Asks the node at `to` to fence an attempt sent to it. `done` is called
+    // once, later; with may_have_run if no answer comes.
+    void ask(const peer_address& to, const std::string& attempt_id,
+             std::uint64_t incarnation, duration sent_ago,
+             std::function<void(request::execution)> done);
+
+    std::size_t size() const { return attempts_.size(); }
+
+    static constexpr std::size_t max_id_bytes = 128;
+
+private:
+    enum class state { running, finished, fenced };
+    struct attempt {
+        state now = state::running;
+        request::execution how = request::execution::may_have_run;
+    };
+    // Forget `attempt_id` when running time reaches `at`.
+    struct expiry {
+        duration at;
+        std::string attempt_id;
+    };
+    struct question {
+        peer_address to;
+        std::string attempt_id;
+        std::uint64_t incarnation = 0;
+        time_point sent;
+        time_point give_up;
+        std::function<void(request::execution)> done;
+    };
+
+    void tick();
+    void drop_expired(std::deque<expiry>& queue);
+    void send_question(std::uint64_t id);
+    void answer(std::uint64_t id, request::execution how);
+    void on_fence(const peer_address& from, const Json::Value& params);
+    void on_fenced(const peer_address& from, const Json::Value& params);
+    void after(duration delay, std::function<void()> task);
+
+    event_loop& loop_;
+    peer_transport& transport_;
+    counters& counts_;
+    const attempt_register_settings settings_;
+    std::uint64_t first_incarnation_ = 0;
+
+    std::unordered_map<std::string, attempt> attempts_;
+    // In the order of their times, because each has one retention.
+    std::deque<expiry> finished_;
+    std::deque<expiry> fenced_;
+    // Time for which this process has run since the register was made.
+    duration running_time_{0};
+    time_point last_tick_;
+
+    std::uint64_t last_question_ = 0;
+    std::unordered_map<std::uint64_t, question> questions_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/suspect_table.cpp
@@ -0,0 +1,234 @@
+#include "process/suspect_table.hpp"
+
+#include "process/keyed_hash.hpp"
+#include "process/log.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr std::size_t crashes_to_refuse = 2;
+constexpr std::size_t max_crash_id_bytes = 200;
+
+} // namespace
+
+suspect_table::suspect_table(event_loop& loop, peer_transport& transport,
+                             const member_view& members, counters& counts,
+                             const suspect_table_settings& settings)
+    : loop_(loop), transport_(transport), members_(members), counts_(counts),
+      settings_(settings)
+{
+    transport_.subscribe(
+        "suspect.report",
+        [this, alive = std::weak_ptr<bool>(alive_)](const peer_address& from,
+                                                    const Json::Value& params) {
+            if (!alive.expired() && params.isObject())
+                on_report(from, params);
+        });
+}
+
+suspect_table::~suspect_table() = default;
+
+suspect_table::placement
+suspect_table::judge(const std::string& fingerprint) const
+{
+    auto it = print_of(fingerprint);
+    const auto* known = find(it);
+    if (known == nullptr)
+        return {advice::run, std::nullopt};
+    if (known->crashes.size() >= crashes_to_refuse)
+        return {advice::refuse, std::nullopt};
+    auto chosen = rendezvous_order(members_.serving(members_.self().service),
+                                   "suspect/" + std::to_string(it), 1,
+                                   [](const member&) { return true; });
+    if (!chosen.empty() && chosen[0].instance != members_.self().instance)
+        return {advice::elsewhere, chosen[0]};
+    if (runs_here(it))
+        return {advice::busy, std::nullopt};
+    return {advice::run_alone, std::nullopt};
+}
+
+suspect_table::run_id suspect_table::began(const std::string& fingerprint)
+{
+    if (in_flight_.size() >= settings_.max_in_flight) {
+        ++counts_.at("suspects_in_flight_full");
+        return run_id{0};
+    }
+    auto id = run_id{++last_run_};
+    in_flight_[id] = print_of(fingerprint);
+    return id;
+}
+
+void suspect_table::completed(run_id id)
+{
+    auto node = in_flight_.extract(id);
+    if (node.empty())
+        return;
+    auto it = node.mapped();
+    const auto* known = find(it);
+    if (known == nullptr || known->crashes.size() >= crashes_to_refuse)
+        return;
+    report(*known->crashes.begin(), "cleared", {it});
+    clear(it);
+}
+
+void suspect_table::ended(run_id id)
+{
+    in_flight_.erase(id);
+}
+
+void suspect_table::crashed()
+{
+    const auto& self = members_.self();
+    auto crash = self.instance + '/' + std::to_string(self.incarnation) + '/' +
+                 std::to_string(++last_crash_);
+    std::set<print> different;
+    for (const auto& [id, it] : in_flight_)
+        different.insert(it);
+    std::vector<print> prints(different.begin(), different.end());
+    in_flight_.clear();
+    SHALLOTWOOD_LOG(warning) << "event=backend-crash" << field("crash", crash)
+                             << field("suspects", prints.size());
+    for (auto it : prints)
+        add(it, crash);
+    report(crash, "suspects", prints);
+}
+
+suspect_table::print suspect_table::print_of(const std::string& fingerprint)
+{
+    return stable_hash(fingerprint);
+}
+
+const suspect_table::suspect* suspect_table::find(print it) const
+{
+    auto found = suspects_.find(it);
+    if (found == suspects_.end() || found->second.cleared ||
+        loop_.now() - found->second.since > settings_.keep)
+        return nullptr;
+    return &found->second;
+}
+
+void suspect_table::add(print it, const std::string& crash)
+{
+    drop_expired();
+    auto found = suspects_.find(it);
+    if (found == suspects_.end()) {
+        if (suspects_.size() >= settings_.max_suspects) {
+            ++counts_.at("suspects_full");
+            while (!drop_oldest()) {
+            }
+        }
+        found = suspects_.emplace(it, suspect{}).first;
+    }
+    auto& known = found->second;
+    if (known.crashes.count(crash) != 0)
+        return;
+    if (known.cleared) {
+        known.crashes.clear();
+        known.cleared = false;
+    }
+    if (known.crashes.size() >= crashes_to_refuse)
+        return;
+    known.crashes.insert(crash);
+    known.since = loop_.now();
+    by_age_.emplace_back(known.since, it);
+}
+
+void suspect_table::clear(print it)
+{
+    auto found = suspects_.find(it);
+    if (found != suspects_.end() &&
+        found->second.crashes.size() < crashes_to_refuse)
+        found->second.cleared = true;
+}
+
+bool suspect_table::runs_here(print it) const
+{
+    return std::any_of(in_flight_.begin(), in_flight_.end(),
+                       [it](const auto& run) { return run.second == it; });
+}
+
+void suspect_table::report(const std::string& crash, const char* field,
+                           const std::vector<print>& prints)
+{
+    std::vector<Json::Value> messages;
+    for (std::size_t n = 0; n < prints.size(); ++n) {
+        if (n % fingerprints_per_report == 0) {
+            messages.emplace_back();
+            messages.back()["crash"] = crash;
+        }
+        messages.back()[field].append(Json::UInt64(prints[n]));
+    }
+    auto send = [this, messages, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired())
+            return;
+        const auto& self = members_.self();
+        for (const auto& it : members_.serving(self.service)) {
+            if (it.instance == self.instance)
+                continue;
+            for (const auto& params : messages)
+                transport_.send(it.peer, "suspect.report", params);
+        }
+    };
+    send();
+    for (auto delay : settings_.repeats)
+        loop_.call_after(delay, send);
+}
+
+void suspect_table::on_report(const peer_address& from,
+                              const Json::Value& params)
+{
+    if (!params["crash"].isString() || !from_own_service(from))
+        return;
+    auto crash = params["crash"].asString();
+    if (crash.size() > max_crash_id_bytes)
+        return;
+    for (const char* field : {"suspects", "cleared"}) {
+        const auto& prints = params[field];
+        if (!prints.isArray() || prints.size() > fingerprints_per_report)
+            continue;
+        for (const auto& it : prints) {
+            if (!it.isUInt64())
+                continue;
+            // A clearance may overtake the report of the crash.
+            add(it.asUInt64(), crash);
+            if (*field == 'c')
+                clear(it.asUInt64());
+        }
+    }
+}
+
+void suspect_table::drop_expired()
+{
+    while (!by_age_.empty() &&
+           loop_.now() - by_age_.front().first > settings_.keep)
+        drop_oldest();
+}
+
+// False if the oldest item was outdated.
+bool suspect_table::drop_oldest()
+{
+    auto [time, it] = by_age_.front();
+    by_age_.pop_front();
+    auto found = suspects_.find(it);
+    if (found == suspects_.end() || found->second.since != time)
+        return false;
+    suspects_.erase(found);
+    return true;
+}
+
+// A node whose backend server has just died may be leaving by now, so its
+// state does not matter.
+bool suspect_table::from_own_service(const peer_address& from) const
+{
+    const auto& all = members_.members();
+    return std::any_of(all.begin(), all.end(), [&](const member& it) {
+        return it.peer == from && it.service == members_.self().service;
+    });
+}
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/suspect_table.hpp
@@ -0,0 +1,127 @@
+// Requests that were in flight when a backend server died.
+//
+// One of them may be what killed it, and its caller may send it again. A
+// fingerprint present in one crash is run alone, at one node of the service
+// that all nodes determine alike, so that it runs at most once at a time in
+// the service; present in two crashes, it is refused. So a request costs the
+// service at most two backend servers, as long as the reports of the first
+// crash overtake the request that is sent again: they leave in the call of
+// crashed(), before the sender can be told.
+//
+// Bounds: max_suspects entries, each for the keep time of the settings;
+// max_in_flight fingerprints in flight.
+#pragma once
+
+#include "process/counters.hpp"
+#include "process/event_loop.hpp"
+#include "process/member.hpp"
+#include "process/peer_transport.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace shallotwood::process
+{
+
+struct suspect_table_settings {
+    std::size_t max_suspects = 20'000;
+    std::size_t max_in_flight = 10'000;
+    duration keep = std::chrono::minutes(10);
+    // Reports may be lost, so each is repeated after these times.
+    std::vector<duration> repeats = {std::chrono::milliseconds(50),
+                                     std::chrono::milliseconds(400)};
+};
+
+class suspect_table
+{
+public:
+    suspect_table(event_loop& loop, peer_transport& transport,
+                  const member_view& members, counters& counts,
+                  const suspect_table_settings& settings);
+    ~suspect_table();
+    suspect_table(const suspect_table&) = delete;
+    suspect_table& operator=(const suspect_table&) = delete;
+
+    enum class advice {
+        run,
+        // With nothing else on the backend server.
+        run_alone,
+        // It runs here now; not run a second time meanwhile.
+        busy,
+        // To be run alone at the other node that placement::where names.
+        elsewhere,
+        refuse,
+    };
+    struct placement {
+        advice what = advice::run;
+        std::optional<member> where;
+    };
+
+    // What to do with a request that has arrived at this node.
+    placement judge(const std::string& fingerprint) const;
+
+    // Names a run from began() to its end; 0 if it is not tracked.
+    enum class run_id : std::uint64_t {};
+
+    // Brackets each run on the local backend server. completed() is for whole
+    // responses, which clear the fingerprint; ended() for all other ends.
+    run_id began(const std::string& fingerprint);
+    void completed(run_id id);
+    void ended(run_id id);
+
+    // The local backend server died. Everything in flight there becomes
+    // suspect, here and at the other nodes of the service, and its runs are
+    // over. Call it before any sender is told.
+    void crashed();
+
+    std::size_t size() const { return suspects_.size(); }
+
+    // Fingerprints in one message, so that it fits a datagram.
+    static constexpr std::size_t fingerprints_per_report = 40;
+
+private:
+    using print = std::uint64_t;
+    struct suspect {
+        // Ids of the crashes, two at most.
+        std::set<std::string> crashes;
+        // Completed since; kept so that repeated reports change nothing.
+        bool cleared = false;
+        // When the last of the crashes was heard of.
+        time_point since;
+    };
+
+    static print print_of(const std::string& fingerprint);
+    const suspect* find(print it) const;
+    void add(print it, const std::string& crash);
+    void clear(print it);
+    bool runs_here(print it) const;
+    void report(const std::string& crash, const char* field,
+                const std::vector<print>& prints);
+    void on_report(const peer_address& from, const Json::Value& params);
+    void drop_expired();
+    bool drop_oldest();
+    bool from_own_service(const peer_address& from) const;
+
+    event_loop& loop_;
+    peer_transport& transport_;
+    const member_view& members_;
+    counters& counts_;
+    const suspect_table_settings settings_;
+
+    std::unordered_map<print, suspect> suspects_;
+    // In order of time; an item counts if its time is still the entry's.
+    std::deque<std::pair<time_point, print>> by_age_;
+    std::map<run_id, print> in_flight_;
+    std::uint64_t last_run_ = 0;
+    std::uint64_t last_crash_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace shallotwood::process
