--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -210,10 +210,8 @@
     network.freeze(at(name).entry.peer);
 }
 
-void fleet::thaw(const std::string& name)
+void fleet::thaw(const std::string& name, bool timers_first)
 {
-    // A process that resumes may see its timers or its messages first.
-    bool timers_first = random.below(2) == 0;
     if (timers_first)
         at(name).loop.thaw();
     network.thaw(at(name).entry.peer);
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -102,7 +102,8 @@
     void kill(const std::string& name);
     void restart(const std::string& name);
     void freeze(const std::string& name);
-    void thaw(const std::string& name);
+    // A process that resumes may see its timers or its messages first.
+    void thaw(const std::string& name, bool timers_first);
     void leave(const std::string& name);
     void cut(const std::vector<std::string>& a,
              const std::vector<std::string>& b);
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -199,7 +199,13 @@
     node("kill", &fleet::kill);
     node("restart", &fleet::restart);
     node("freeze", &fleet::freeze);
-    node("thaw", &fleet::thaw);
+    table["thaw"] = [this](const words& a) {
+        it.thaw(resolve(a.at(0)), a.size() > 1 && a[1] == "timers-first");
+    };
+    table["charge"] = [this](const words& a) {
+        for (int n = std::stoi(a.at(2)); n > 0; --n)
+            charge(a.at(1), resolve(a.at(0)));
+    };
     node("leave", &fleet::leave);
     one("shards", [this](const std::string& n) {
         it.shard_settings.shards = static_cast<std::uint32_t>(std::stoul(n));
--- a/tests/support/fleet_world.hpp
+++ b/tests/support/fleet_world.hpp
@@ -4,14 +4,15 @@
 // witness1, witness2, other (neither). Shard 0 counts for roles.
 //
 //     shards N                  nodes N                 detection TIME
-//     kill|restart|freeze|thaw|leave NODE               alias NAME NODE
+//     kill|restart|freeze|leave NODE                    alias NAME NODE
+//     thaw NODE [timers-first]  (otherwise it sees its messages first)
 //     cut NODE,... NODE,...     heal                    cut-platform NODE
 //     platform down|up          lose-answers N          heal-platform
 //     loss P                    duplication P           window TIME
 //     believe-dead NODE NODE    (the first sees the second as dead)
 //     records N                 (bound on records of an owner)
 //     workspace NAME RATE BURST
-//     load NAME PER_SECOND TIME NODE,...|all
+//     load NAME PER_SECOND TIME NODE,...|all            charge NODE NAME COUNT
 //     expect owners N           expect terms-of NODE
 //     expect refused NAME MAX_PERCENT                   expect granted NAME MIN
 //     claim NODE KEY TAG        finish TAG STATUS|not-run|may-have-run
--- a/tests/test_fleet_random.cpp
+++ b/tests/test_fleet_random.cpp
@@ -109,7 +109,7 @@
     void thaw(const std::string& name)
     {
         if (world_.it.at(name).loop.alive() && world_.it.at(name).loop.frozen())
-            world_.it.thaw(name);
+            world_.it.thaw(name, random().below(2) == 0);
     }
 
     void revive(const std::string& name)
@@ -157,9 +157,11 @@
             it.network.loss = random().unit() * 0.4;
             it.network.duplication = random().unit() * 0.4;
             it.network.jitter = milliseconds(1 + random().below(300));
+            it.network.delay = milliseconds(1 + random().below(60));
             later(between(500, 6000), [this] {
                 world_.it.network.loss = 0;
                 world_.it.network.jitter = milliseconds(2);
+                world_.it.network.delay = milliseconds(1);
             });
             break;
         default:
