--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -200,7 +200,13 @@
     node("kill", &owner_fleet::kill);
     node("restart", &owner_fleet::restart);
     node("freeze", &owner_fleet::freeze);
-    node("thaw", &owner_fleet::thaw);
+    table["thaw"] = [this](const words& a) {
+        it.thaw(resolve(a.at(0)), a.size() > 1 && a[1] == "timers-first");
+    };
+    table["charge"] = [this](const words& a) {
+        for (int n = std::stoi(a.at(2)); n > 0; --n)
+            charge(a.at(1), resolve(a.at(0)));
+    };
     node("leave", &owner_fleet::leave);
     one("shards", [this](const std::string& n) {
         it.shard_settings.shards = static_cast<std::uint32_t>(std::stoul(n));
