Make the cut follow capacity in a chain of services

Causes, found from traces of slots, queues and cuts each 100 ms: - The spill share was raised step by step, so whole failure domains idled in turn. It is now proportional to the latency excess, is bypassed while a cut of the service is in force, and a local server that this node alone fills spills at once. - A queue of several periods' completions put the cut below all requests. What passes is now at least 90% of the completions. - Windows of 25 completions triggered trials of a lower concurrency limit by noise. A window now has at least 100. - Ranks covered 42 octaves, mostly empty; a rising cut crossed them for up to a second. They now cover 16. - The published cut was the one in force. It now has a slack of 3 octaves for calls that have done no work and 0.5 for deeper ones, so that the right cut is seen in the keys that arrive. - A buffer of 0.3 of the limit is not a standing queue.

--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -20,16 +20,26 @@
 constexpr duration cut_lifetime = std::chrono::seconds(1);
 // Share of the standing queue that a period is to drain.
 constexpr double drained = 0.5;
+// Queue over the limit that is kept as a buffer: it is not standing, and the
+// cut refuses nothing below it. An empty queue lets slots run empty between two
+// arrivals; a longer one delays work and lets less valuable requests in.
+constexpr double buffer_share = 0.3;
+// Least share of the completions that still passes while the queue drains. A
+// queue that holds several periods' worth of completions would otherwise put
+// the cut below all requests, and the slots empty before it has risen again.
+constexpr double least_pass = 0.9;
 // Slots in use from which the cut does not rise: the rest is the noise of a
 // period.
 constexpr double full_use = 0.97;
-// Part of the unused octaves by which the cut rises in a period. Upstream
-// nodes see a change only after a response time, several periods later.
-constexpr double rise_gain = 0.25;
-// Periods with unused slots after which the rise doubles in each period, so
-// that ranks without any request are crossed quickly.
-constexpr int slow_rises = 4;
-constexpr double most_rise = 6;
+// The cut rises by the unused octaves in this time, or in half the time that a
+// request stays here if that is longer: slots fill only over a stay, and
+// upstream nodes learn of a cut by a response.
+constexpr duration shortest_rise = std::chrono::milliseconds(50);
+constexpr double stay_part = 0.5;
+// Rise times with unused slots after which the rise doubles in each further
+// one, so that ranks without any request are crossed quickly.
+constexpr double steady_rises = 0.5;
+constexpr double most_rise = 4;
 
 std::size_t lane_of(const request::call_context& it)
 {
@@ -73,9 +83,16 @@
     bool slot_free = running() < limit_.current();
     if (slot_free && queued_.empty())
         return run(std::move(next));
-    bool cut = !queued_.empty() && it.key >= cut_;
+    bool full = queued_.size() >= buffered() && cut_ != request::no_cut;
+    bool cut = full && it.key >= cut_;
     if (cut || !make_room(it.key))
         return refuse(std::move(next), reason::overload);
+    // A place in the buffer is for the more valuable.
+    if (full) {
+        auto worst = std::prev(by_key_.end());
+        if (worst->first.first >= cut_)
+            refuse(take_out(worst->second), reason::overload);
+    }
     enqueue(std::move(next));
     run_queued();
 }
@@ -130,11 +147,17 @@
     limit_.restart();
 }
 
-request::shed_key admission::cut() const
+request::shed_key admission::cut(int depth) const
 {
     if (clock_.now() - period_start_ >= cut_lifetime)
         return request::no_cut;
-    return shift_key(cut_, settings_.slack);
+    return shift_key(cut_,
+                     depth > 0 ? settings_.deep_slack : settings_.entry_slack);
+}
+
+std::size_t admission::buffered() const
+{
+    return static_cast<std::size_t>(limit_.current() * buffer_share) + 1;
 }
 
 std::size_t admission::most_queued() const
@@ -270,11 +293,10 @@
     if (elapsed < settings_.period || !enough)
         return;
     note_busy();
-    if (fewest_queued_ > 0)
+    if (fewest_queued_ > buffered())
         lower_cut();
     else
-        raise_cut(busy_ / static_cast<double>(elapsed.count()) /
-                  limit_.current());
+        raise_cut(elapsed);
     period_start_ = clock_.now();
     keys_.clear();
     arrived_ = 0;
@@ -289,8 +311,11 @@
 void admission::lower_cut()
 {
     rising_ = 0;
-    double pass = static_cast<double>(completed_) -
-                  drained * static_cast<double>(fewest_queued_);
+    auto completed = static_cast<double>(completed_);
+    double excess =
+        static_cast<double>(fewest_queued_) - static_cast<double>(buffered());
+    double pass =
+        std::max(completed - drained * excess, least_pass * completed);
     double share =
         pass / static_cast<double>(std::max<std::size_t>(arrived_, 1));
     if (share >= 1 || keys_.empty())
@@ -305,18 +330,26 @@
     cut_ = keys_[static_cast<std::size_t>(n)];
 }
 
-void admission::raise_cut(double used)
+// Raises the cut by the unused slots, faster the longer they stay unused.
+void admission::raise_cut(duration elapsed)
 {
     if (cut_ == request::no_cut)
         return;
+    auto span = static_cast<double>(elapsed.count());
+    double limit = limit_.current();
+    double used =
+        std::max(busy_ / span, static_cast<double>(running())) / limit;
     if (used >= full_use) {
         rising_ = 0;
         return;
     }
-    ++rising_;
-    double rise = rise_gain * -std::log2(std::max(used, 0.01));
-    if (rising_ > slow_rises)
-        rise *= std::exp2(rising_ - slow_rises);
+    double stay =
+        busy_ / static_cast<double>(std::max<std::size_t>(completed_, 1));
+    double part = span / std::max(static_cast<double>(shortest_rise.count()),
+                                  stay_part * stay);
+    rising_ += part;
+    double rise = part * -std::log2(std::max(used, 0.01));
+    rise *= std::exp2(std::max(rising_ - steady_rises, 0.0));
     cut_ = shift_key(cut_, std::min(rise, most_rise));
 }
 
--- a/src/process/admission.hpp
+++ b/src/process/admission.hpp
@@ -3,11 +3,12 @@
 // A request runs at once while a slot is free and nothing is queued; nothing is
 // shed then. Otherwise it is queued by importance, then work under way before
 // new work, then round-robin between workspaces. The queue is bounded in count,
-// and each entry in time and by its deadline. A queue that did not empty for a
-// whole period is standing: the cut is then set to the shed key below which as
-// many requests arrived as completed, and while anything is queued a request
-// with a key at or above the cut is refused. Without a standing queue the cut
-// rises in proportion to the unused slots.
+// and each entry in time and by its deadline; the least valuable is refused
+// when it is full. A queue that stayed above a small buffer for a whole period
+// is standing: the cut is then set to the shed key below which as many requests
+// arrived as completed, and beyond the buffer requests with a key at or above
+// the cut are refused. Without a standing queue the cut rises in proportion to
+// the unused slots.
 //
 // All refusals that this module makes are true "not run".
 #pragma once
@@ -34,15 +35,17 @@
 
 struct admission_settings {
     // Queued requests for each slot.
-    double queue_per_slot = 2;
+    double queue_per_slot = 1;
     // Longest time in the queue.
     duration max_wait = std::chrono::milliseconds(200);
     // Shortest time between changes of the cut.
     duration period = std::chrono::milliseconds(50);
     // Octaves by which the cut that upstream nodes see is above the one in
-    // force here. It passes a few more requests than complete, so that slots
-    // do not run empty between two corrections.
-    double slack = 0.07;
+    // force here. A few more requests arrive than complete, so that slots do
+    // not run empty and the right cut is seen in the keys that arrive. Calls of
+    // depth 0 have done no work yet that a refusal here wastes.
+    double entry_slack = 3;
+    double deep_slack = 0.5;
 };
 
 class admission
@@ -80,8 +83,9 @@
     // The backend server restarted; its limit ramps up again.
     void restart();
 
-    // For Shallotwood-Feedback; no_cut if nothing is shed.
-    request::shed_key cut() const;
+    // For Shallotwood-Feedback of a call of that depth; no_cut if nothing is
+    // shed.
+    request::shed_key cut(int depth) const;
 
     int running() const { return static_cast<int>(running_.size()); }
     std::size_t queued() const { return queued_.size(); }
@@ -123,8 +127,9 @@
     void note_busy();
     void end_period();
     void lower_cut();
-    void raise_cut(double used);
+    void raise_cut(duration elapsed);
     std::size_t most_queued() const;
+    std::size_t buffered() const;
 
     const clock& clock_;
     scheduler& timers_;
@@ -153,7 +158,8 @@
     // Integral of running requests over the period, in microseconds.
     double busy_ = 0;
     time_point busy_until_;
-    int rising_ = 0;
+    // Rise times for which slots have been unused.
+    double rising_ = 0;
 
     bool draining_ = false;
     std::function<void()> idle_;
--- a/src/process/balancer.cpp
+++ b/src/process/balancer.cpp
@@ -10,15 +10,18 @@
 {
 
 // Time constant of the latency of a side.
-constexpr duration latency_memory = std::chrono::milliseconds(200);
+constexpr duration latency_memory = std::chrono::milliseconds(500);
 // A latency is not compared any more after this time without an answer.
 constexpr duration latency_lifetime = std::chrono::seconds(1);
-// Shortest time between changes of the spill share, and the change.
-constexpr duration spill_period = std::chrono::milliseconds(10);
-constexpr double spill_step = 0.02;
-// The own domain has to be slower by this factor before more calls spill, so
-// that noise at low load does not cause trips.
+// Latency of the own domain over that of the others from which calls spill; a
+// lower one causes trips by noise at low load. The share that spills is the
+// excess over it. A share that was instead raised step by step while the own
+// domain was slower overshot by half a second, and left domains idle in turn.
 constexpr double spill_margin = 1.1;
+constexpr double most_spill = 0.95;
+// Own requests in flight over the capacity of a candidate from which calls
+// spill at once; the latency of the queue that forms shows it too late.
+constexpr double full_load = 0.9;
 // A refusal counts as an answer slower than the mean by this factor.
 constexpr double refusal_penalty = 2;
 constexpr double refusal_factor = 0.95;
@@ -70,6 +73,7 @@
         next.candidates.push_back(std::move(kept));
         next.by_instance.emplace(it.instance, index);
         bool local = it.failure_domain == settings_.failure_domain;
+        next.all.push_back(index);
         (local ? next.local : next.remote).push_back(index);
     }
     if (next.candidates.empty())
@@ -79,21 +83,20 @@
 }
 
 const member* balancer::choose(const std::string& service,
-                               const std::vector<std::string>& tried)
+                               const std::vector<std::string>& tried,
+                               bool overloaded)
 {
     auto found = pools_.find(service);
     if (found == pools_.end())
         return nullptr;
     const auto& in = found->second;
     bool spills = random_.unit() < in.spill;
-    const auto& first = spills ? in.remote : in.local;
-    const auto& second = spills ? in.local : in.remote;
+    const auto& first = overloaded ? in.all : spills ? in.remote : in.local;
+    const auto& second = in.all;
     const auto* it = better_of_two(in, first, tried, false);
-    if (it == nullptr)
+    if (it == nullptr || load_of(*it) > full_load)
         it = better_of_two(in, second, tried, false);
     // An ejected candidate is better than none.
-    if (it == nullptr)
-        it = better_of_two(in, first, tried, true);
     if (it == nullptr)
         it = better_of_two(in, second, tried, true);
     return it == nullptr ? nullptr : &it->it;
@@ -224,9 +227,6 @@
 void balancer::change_spill(pool& in)
 {
     auto now = clock_.now();
-    if (now - in.spill_changed < spill_period)
-        return;
-    in.spill_changed = now;
     if (in.local.empty() || in.remote.empty()) {
         in.spill = in.local.empty() ? 1 : 0;
         return;
@@ -236,9 +236,8 @@
     double far =
         far_known ? in.far.latency
                   : in.best_near + static_cast<double>(settings_.trip.count());
-    bool slower = in.near.latency > spill_margin * far;
-    in.spill =
-        std::clamp(in.spill + (slower ? spill_step : -spill_step), 0.0, 0.95);
+    double slower = far > 0 ? in.near.latency / far - spill_margin : 0;
+    in.spill = std::clamp(slower, 0.0, most_spill);
 }
 
 void balancer::note_failure(pool& in, candidate& of)
--- a/src/process/balancer.hpp
+++ b/src/process/balancer.hpp
@@ -52,10 +52,13 @@
     // suspect are not selected. Figures of members that stay are kept.
     void assign(const std::string& service, const std::vector<member>& members);
 
-    // Nothing if no member is left beside those in `tried`. The pointer is
+    // Nothing if no member is left beside those in `tried`. `overloaded` says
+    // that a cut of the service is in force: then an even load matters more
+    // than trips, and the failure domain is not considered. The pointer is
     // valid until the next assign().
     const member* choose(const std::string& service,
-                         const std::vector<std::string>& tried = {});
+                         const std::vector<std::string>& tried = {},
+                         bool overloaded = false);
 
     // Brackets each attempt.
     void sent(const std::string& service, const std::string& instance);
@@ -88,6 +91,7 @@
     struct pool {
         std::vector<candidate> candidates;
         std::unordered_map<std::string, std::size_t> by_instance;
+        std::vector<std::size_t> all;
         std::vector<std::size_t> local;
         std::vector<std::size_t> remote;
         side near;
@@ -95,7 +99,6 @@
         // Lowest near latency, following a lasting change slowly.
         double best_near = 0;
         double spill = 0;
-        time_point spill_changed{};
     };
 
     static constexpr double cold_capacity = 0.25;
--- a/src/process/concurrency_limit.cpp
+++ b/src/process/concurrency_limit.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-// Fewer successes make the mean of a window too uncertain to compare: with 25
-// the mean of exponential times is within 20% in two windows of three.
-constexpr int least_successes = 25;
+// Fewer successes make the mean of a window too uncertain to compare: with 100
+// the mean of exponential times is within 10% in two windows of three.
+constexpr int least_successes = 100;
 // Part by which a higher latency within the tolerance moves the normal one.
 constexpr double drift = 0.1;
 // Growth of a lowered limit in a window.
--- a/src/process/concurrency_limit.hpp
+++ b/src/process/concurrency_limit.hpp
@@ -21,7 +21,7 @@
     // Part of the slots that a cold backend server starts with.
     static constexpr double cold_share = 0.25;
     // Growth of the mean latency that makes a lower limit worth a trial.
-    static constexpr double tolerance = 1.5;
+    static constexpr double tolerance = 2;
     // Factor of a trial.
     static constexpr double trial = 0.8;
     // Throughput below this share of the one before ends a trial as failed.
--- a/src/process/load_experiment.cpp
+++ b/src/process/load_experiment.cpp
@@ -9,10 +9,12 @@
 #include "request/retry_allowance.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <limits>
 #include <memory>
+#include <numeric>
 #include <queue>
 #include <unordered_map>
 #include <utility>
@@ -219,7 +221,7 @@
     virtual bool retry(node& from, request::retry_allowance& left,
                        const reply& last, int attempts) = 0;
     // Adds the cut in force to what goes back.
-    virtual void feed_back(node&, reply&) {}
+    virtual void feed_back(node&, int, reply&) {}
     virtual void left(node&, const reply&) {}
     virtual bool checks_deadlines() const = 0;
 
@@ -243,9 +245,11 @@
                  const std::vector<std::string>& tried) override
     {
         const auto& name = world_.settings.services[service].name;
-        if (it.key >= from.cuts.of_service(name))
+        auto cut = from.cuts.of_service(name);
+        if (it.key >= cut)
             return nullptr;
-        const auto* to = from.routes.choose(name, tried);
+        const auto* to =
+            from.routes.choose(name, tried, cut != request::no_cut);
         return to == nullptr ? nullptr
                              : world_.nodes[service][to->peer.port].get();
     }
@@ -285,9 +289,9 @@
                left.spend();
     }
 
-    void feed_back(node& at, reply& it) override
+    void feed_back(node& at, int depth, reply& it) override
     {
-        it.cut = std::min(it.cut, at.gate.cut());
+        it.cut = std::min(it.cut, at.gate.cut(depth));
     }
 
     void left(node& at, const reply& it) override
@@ -528,7 +532,7 @@
         it->level = draw_importance();
         ++asked_[bin_of(it->since)];
         if (in_trigger(it->since))
-            ++offered_[workspace];
+            ++offered_[workspace][static_cast<std::size_t>(it->level)];
         send(it);
     }
 
@@ -678,7 +682,7 @@
         // A later attempt changes the context of the call.
         auto context = std::make_shared<call_context>(it->context);
         auto send_back = [=, &at](reply got) {
-            policy_->feed_back(at, got);
+            policy_->feed_back(at, context->depth, got);
             done(got);
         };
         auto decided = [=, &at](std::optional<verdict> refusal) {
@@ -766,8 +770,8 @@
     {
         double span = seconds(settings_.trigger);
         double demand = 0;
-        for (auto it : offered_)
-            demand += static_cast<double>(it) / span;
+        for (std::size_t it = 0; it < offered_.size(); ++it)
+            demand += offered(it) / span;
         result_.demand = demand / capacity_;
         result_.goodput =
             static_cast<double>(whole_) / span / std::min(demand, capacity_);
@@ -801,7 +805,7 @@
             auto got = static_cast<double>(served_[it]);
             least = std::min(least, got / span / fair[it]);
             double rate = settings_.workspaces[it].rate * capacity_ * span;
-            double due = std::min(static_cast<double>(offered_[it]), rate);
+            double due = std::min(offered(it), rate);
             missing += std::max(due - got, 0.0);
             inside += due;
         }
@@ -809,34 +813,46 @@
         result_.refused_inside_rate = missing / inside;
     }
 
-    // Weighted max-min fair shares of the capacity, in requests a second.
+    double offered(std::size_t workspace) const
+    {
+        const auto& of = offered_[workspace];
+        return static_cast<double>(
+            std::accumulate(of.begin(), of.end(), std::uint64_t(0)));
+    }
+
+    // Part of the requests of a workspace that passes at a threshold on demand
+    // over rate.
+    double passing(std::size_t workspace, double threshold, double span) const
+    {
+        double rate = settings_.workspaces[workspace].rate * capacity_;
+        double demand = offered(workspace) / span / rate;
+        return demand <= threshold ? 1 : threshold / demand;
+    }
+
+    // The fair share of each workspace in requests a second: importance comes
+    // first, and in the level that does not pass in full the capacity that is
+    // left is shared max-min fair, weighted by the configured rates.
     std::vector<double> fair_shares(double span) const
     {
-        auto n = offered_.size();
-        std::vector<double> share(n, -1);
+        std::vector<double> share(offered_.size(), 0);
         double left = capacity_;
-        for (bool changed = true; changed;) {
-            changed = false;
-            double weights = 0;
-            for (std::size_t it = 0; it < n; ++it)
-                weights += share[it] < 0 ? settings_.workspaces[it].rate : 0;
-            for (std::size_t it = 0; it < n; ++it) {
-                double demand = static_cast<double>(offered_[it]) / span;
-                double weight = settings_.workspaces[it].rate;
-                if (share[it] >= 0 || demand > left * weight / weights)
-                    continue;
-                share[it] = demand;
-                left -= demand;
-                weights -= weight;
-                changed = true;
+        for (std::size_t level = 0; level < 4 && left > 0; ++level) {
+            double low = 0;
+            double high = 1000;
+            for (int n = 0; n < 50; ++n) {
+                double middle = (low + high) / 2;
+                double sum = 0;
+                for (std::size_t it = 0; it < share.size(); ++it)
+                    sum += static_cast<double>(offered_[it][level]) / span *
+                           passing(it, middle, span);
+                (sum <= left ? low : high) = middle;
+            }
+            for (std::size_t it = 0; it < share.size(); ++it) {
+                double got = static_cast<double>(offered_[it][level]) / span *
+                             passing(it, low, span);
+                share[it] += got;
+                left -= got;
             }
-        }
-        double weights = 0;
-        for (std::size_t it = 0; it < n; ++it)
-            weights += share[it] < 0 ? settings_.workspaces[it].rate : 0;
-        for (std::size_t it = 0; it < n; ++it) {
-            if (share[it] < 0)
-                share[it] = left * settings_.workspaces[it].rate / weights;
         }
         return share;
     }
@@ -858,7 +874,8 @@
     std::uint64_t entered_ = 0;
     std::uint64_t arrived_at_last_ = 0;
     std::uint64_t whole_ = 0;
-    std::vector<std::uint64_t> offered_;
+    // By workspace and importance.
+    std::vector<std::array<std::uint64_t, 4>> offered_;
     std::vector<std::uint64_t> served_;
     std::vector<std::uint32_t> asked_;
     std::vector<std::uint32_t> answered_;
--- a/src/process/shed_key.cpp
+++ b/src/process/shed_key.cpp
@@ -11,11 +11,8 @@
 namespace
 {
 
-const double least_u = std::exp2(-18);
-const double least_demand = std::exp2(-10);
-const double most_demand = std::exp2(14);
 // Added to log2(u x demand) so that ranks start at 0.
-constexpr double rank_offset = 28;
+constexpr double rank_offset = 10;
 
 double seconds(duration it)
 {
@@ -35,11 +32,10 @@
 {
     // 53 bits, so that the value is exact in a double and never 0.
     auto draw = (stable_hash(request_id) >> 11) + 1;
-    double u = std::max(std::ldexp(static_cast<double>(draw), -53), least_u);
-    double d = std::clamp(demand, least_demand, most_demand);
-    double octaves = std::log2(u * d) + rank_offset;
-    auto rank = static_cast<request::shed_key>(std::max(octaves, 0.0) *
-                                               ranks_per_octave);
+    double u = std::ldexp(static_cast<double>(draw), -53);
+    double octaves = std::log2(u * std::max(demand, 1e-9)) + rank_offset;
+    octaves = std::clamp(octaves, 0.0, 16.0);
+    auto rank = static_cast<request::shed_key>(octaves * ranks_per_octave);
     auto top = static_cast<request::shed_key>(level) << rank_bits;
     return top | std::min(rank, most_rank);
 }
--- a/src/process/shed_key.hpp
+++ b/src/process/shed_key.hpp
@@ -21,9 +21,11 @@
 
 constexpr int rank_bits = 24;
 constexpr request::shed_key most_rank = (1U << rank_bits) - 1;
-// Ranks for a factor of two; 2^24 ranks cover 42 octaves, from u = 2^-18 at a
-// demand of 2^-10 to a demand of 2^14.
-constexpr request::shed_key ranks_per_octave = 399457;
+// Ranks for a factor of two. 2^24 ranks cover 16 octaves, from u x demand of
+// 2^-10 to 2^6; lower and higher values share the first and the last rank. A
+// wider range leaves ranks without requests between the levels of importance,
+// and a cut that rises through them admits nothing more for that time.
+constexpr request::shed_key ranks_per_octave = 1U << 20;
 // Above the keys of all levels of importance.
 constexpr request::shed_key above_all_keys = 4U << rank_bits;
 
