--- /dev/null
+++ b/src/process/latency_histogram.hpp
@@ -0,0 +1,36 @@
+// A bounded histogram of durations.
+//
+// Buckets grow by powers of two with 64 steps each, so a quantile is within
+// 1.6% of the true value; 16 KB whatever the number of values.
+#pragma once
+
+#include "process/event_loop.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace shallotwood::process
+{
+
+class latency_histogram
+{
+public:
+    // Values above about 12 days are counted as the largest bucket.
+    void add(duration value);
+    std::uint64_t count() const { return count_; }
+    // Upper bound of the bucket of the quantile in [0, 1]; 0 if empty.
+    duration quantile(double q) const;
+
+private:
+    static constexpr int step_bits = 6;
+    static constexpr int steps = 1 << step_bits;
+    static constexpr int powers = 34;
+
+    static std::size_t bucket_of(std::uint64_t value);
+    static std::uint64_t upper_bound(std::size_t bucket);
+
+    std::array<std::uint64_t, std::size_t{steps} * powers> buckets_{};
+    std::uint64_t count_ = 0;
+};
+
+} // namespace shallotwood::process
--- a/src/process/stream_hash.cpp
+++ b/src/process/stream_hash.cpp
@@ -27,6 +27,11 @@
     XXH3_64bits_update(state_->hash, piece.data(), piece.size());
 }
 
+void stream_hash::reset()
+{
+    XXH3_64bits_reset(state_->hash);
+}
+
 std::string stream_hash::text() const
 {
     std::array<char, 17> text{};
--- a/src/process/stream_hash.hpp
+++ b/src/process/stream_hash.hpp
@@ -17,6 +17,7 @@
     stream_hash& operator=(const stream_hash&) = delete;
 
     void add(std::string_view piece);
+    void reset();
     // Of what was added so far: 16 hexadecimal digits.
     std::string text() const;
 
