--- a/src/process/http_forward.cpp
+++ b/src/process/http_forward.cpp
@@ -298,6 +298,8 @@
         return;
     progress_timer_.cancel();
     client_->cancel();
+    if (why == reason::connection_silent)
+        in_.client.discard_idle(target_.host, target_.port);
     if (phase_ == phase::refused)
         return conclude(feedback_);
     if (phase_ == phase::relaying || (resuming_ && phase_ == phase::waiting))
