Adapt the node to the cut by depth and the weighted demand

Cause: admission::cut takes the depth of the call, the balancer whether a cut is in force, and the demand is weighted by the workspace's configured rate. Ruled out: the cut of depth 0 for all calls; deep calls carry work that a refusal would waste.

--- a/src/process/entry_controller.cpp
+++ b/src/process/entry_controller.cpp
@@ -93,7 +93,12 @@
         return make_refusal(why->why);
     if (!on->repeatable && it.idempotency_key.empty())
         return make_refusal(reason::missing_idempotency_key);
-    auto made = make_call(it, *on, std::get<std::string>(found));
+    const auto& workspace = std::get<std::string>(found);
+    auto entry = configuration->workspaces.find(workspace);
+    // A workspace's fair share is in proportion to the rate it may use.
+    auto weight =
+        entry == configuration->workspaces.end() ? 1.0 : entry->second.rate;
+    auto made = make_call(it, *on, workspace, weight);
     if (made.context.key >= std::min(parts_.cuts.of_route(on->name),
                                      parts_.cuts.of_service(on->service))) {
         log_decision(made, "refuse", reason::overload);
@@ -121,7 +126,8 @@
 
 request::call entry_controller::make_call(const request::caller_request& it,
                                           const version::route& on,
-                                          const std::string& workspace)
+                                          const std::string& workspace,
+                                          double weight)
 {
     request::call made;
     auto& context = made.context;
@@ -132,7 +138,7 @@
     context.route = on.name;
     context.level = on.level;
     context.key = make_shed_key(on.level, context.request_id,
-                                parts_.demand.count(workspace));
+                                parts_.demand.count(workspace, weight));
     context.repeatable = on.repeatable;
     context.idempotency_key = it.idempotency_key;
     context.remaining = std::min(it.timeout.value_or(on.timeout), on.timeout);
@@ -284,9 +290,6 @@
 {
     --open_;
     parts_.cuts.note_route(it.context.route, feedback.cut);
-    auto ran = feedback.what.run == execution::ran;
-    if (ran && feedback.what.why == reason::none)
-        parts_.retries.succeeded();
     if (feedback.what.run == execution::not_run) {
         leave_unrun(it);
         return;
--- a/src/process/entry_controller.hpp
+++ b/src/process/entry_controller.hpp
@@ -13,7 +13,6 @@
 #include "process/cut_table.hpp"
 #include "process/rate_ledger.hpp"
 #include "process/record_store.hpp"
-#include "process/retry_ratio.hpp"
 #include "process/shed_key.hpp"
 #include "request/call_policy.hpp"
 #include "version/configuration.hpp"
@@ -49,7 +48,6 @@
         record_store& records;
         cut_table& cuts;
         demand_estimator& demand;
-        retry_ratio& retries;
         random_source& random;
         counters& counts;
         int retry_allowance;
@@ -83,7 +81,7 @@
                    const version::configuration& in) const;
     request::call make_call(const request::caller_request& it,
                             const version::route& on,
-                            const std::string& workspace);
+                            const std::string& workspace, double weight);
     void charge(pending it);
     void claim(pending it);
     // An earlier request with the same idempotency key has ended.
--- a/src/process/execution_controller.cpp
+++ b/src/process/execution_controller.cpp
@@ -164,6 +164,7 @@
     ++parts_.counts.at("calls_refused",
                        "reason=\"" + std::string(name_of(why)) + "\"");
     refused_retries_ = it.it.context.retries;
+    refused_depth_ = it.it.context.depth;
     refused_redirect_ = redirect;
     it.done(refusal{{execution::not_run, why}, status_of(why), std::nullopt});
     refused_retries_ = 0;
@@ -243,9 +244,9 @@
 {
     request::call_feedback made;
     made.what = what;
-    made.cut = cut();
     auto it = runs_.find(attempt_id);
     if (it == runs_.end()) {
+        made.cut = cut(refused_depth_);
         made.unused_retries = refused_retries_;
         made.redirect = refused_redirect_;
         return made;
@@ -255,7 +256,7 @@
         // what it gives back.
         made.unused_retries = running->allowance.left();
         running->allowance = request::retry_allowance(0);
-        made.cut = std::min(made.cut, running->cut_below);
+        made.cut = std::min(cut(running->it.context.depth), running->cut_below);
         made.final = running->overload_below;
     }
     return made;
--- a/src/process/execution_controller.hpp
+++ b/src/process/execution_controller.hpp
@@ -66,9 +66,10 @@
 
     int running() const { return gate_ ? gate_->running() : 0; }
     std::size_t queued() const { return gate_ ? gate_->queued() : 0; }
-    request::shed_key cut() const
+    // For a call of that depth.
+    request::shed_key cut(int depth) const
     {
-        return gate_ ? gate_->cut() : request::no_cut;
+        return gate_ ? gate_->cut(depth) : request::no_cut;
     }
 
 private:
@@ -105,6 +106,7 @@
     std::unordered_map<std::string, run> runs_;
     // What feedback() reports for the call that is being refused.
     int refused_retries_ = 0;
+    int refused_depth_ = 0;
     std::string refused_redirect_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/process/routing_controller.cpp
+++ b/src/process/routing_controller.cpp
@@ -27,7 +27,9 @@
         return attempt_outcome::success;
     case reason::overload:
     case reason::draining:
-        return attempt_outcome::refused;
+        // One that ran was refused further below.
+        return what.run == execution::not_run ? attempt_outcome::refused
+                                              : attempt_outcome::unknown;
     case reason::connection_failed:
     case reason::connection_silent:
     case reason::backend_server_failed:
@@ -104,7 +106,9 @@
         assign(it.service);
     if (!it.instance.empty())
         return redirect(it, tried);
-    const auto* chosen = parts_.servers.choose(it.service, tried);
+    auto cut = parts_.cuts.of_service(it.service);
+    const auto* chosen =
+        parts_.servers.choose(it.service, tried, cut != request::no_cut);
     SHALLOTWOOD_LOG(info) << "event=placement"
                           << field("request", it.context.request_id)
                           << field("attempt", it.context.attempt_id)
@@ -151,6 +155,8 @@
     parts_.servers.answered(it.service, to.instance, outcome_of(feedback.what),
                             elapsed);
     parts_.cuts.note_service(it.service, feedback.cut);
+    if (feedback.what == verdict{execution::ran, reason::none})
+        parts_.retries.succeeded();
 }
 
 bool routing_controller::retry(request::call& it,
@@ -231,9 +237,6 @@
                                    const request::call& child,
                                    const request::call_feedback& feedback)
 {
-    if (feedback.what.run == execution::ran &&
-        feedback.what.why == reason::none)
-        parts_.retries.succeeded();
     auto* parent = parts_.calls.find(token);
     if (!parent)
         return;
