--- a/src/process/entry_controller.cpp
+++ b/src/process/entry_controller.cpp
@@ -161,8 +161,8 @@
         workspace, deadline,
         [this, it = std::move(it)](const charge_result& result) mutable {
             if (const auto* why = std::get_if<charge_refusal>(&result))
-                refuse(std::move(it), {execution::not_run, why->why},
-                       status_of(why->why), spread(why->retry_after));
+                refuse(it, {execution::not_run, why->why}, status_of(why->why),
+                       spread(why->retry_after));
             else
                 claim(std::move(it));
         });
@@ -186,17 +186,17 @@
             } else if (const auto* ended = std::get_if<claim_done>(&result)) {
                 repeat(std::move(it), ended->response);
             } else if (std::get_if<claim_in_progress>(&result)) {
-                refuse(std::move(it),
+                refuse(it,
                        {execution::may_have_run, reason::duplicate_in_progress},
                        status_of(reason::duplicate_in_progress),
                        spread(overload_pause));
             } else if (std::get_if<claim_may_have_run>(&result)) {
-                refuse(std::move(it),
+                refuse(it,
                        {execution::may_have_run, reason::backend_server_failed},
                        status_of(reason::backend_server_failed), std::nullopt);
             } else {
                 auto why = std::get<claim_refused>(result).why;
-                refuse(std::move(it), {execution::not_run, why}, status_of(why),
+                refuse(it, {execution::not_run, why}, status_of(why),
                        spread(overload_pause));
             }
         });
@@ -206,7 +206,7 @@
                               const request::recorded_response& response)
 {
     if (!response.body_recorded) {
-        refuse(std::move(it), {execution::ran, reason::duplicate},
+        refuse(it, {execution::ran, reason::duplicate},
                status_of(reason::duplicate), std::nullopt);
         return;
     }
@@ -219,7 +219,7 @@
     auto remaining = it.deadline - parts_.time.now();
     if (remaining <= duration::zero()) {
         leave_unrun(it.it);
-        refuse(std::move(it), {execution::not_run, reason::deadline},
+        refuse(it, {execution::not_run, reason::deadline},
                status_of(reason::deadline), std::nullopt);
         return;
     }
@@ -232,7 +232,7 @@
     it.done(std::move(accepted));
 }
 
-void entry_controller::refuse(pending it, verdict what, int status,
+void entry_controller::refuse(const pending& it, verdict what, int status,
                               std::optional<duration> retry_after)
 {
     log_decision(it.it, "refuse", what.why);
--- a/src/process/entry_controller.hpp
+++ b/src/process/entry_controller.hpp
@@ -89,7 +89,7 @@
     void accept(pending it);
     // Gives the claim back: the key may be claimed again.
     void leave_unrun(const request::call& it);
-    void refuse(pending it, request::verdict what, int status,
+    void refuse(const pending& it, request::verdict what, int status,
                 std::optional<duration> retry_after);
     request::refusal make_refusal(request::reason why);
     duration spread(duration base);
--- a/src/process/execution_controller.cpp
+++ b/src/process/execution_controller.cpp
@@ -232,9 +232,7 @@
 
 void execution_controller::took_end()
 {
-    if (exclusive_.holds() && gate_->running() == 0)
-        exclusive_.idle();
-    else if (!exclusive_.holds())
+    if (!exclusive_.holds() || gate_->running() == 0)
         exclusive_.idle();
 }
 
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -15,9 +15,9 @@
     counters& counts, const node_core_settings& settings, const member& self,
     const std::string& boot, std::uint64_t seed,
     std::function<bool(const backend_announcement&)> refuses_connections)
-    : loop_(loop), boot_(boot), counts_(counts), settings_(settings),
-      random_(seed), members_(loop, transport, store, counts, settings.members,
-                              self, random_.below(UINT64_MAX)),
+    : loop_(loop), boot_(boot), settings_(settings), random_(seed),
+      members_(loop, transport, store, counts, settings.members, self,
+               random_.below(UINT64_MAX)),
       loader_(store), feed_(loop, transport, store, members_, codec_, loader_,
                             counts, settings.feed),
       owners_(loop, transport, store, members_, counts,
--- a/src/process/node_core.hpp
+++ b/src/process/node_core.hpp
@@ -86,7 +86,6 @@
 
     event_loop& loop_;
     const std::string boot_;
-    counters& counts_;
     const node_core_settings settings_;
     random_source random_;
     bool draining_ = false;
--- a/tests/support/call_driver.cpp
+++ b/tests/support/call_driver.cpp
@@ -20,7 +20,7 @@
 };
 
 // One call from one node, with its attempts.
-struct call_driver::sending {
+struct call_driver::sending : std::enable_shared_from_this<sending> {
     node_ptr from;
     request::call it;
     std::vector<std::string> tried;
@@ -29,10 +29,18 @@
     process::time_point sent_at;
     process::time_point deadline;
     process::timer_id silence{};
-    int incarnation = 0;
     std::function<void(const call_feedback&)> done;
 };
 
+// One attempt under way; the call as it was when it was sent.
+struct call_driver::attempt {
+    sending_ptr of;
+    request::call call;
+    int number = 0;
+    target to;
+    int server_incarnation = 0;
+};
+
 void call_driver::add(const std::string& instance, const policies& of)
 {
     nodes_[instance] = std::make_shared<node>(node{instance, of});
@@ -78,7 +86,7 @@
 
 void call_driver::send(const std::string& instance,
                        const request::caller_request& it,
-                       std::function<void(const caller_result&)> done)
+                       const std::function<void(const caller_result&)>& done)
 {
     auto from = find(instance);
     if (!from || frozen_.count(instance) != 0) {
@@ -107,13 +115,15 @@
         sent->from = from;
         sent->it = std::get<request::call>(result);
         sent->deadline = loop_.now() + sent->it.context.remaining;
-        sent->done = [sent, from, done](const call_feedback& back) {
+        sent->done = [sent = sent.get(), from,
+                      done](const call_feedback& back) {
             bool whole = back.what.run == execution::ran &&
                          back.what.why == reason::none;
-            auto finish = [sent, from, done, back, whole] {
-                from->of.entry.leave(sent->it, back);
+            auto finish = [self = sent->shared_from_this(), from, done, back,
+                           whole] {
+                from->of.entry.leave(self->it, back);
                 done({whole, false, whole ? 200 : 503, back.what,
-                      whole ? sent->it.context.request_id : ""});
+                      whole ? self->it.context.request_id : ""});
             };
             if (!whole || sent->it.context.repeatable) {
                 finish();
@@ -144,79 +154,75 @@
     it->sent_at = loop_.now();
     it->it.context.remaining = it->deadline - loop_.now();
     it->from->of.routing.sent(it->it, to);
+    auto flight =
+        std::make_shared<attempt>(attempt{it, it->it, it->attempt, to});
     it->silence = loop_.call_after(silence_limit,
-                                   [this, it, to] { went_silent(it, to); });
-    loop_.call_after(trip, [this, it, to] { deliver(it, to); });
+                                   [this, flight] { went_silent(flight); });
+    loop_.call_after(trip, [this, flight] { deliver(flight); });
 }
 
-void call_driver::deliver(const sending_ptr& it, const target& to)
+void call_driver::deliver(const attempt_ptr& it)
 {
-    auto at = find(to.instance);
+    auto at = find(it->to.instance);
     if (!at) {
-        attempt_ended(it, to,
-                      {{execution::not_run, reason::connection_failed},
-                       it->it.context.retries,
-                       request::no_cut,
-                       false});
+        attempt_ended(it, {{execution::not_run, reason::connection_failed},
+                           it->call.context.retries,
+                           request::no_cut,
+                           false});
         return;
     }
-    if (frozen_.count(to.instance) != 0) {
+    if (frozen_.count(it->to.instance) != 0) {
         // Waits in the socket of the frozen process.
         loop_.call_after(std::chrono::milliseconds(100),
-                         [this, it, to] { deliver(it, to); });
+                         [this, it] { deliver(it); });
         return;
     }
-    int number = it->attempt;
-    auto arrived = it->it;
     at->of.execution.arrive(
-        arrived, [this, it, at, to, number, arrived](
-                     std::variant<request::execution_permit, refusal> result) {
-            if (const auto* refused = std::get_if<refusal>(&result)) {
-                auto back = at->of.execution.feedback(
-                    arrived.context.attempt_id, refused->what);
-                back.unused_retries = arrived.context.retries;
-                if (number == it->attempt)
-                    reply(it, at, to, back);
-                return;
-            }
-            execute(it, at, to, std::get<request::execution_permit>(result));
+        it->call, [this, it, at](
+                      std::variant<request::execution_permit, refusal> result) {
+            if (const auto* refused = std::get_if<refusal>(&result))
+                reply(it, at,
+                      at->of.execution.feedback(it->call.context.attempt_id,
+                                                refused->what));
+            else
+                execute(it, at, std::get<request::execution_permit>(result));
         });
 }
 
-void call_driver::execute(const sending_ptr& it, const node_ptr& at,
-                          const target& to,
+void call_driver::execute(const attempt_ptr& it, const node_ptr& at,
                           const request::execution_permit& permit)
 {
-    const auto& key = it->it.context.idempotency_key;
-    ++runs_[key.empty() ? it->it.path : key];
+    const auto& context = it->call.context;
     ++runs_on_[at->instance];
-    if (it->it.context.depth == 0)
-        ++runs_by_workspace[it->it.context.workspace];
-    it->incarnation = at->server_incarnation;
-    if (it->it.path == crash_path) {
+    if (context.depth == 0) {
+        ++runs_[context.idempotency_key.empty() ? it->call.path
+                                                : context.idempotency_key];
+        ++runs_by_workspace[context.workspace];
+    }
+    it->server_incarnation = at->server_incarnation;
+    if (it->call.path == crash_path) {
         crash_server(at->instance);
-        end_run(it, at, to, false);
+        end_run(it, at, false);
         return;
     }
     auto token = permit.token;
-    loop_.call_after(service_time, [this, it, at, to, token] {
-        run_children(it, at, token, 0, [this, it, at, to](bool whole) {
-            end_run(it, at, to, whole);
-        });
+    loop_.call_after(service_time, [this, it, at, token] {
+        run_children(it, at, token, 0,
+                     [this, it, at](bool whole) { end_run(it, at, whole); });
     });
 }
 
-void call_driver::run_children(const sending_ptr& it, const node_ptr& at,
+void call_driver::run_children(const attempt_ptr& it, const node_ptr& at,
                                const std::string& token, std::size_t next,
-                               std::function<void(bool)> done)
+                               const std::function<void(bool)>& done)
 {
-    auto services = calls_of_service.find(it->it.service);
+    auto services = calls_of_service.find(it->call.service);
     if (services == calls_of_service.end() || next >= services->second.size()) {
         done(true);
         return;
     }
-    auto begun =
-        at->of.routing.begin_child(token, services->second[next], it->it.path);
+    auto begun = at->of.routing.begin_child(token, services->second[next],
+                                            "/child" + it->call.path);
     if (!std::holds_alternative<request::call>(begun)) {
         done(false);
         return;
@@ -225,7 +231,8 @@
     child->from = at;
     child->it = std::get<request::call>(begun);
     child->deadline = loop_.now() + child->it.context.remaining;
-    child->done = [this, it, at, token, next, child,
+    // The call owns its callback, so the callback must not own the call.
+    child->done = [this, it, at, token, next, child = child.get(),
                    done](const call_feedback& back) {
         at->of.routing.end_child(token, child->it, back);
         if (back.what.run == execution::ran && back.what.why == reason::none)
@@ -236,71 +243,61 @@
     forward(child);
 }
 
-void call_driver::end_run(const sending_ptr& it, const node_ptr& at,
-                          const target& to, bool whole)
+void call_driver::end_run(const attempt_ptr& it, const node_ptr& at, bool whole)
 {
     if (!at->alive)
         return;
-    const auto& id = it->it.context.attempt_id;
-    bool failed = it->incarnation != at->server_incarnation;
-    auto what = failed
-                    ? request::verdict{execution::may_have_run,
-                                       reason::backend_server_failed}
-                    : request::verdict{execution::ran,
-                                       whole ? reason::none
-                                             : reason::backend_server_failed};
+    const auto& id = it->call.context.attempt_id;
+    bool failed = it->server_incarnation != at->server_incarnation;
+    auto why = whole ? reason::none : reason::backend_server_failed;
+    auto what = failed ? request::verdict{execution::may_have_run,
+                                          reason::backend_server_failed}
+                       : request::verdict{execution::ran, why};
     auto back = at->of.execution.feedback(id, what);
+    reply(it, at, back);
     at->of.execution.ended(
         id, failed ? execution_end::failed : execution_end::response,
         whole ? 200 : 503);
-    reply(it, at, to, back);
 }
 
-void call_driver::reply(const sending_ptr& it, const node_ptr& from,
-                        const target& to, const call_feedback& back)
+void call_driver::reply(const attempt_ptr& it, const node_ptr& from,
+                        const call_feedback& back)
 {
-    if (from->answers_lost || !from->alive)
-        return;
-    int number = it->attempt;
-    loop_.call_after(trip, [this, it, to, back, number] {
-        if (number == it->attempt)
-            attempt_ended(it, to, back);
-    });
+    if (!from->answers_lost && from->alive)
+        loop_.call_after(trip, [this, it, back] { attempt_ended(it, back); });
 }
 
-void call_driver::attempt_ended(const sending_ptr& it, const target& to,
+void call_driver::attempt_ended(const attempt_ptr& it,
                                 const call_feedback& back)
 {
-    if (!it->from->alive)
+    auto& of = *it->of;
+    // A late answer, or one after the fence.
+    if (!of.from->alive || it->number != of.attempt)
         return;
-    loop_.cancel(it->silence);
-    it->from->of.routing.answered(it->it, to, back, loop_.now() - it->sent_at);
+    loop_.cancel(of.silence);
+    of.from->of.routing.answered(of.it, it->to, back, loop_.now() - of.sent_at);
     if (back.what.why != reason::none &&
-        it->from->of.routing.retry(it->it, back)) {
-        forward(it);
+        of.from->of.routing.retry(of.it, back)) {
+        forward(it->of);
         return;
     }
-    // Later answers are late.
-    ++it->attempt;
-    it->done(back);
+    ++of.attempt;
+    of.done(back);
 }
 
-void call_driver::went_silent(const sending_ptr& it, const target& to)
+void call_driver::went_silent(const attempt_ptr& it)
 {
-    if (!it->from->alive)
+    auto& of = *it->of;
+    if (!of.from->alive || it->number != of.attempt)
         return;
-    int number = it->attempt;
-    it->from->of.routing.fence(
-        it->it, to, [this, it, to, number](execution run) {
-            if (number != it->attempt)
-                return;
-            attempt_ended(
-                it, to,
-                {{run, reason::connection_silent},
-                 run == execution::not_run ? it->it.context.retries : 0,
+    of.from->of.routing.fence(of.it, it->to, [this, it](execution run) {
+        bool unrun = run == execution::not_run;
+        attempt_ended(
+            it, {{run, unrun ? reason::fenced : reason::connection_silent},
+                 unrun ? it->call.context.retries : 0,
                  request::no_cut,
                  false});
-        });
+    });
 }
 
 } // namespace shallotwood::test
--- a/tests/support/call_driver.hpp
+++ b/tests/support/call_driver.hpp
@@ -61,10 +61,10 @@
     std::function<void(const std::string& instance)> on_crash;
 
     void send(const std::string& instance, const request::caller_request& it,
-              std::function<void(const caller_result&)> done);
+              const std::function<void(const caller_result&)>& done);
 
     // How often a request with the idempotency key, or else the path, ran on
-    // any backend server.
+    // any backend server of the entry service.
     int runs_of(const std::string& name) const;
     // Runs that began on the backend server of the instance.
     int runs_on(const std::string& instance) const;
@@ -77,23 +77,22 @@
     struct sending;
     using node_ptr = std::shared_ptr<node>;
     using sending_ptr = std::shared_ptr<sending>;
+    using attempt_ptr = std::shared_ptr<attempt>;
 
     node_ptr find(const std::string& instance) const;
     void forward(const sending_ptr& it);
-    void deliver(const sending_ptr& it, const request::target& to);
-    void execute(const sending_ptr& it, const node_ptr& at,
-                 const request::target& to,
+    void deliver(const attempt_ptr& it);
+    void execute(const attempt_ptr& it, const node_ptr& at,
                  const request::execution_permit& permit);
-    void run_children(const sending_ptr& it, const node_ptr& at,
+    void run_children(const attempt_ptr& it, const node_ptr& at,
                       const std::string& token, std::size_t next,
-                      std::function<void(bool)> done);
-    void end_run(const sending_ptr& it, const node_ptr& at,
-                 const request::target& to, bool whole);
-    void reply(const sending_ptr& it, const node_ptr& from,
-               const request::target& to, const request::call_feedback& back);
-    void attempt_ended(const sending_ptr& it, const request::target& to,
+                      const std::function<void(bool)>& done);
+    void end_run(const attempt_ptr& it, const node_ptr& at, bool whole);
+    void reply(const attempt_ptr& it, const node_ptr& from,
+               const request::call_feedback& back);
+    void attempt_ended(const attempt_ptr& it,
                        const request::call_feedback& back);
-    void went_silent(const sending_ptr& it, const request::target& to);
+    void went_silent(const attempt_ptr& it);
 
     process::event_loop& loop_;
     std::map<std::string, node_ptr> nodes_;
--- a/tests/test_operator_command.cpp
+++ b/tests/test_operator_command.cpp
@@ -3,8 +3,8 @@
 #include "process/json_text.hpp"
 #include "process/keyed_hash.hpp"
 #include "process/operator_command.hpp"
-#include "support/platform_process.hpp"
 #include "support/fake_object_store.hpp"
+#include "support/platform_process.hpp"
 #include "support/virtual_loop.hpp"
 
 #include <catch2/catch.hpp>
