Report malformed settings that toml++ asserts on

Cause: the sanitizer build, which keeps assertions, aborted in "untrusted text never crashes the parser": toml++ 3.3 asserts on a line `[`, and on `s = [}`. In a release build it drops the assertions and goes on.

Its assertions now throw, in all builds, and the line is found by halving the text. Ruled out: rejecting lines that begin with '[' (the second case has none).

--- a/src/process/platform_client.hpp
+++ b/src/process/platform_client.hpp
@@ -37,6 +37,7 @@
     duration max_backoff = std::chrono::seconds(5);
     // Calls in progress; a further one is refused as rate_limited.
     std::size_t max_calls = 256;
+    // A further one is reported as rate_limited once and does not go on.
     std::size_t max_watches = 256;
 };
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -15,6 +15,27 @@
 #include <optional>
 #include <set>
 #include <sstream>
+
+// toml++ 3.3 states with assertions what some malformed files violate, such as
+// one with a line `[` or `a = [}`. They are reported as faults in place of
+// ending the process in a debug build, or going on in a release build, where
+// toml++ would drop the assertions. No other file may include toml++, because
+// its inline functions would then differ.
+namespace
+{
+
+struct toml_assertion {
+};
+
+[[noreturn]] void fail_assertion()
+{
+    throw toml_assertion();
+}
+
+} // namespace
+
+#undef NDEBUG
+#define TOML_ASSERT(expr) ((expr) ? void() : fail_assertion())
 #include <toml++/toml.h>
 
 namespace shallotwood::process
@@ -304,11 +325,12 @@
         }
     }
 
-    std::string joined() const
+    // The first `count` lines.
+    std::string joined(std::size_t count) const
     {
         std::string text;
-        for (const auto& it : lines_)
-            text += it + '\n';
+        for (std::size_t n = 0; n < count; ++n)
+            text += lines_[n] + '\n';
         return text;
     }
 
@@ -316,16 +338,44 @@
     {
         for (int n = 0; n < max_repairs; ++n) {
             try {
-                return toml::parse(joined());
+                return toml::parse(joined(lines_.size()));
             } catch (const toml::parse_error& e) {
                 auto line = static_cast<int>(e.source().begin.line);
                 if (!repair(line, std::string(e.description())))
                     break;
+            } catch (const toml_assertion&) {
+                if (!repair(find_assertion(), "is malformed"))
+                    break;
             }
         }
         return {};
     }
 
+    bool violates_assertion(std::size_t count) const
+    {
+        try {
+            static_cast<void>(toml::parse(joined(count)));
+        } catch (const toml::parse_error&) {
+            return false;
+        } catch (const toml_assertion&) {
+            return true;
+        }
+        return false;
+    }
+
+    // The line at which an assertion fails, which has no position of its own.
+    // toml++ reads in order, so any longer part of the text fails too.
+    int find_assertion() const
+    {
+        std::size_t good = 0;
+        std::size_t bad = lines_.size();
+        while (bad - good > 1) {
+            auto middle = good + (bad - good) / 2;
+            (violates_assertion(middle) ? bad : good) = middle;
+        }
+        return static_cast<int>(bad);
+    }
+
     // Reports the fault and takes it out of the text; false if that failed.
     bool repair(int line, const std::string& description)
     {
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -149,6 +149,19 @@
     CHECK(found == expected);
 }
 
+// toml++ states with assertions what these lines violate: they would end the
+// process.
+TEST_CASE("a line that toml++ asserts on is reported")
+{
+    for (const auto* it : {"[", "shards = [}", "seeds = [\n }\n]"}) {
+        INFO(it);
+        auto faults = faults_of(minimal + it + "\n");
+        REQUIRE_FALSE(faults.empty());
+        CHECK(faults[0].line >= 9);
+        CHECK(faults[0].line <= 10);
+    }
+}
+
 TEST_CASE("untrusted text never crashes the parser")
 {
     const std::string cases[] = {"",
