Let the limit and the balancer follow what scenarios demand

Cause: first runs of the scenarios of the decisions under load showed wrong limits for slow and misleading backend servers.

--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -69,9 +69,13 @@
     using request::reason;
     end_period();
     auto now = clock_.now();
+    // One that waited its time would be refused while lesser ones that came
+    // later are served.
+    bool important = it.level < request::importance::normal;
     entry next{it,
                deadline,
-               std::min(now + settings_.max_wait, deadline),
+               important ? deadline
+                         : std::min(now + settings_.max_wait, deadline),
                std::move(done),
                ++last_number_,
                lane_of(it)};
@@ -83,16 +87,8 @@
     bool slot_free = running() < limit_.current();
     if (slot_free && queued_.empty())
         return run(std::move(next));
-    bool full = queued_.size() >= buffered() && cut_ != request::no_cut;
-    bool cut = full && it.key >= cut_;
-    if (cut || !make_room(it.key))
+    if (!make_room(it.key))
         return refuse(std::move(next), reason::overload);
-    // A place in the buffer is for the more valuable.
-    if (full) {
-        auto worst = std::prev(by_key_.end());
-        if (worst->first.first >= cut_)
-            refuse(take_out(worst->second), reason::overload);
-    }
     enqueue(std::move(next));
     run_queued();
 }
@@ -162,20 +158,27 @@
 
 std::size_t admission::most_queued() const
 {
-    auto most = std::ceil(slots_ * settings_.queue_per_slot);
+    // A cold backend server will soon take more.
+    int limit = limit_.ramping() ? slots_ : limit_.current();
+    auto most = std::ceil(limit * settings_.queue_per_slot);
     return static_cast<std::size_t>(std::max(most, 1.0));
 }
 
-// False if the queue is full of requests that are at least as valuable.
+// False if the queue has no place for the key. A request that loses its place
+// to a more valuable one is refused.
 bool admission::make_room(request::shed_key key)
 {
-    if (queued_.size() < most_queued())
+    if (queued_.size() < buffered())
         return true;
     auto worst = std::prev(by_key_.end());
-    if (worst->first.first <= key)
-        return false;
-    refuse(take_out(worst->second), request::reason::overload);
-    return true;
+    bool last = worst->first.first <= key;
+    auto worst_key = last ? key : worst->first.first;
+    bool shed = cut_ != request::no_cut && worst_key >= cut_;
+    if (!shed && queued_.size() < most_queued())
+        return true;
+    if (!last)
+        refuse(take_out(worst->second), request::reason::overload);
+    return !last;
 }
 
 void admission::enqueue(entry it)
@@ -293,7 +296,8 @@
     if (elapsed < settings_.period || !enough)
         return;
     note_busy();
-    if (fewest_queued_ > buffered())
+    // A queue before a cold backend server is no overload.
+    if (fewest_queued_ > buffered() && !limit_.ramping())
         lower_cut();
     else
         raise_cut(elapsed);
@@ -318,7 +322,7 @@
         std::max(completed - drained * excess, least_pass * completed);
     double share =
         pass / static_cast<double>(std::max<std::size_t>(arrived_, 1));
-    if (share >= 1 || keys_.empty())
+    if (share >= 1 || keys_.empty() || by_key_.empty())
         return;
     // At least one request passes, or nothing would be learned any more.
     auto last = static_cast<double>(keys_.size() - 1);
@@ -328,6 +332,12 @@
         return;
     std::nth_element(keys_.begin(), keys_.begin() + n, keys_.end());
     cut_ = keys_[static_cast<std::size_t>(n)];
+    // While lesser requests are queued, no important one is in excess.
+    constexpr auto first_lesser =
+        static_cast<request::shed_key>(request::importance::normal)
+        << rank_bits;
+    if (std::prev(by_key_.end())->first.first >= first_lesser)
+        cut_ = std::max(cut_, first_lesser);
 }
 
 // Raises the cut by the unused slots, faster the longer they stay unused.
--- a/src/process/admission.hpp
+++ b/src/process/admission.hpp
@@ -34,9 +34,10 @@
 {
 
 struct admission_settings {
-    // Queued requests for each slot.
+    // Queued requests over the limit of running ones.
     double queue_per_slot = 1;
-    // Longest time in the queue.
+    // Longest time in the queue of a normal or low request. More important
+    // ones wait until their deadline.
     duration max_wait = std::chrono::milliseconds(200);
     // Shortest time between changes of the cut.
     duration period = std::chrono::milliseconds(50);
--- a/src/process/balancer.cpp
+++ b/src/process/balancer.cpp
@@ -21,7 +21,7 @@
 constexpr double most_spill = 0.95;
 // Own requests in flight over the capacity of a candidate from which calls
 // spill at once; the latency of the queue that forms shows it too late.
-constexpr double full_load = 0.9;
+constexpr double full_load = 0.6;
 // A refusal counts as an answer slower than the mean by this factor.
 constexpr double refusal_penalty = 2;
 constexpr double refusal_factor = 0.95;
@@ -29,6 +29,9 @@
 constexpr double best_drift = 0.001;
 // Successes for each slot until a cold candidate is given its full share.
 constexpr double warm_up = 3;
+// Part of that growth once a candidate has refused. With the full growth, one
+// that announces 5 times its slots refuses 14% of what it gets in equilibrium.
+constexpr double relearn = 0.1;
 constexpr duration longest_ejection = std::chrono::seconds(60);
 // Draws before all candidates are scanned for a usable one.
 constexpr int draws = 6;
@@ -146,7 +149,7 @@
 
 double balancer::load_of(const candidate& it)
 {
-    return (it.in_flight + 1) / (std::max(it.it.slots, 1) * it.capacity);
+    return it.in_flight / (std::max(it.it.slots, 1) * it.capacity);
 }
 
 balancer::candidate* balancer::find(const std::string& service,
@@ -183,11 +186,14 @@
     it->in_flight = std::max(it->in_flight - 1, 0);
     int slots = std::max(it->it.slots, 1);
     if (how == attempt_outcome::success) {
-        it->capacity =
-            std::min(1.0, it->capacity + (1 - cold_capacity) / warm_up / slots);
+        double step = (1 - cold_capacity) / warm_up / slots;
+        if (it->refused)
+            step *= relearn;
+        it->capacity = std::min(1.0, it->capacity + step);
         it->failures = 0;
         it->ejections = 0;
     } else if (how == attempt_outcome::refused) {
+        it->refused = true;
         it->capacity = std::max(least_capacity, it->capacity * refusal_factor);
     } else if (how == attempt_outcome::failed) {
         note_failure(in, *it);
--- a/src/process/balancer.hpp
+++ b/src/process/balancer.hpp
@@ -77,6 +77,7 @@
         int in_flight = 0;
         // Share of the announced slots, learned from refusals and successes.
         double capacity = cold_capacity;
+        bool refused = false;
         int failures = 0;
         int ejections = 0;
         time_point ejected_until{};
--- a/src/process/concurrency_limit.cpp
+++ b/src/process/concurrency_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace shallotwood::process
 {
@@ -12,9 +13,17 @@
 // Fewer successes make the mean of a window too uncertain to compare: with 100
 // the mean of exponential times is within 10% in two windows of three.
 constexpr int least_successes = 100;
+// Successes after which a ramp is judged: few, because the limit doubles in as
+// many as it started with.
+constexpr int ramp_successes = 25;
+// Wider than the tolerance for the same reason.
+constexpr double ramp_tolerance = 2.5;
 // Part by which a higher latency within the tolerance moves the normal one.
-constexpr double drift = 0.1;
-// Growth of a lowered limit in a window.
+constexpr double drift = 0.01;
+// Latency over the normal one below which a lowered limit grows, and its growth
+// in a window. A limit that grew up to the tolerance would move the normal
+// latency along with it, back to where it was.
+constexpr double grows_below = 1.25;
 constexpr double growth = 1.05;
 
 } // namespace
@@ -50,14 +59,10 @@
 {
     if (!success)
         return;
-    if (cold_) {
-        limit_ = std::min(limit_ + 1, slots_);
-        cold_ = limit_ < slots_;
-        start_window();
-        return;
-    }
     ++successes_;
     latency_sum_ += static_cast<double>(own.count());
+    if (cold_)
+        return ramp();
     saturated_ = saturated_ || running >= limit_;
     auto elapsed = clock_.now() - window_start_;
     if (elapsed < window || successes_ < least_successes)
@@ -73,6 +78,25 @@
     start_window();
 }
 
+void concurrency_limit::ramp()
+{
+    limit_ = std::min(limit_ + 1, slots_);
+    cold_ = limit_ < slots_;
+    if (!cold_) {
+        normal_ = 0;
+        return start_window();
+    }
+    if (successes_ < ramp_successes)
+        return;
+    double latency = latency_sum_ / successes_;
+    start_window();
+    // Compared with the first mean: the lowest of several of so few successes
+    // would be far too low, and an average would follow the growth.
+    if (normal_ == 0)
+        normal_ = latency;
+    cold_ = latency <= ramp_tolerance * normal_;
+}
+
 void concurrency_limit::end_window(const measured& it)
 {
     if (normal_ == 0 || it.latency < normal_) {
@@ -80,13 +104,18 @@
         return;
     }
     bool slow = it.latency > tolerance * normal_;
+    bool confirmed = std::exchange(slow_, slow);
     if (!slow) {
         normal_ += drift * (it.latency - normal_);
+        if (it.latency > grows_below * normal_)
+            return;
         auto grown = static_cast<int>(std::ceil(limit_ * growth));
         limit_ = std::min(grown, slots_);
         return;
     }
-    if (!saturated_ || limit_ == 1)
+    // The first slow window may hold requests from before the change, and its
+    // throughput is then no measure for a trial.
+    if (!confirmed || !saturated_ || limit_ == 1)
         return;
     in_trial_ = true;
     limit_before_ = limit_;
--- a/src/process/concurrency_limit.hpp
+++ b/src/process/concurrency_limit.hpp
@@ -1,13 +1,14 @@
 // How many requests may run at once on the local backend server.
 //
 // Starts at a part of the announced slots and adds one for each success, which
-// doubles the limit in each service time, until it reaches the slots. After
-// that it compares windows of completions with the backend server's own past:
-// when latency has grown past `tolerance`, it tries a lower limit, and keeps it
-// only if throughput did not fall. A backend server that is slow at any
-// concurrency loses throughput with the limit, so its limit is restored and its
-// latency becomes the new normal. Load that the backend server reports about
-// itself is not used. The limit is never above the announced slots.
+// doubles the limit in each service time, until it reaches the slots or latency
+// has grown past `tolerance`. After that it compares windows of completions
+// with the backend server's own past: when latency has grown past `tolerance`,
+// it tries a lower limit, and keeps it only if throughput did not fall. A
+// backend server that is slow at any concurrency loses throughput with the
+// limit, so its limit is restored and its latency becomes the new normal. Load
+// that the backend server reports about itself is not used. The limit is never
+// above the announced slots.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -39,6 +40,9 @@
 
     int current() const { return limit_; }
 
+    // The backend server is cold: the limit says nothing about overload yet.
+    bool ramping() const { return cold_; }
+
     // A request ended. `own` is its time on the backend server without the
     // time in calls to further services, which says nothing about this one.
     // `running` is the number of requests that ran just before it ended.
@@ -50,6 +54,7 @@
         double throughput = 0;
     };
 
+    void ramp();
     void end_window(const measured& it);
     void end_trial(const measured& it);
     void change(int limit);
@@ -69,6 +74,8 @@
     // window that a failed trial has accepted; 0 while unknown.
     double normal_ = 0;
     bool in_trial_ = false;
+    // The last window was slow.
+    bool slow_ = false;
     int limit_before_ = 0;
     measured before_;
     // The window after a change still holds requests that started before it.
--- a/src/process/load_experiment.cpp
+++ b/src/process/load_experiment.cpp
@@ -306,10 +306,11 @@
     {
         if (it.whole)
             return attempt_outcome::success;
-        if (it.what.why == reason::backend_server_failed)
-            return attempt_outcome::failed;
-        bool here = it.what.run == execution::not_run;
-        return here ? attempt_outcome::refused : attempt_outcome::unknown;
+        // What failed below says nothing about the backend server that ran.
+        if (it.what.run == execution::ran)
+            return attempt_outcome::unknown;
+        bool failed = it.what.why == reason::backend_server_failed;
+        return failed ? attempt_outcome::failed : attempt_outcome::refused;
     }
 };
 
@@ -435,7 +436,7 @@
         important_refused_.resize(n);
         lesser_answered_.resize(n);
         result_.capacity = capacity_;
-        result_.started_at_last.resize(
+        started_at_last_.resize(
             static_cast<std::size_t>(settings.services.back().servers));
         make_nodes();
     }
@@ -619,8 +620,7 @@
 
     void count_refused(const original& it, time_point sent)
     {
-        if (sent < trigger_)
-            ++result_.refused_before;
+        ++result_.refused;
         auto n = std::min(bin_of(sent), important_refused_.size() - 1);
         if (it.level < importance::normal)
             ++important_refused_[n];
@@ -701,12 +701,15 @@
     {
         bool last = it->service + 1 == settings_.services.size();
         auto end = [=, &at](reply got, duration downstream) {
-            policy_->finished(at, *context, got.whole, downstream);
+            // An error from a service below is a whole response of this one.
+            bool success = got.what.why != reason::backend_server_failed ||
+                           got.what.run == execution::ran;
+            policy_->finished(at, *context, success, downstream);
             done(got);
         };
         auto work = [=, &at] {
             if (last)
-                ++result_.started_at_last[at.self.peer.port];
+                ++started_at_last_[at.self.peer.port];
             world_.loop.call_after(own_time(at, last), [=, &at] {
                 call_next(it, *context, at,
                           [=, &at](reply got, duration downstream) {
@@ -778,6 +781,11 @@
         result_.attempts_at_last =
             static_cast<double>(arrived_at_last_) /
             static_cast<double>(std::max<std::uint64_t>(entered_, 1));
+        auto started = std::accumulate(
+            started_at_last_.begin(), started_at_last_.end(), std::uint64_t(0));
+        result_.share_of_first =
+            static_cast<double>(started_at_last_[0]) /
+            static_cast<double>(std::max<std::uint64_t>(started, 1));
         find_recovery();
         find_shares(span);
         for (std::size_t n = 0; n < important_refused_.size(); ++n) {
@@ -873,6 +881,7 @@
     std::uint64_t last_attempt_ = 0;
     std::uint64_t entered_ = 0;
     std::uint64_t arrived_at_last_ = 0;
+    std::vector<std::uint64_t> started_at_last_;
     std::uint64_t whole_ = 0;
     // By workspace and importance.
     std::vector<std::array<std::uint64_t, 4>> offered_;
@@ -887,7 +896,7 @@
 std::vector<experiment_workspace> usual_workspaces(double demand)
 {
     constexpr double sold = 0.8;
-    constexpr double usual = 0.7;
+    const double usual = std::min(0.7, demand);
     std::vector<experiment_workspace> made;
     double quiet = 0;
     int number = 0;
@@ -961,9 +970,9 @@
     json["worst_share"] = it.worst_share;
     json["refused_inside_rate"] = it.refused_inside_rate;
     json["important_refused"] = Json::UInt64(it.important_refused);
-    json["important_requests"] = Json::UInt64(it.important_requests);
     json["attempts_at_last"] = it.attempts_at_last;
-    json["refused_before"] = Json::UInt64(it.refused_before);
+    json["refused"] = Json::UInt64(it.refused);
+    json["share_of_first"] = it.share_of_first;
     return json;
 }
 
--- a/src/process/load_experiment.hpp
+++ b/src/process/load_experiment.hpp
@@ -105,13 +105,13 @@
     // Refusals of critical and high requests that arrived in the same 100 ms
     // as a normal or low one that was answered whole.
     std::uint64_t important_refused = 0;
-    std::uint64_t important_requests = 0;
     // Attempts that reach the last service, for each that enters the first.
     double attempts_at_last = 0;
-    // Refusals for overload before the trigger.
-    std::uint64_t refused_before = 0;
-    // Requests that the last service started, by backend server.
-    std::vector<std::uint64_t> started_at_last;
+    // Refusals for overload, in the whole run.
+    std::uint64_t refused = 0;
+    // Part of the requests at the last service that its first backend server
+    // started.
+    double share_of_first = 0;
 };
 
 // Deployments A and B of the design, at the given demand over the capacity.
--- /dev/null
+++ b/tests/test_load_scenarios.cpp
@@ -0,0 +1,189 @@
+// Runs tests/scenarios/load_*.scenario. Verbs for one admission object:
+//     admission SLOTS              with a warm backend server
+//     arrive ID LEVEL WORKSPACE [depth=N] [deadline=TIME]
+//     finish ID, cancel ID
+//     expect ID running|queued|overload|deadline|draining
+//     expect queued|running NUMBER
+// and for an experiment with a call graph:
+//     deployment A|B DEMAND
+//     chain SERVICES SERVERS SLOTS DEMAND    the last service has a third of
+//                                            the slots that the chain needs
+//     workspace NUMBER PEAK        demand over rate during the trigger
+//     spans BEFORE TRIGGER AFTER
+//     fault SERVICE SERVER refuses|slowness=X|announced=X|cold=TIME
+//     slow-trigger FACTOR          of the last service
+//     run
+//     check FIGURE at-most|at-least NUMBER
+#include "process/admission.hpp"
+#include "process/load_experiment.hpp"
+#include "process/shed_key.hpp"
+#include "support/scenario.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+using namespace process;
+
+namespace
+{
+
+std::string option(const words& in, const std::string& name)
+{
+    for (const auto& it : in) {
+        if (it.compare(0, name.size() + 1, name + "=") == 0)
+            return it.substr(name.size() + 1);
+    }
+    return "";
+}
+
+struct one_gate {
+    explicit one_gate(virtual_loop& on) : loop(on) {}
+
+    virtual_loop& loop;
+    std::unique_ptr<admission> gate;
+    std::map<std::string, std::string> state;
+
+    void open(const words& in)
+    {
+        gate = std::make_unique<admission>(loop, loop, std::stoi(in.at(0)));
+        while (gate->limit() < std::stoi(in.at(0))) {
+            arrive({"warm-up", "normal", "w"});
+            gate->finished("warm-up", true);
+        }
+    }
+
+    void arrive(const words& in)
+    {
+        request::call_context it;
+        it.attempt_id = in.at(0);
+        REQUIRE(request::parse_importance(in.at(1), it.level));
+        it.workspace = in.at(2);
+        it.key = make_shed_key(it.level, it.attempt_id, 1);
+        if (auto depth = option(in, "depth"); !depth.empty())
+            it.depth = std::stoi(depth);
+        auto left = option(in, "deadline");
+        auto deadline = loop.now() + parse_time(left.empty() ? "10s" : left);
+        state[in.at(0)] = "queued";
+        gate->arrive(it, deadline, [this, id = in.at(0)](auto refusal) {
+            state[id] = refusal ? name_of(refusal->why) : "running";
+        });
+    }
+
+    void expect(const words& in)
+    {
+        if (in.at(0) == "queued")
+            CHECK(gate->queued() == std::stoul(in.at(1)));
+        else if (in.at(0) == "running")
+            CHECK(gate->running() == std::stoi(in.at(1)));
+        else
+            CHECK(state.at(in.at(0)) == in.at(1));
+    }
+};
+
+struct one_experiment {
+    experiment_settings settings;
+    experiment_result result;
+
+    void deployment(const words& in)
+    {
+        auto demand = std::stod(in.at(1));
+        settings =
+            in.at(0) == "A" ? deployment_a(demand) : deployment_b(demand);
+    }
+
+    void chain(const words& in)
+    {
+        settings = deployment_a(std::stod(in.at(3)));
+        settings.services.clear();
+        auto count = std::stoi(in.at(0));
+        auto slots = std::stoi(in.at(2));
+        for (int n = 0; n < count; ++n)
+            settings.services.push_back(
+                {"service-" + std::to_string(n), std::stoi(in.at(1)),
+                 n + 1 < count ? slots * count : slots, slots * count * 6});
+        settings.failure_domains = 2;
+        // 14 services of 50 ms would use up most of the caller's timeout.
+        if (count > 5)
+            settings.mean_service = std::chrono::milliseconds(10);
+    }
+
+    void fault(const words& in)
+    {
+        server_fault it;
+        it.service = std::stoul(in.at(0));
+        it.server = std::stoul(in.at(1));
+        it.refuses = in.at(2) == "refuses";
+        if (auto x = option(in, "slowness"); !x.empty())
+            it.slowness = std::stod(x);
+        if (auto x = option(in, "announced"); !x.empty())
+            it.announced = std::stod(x);
+        if (auto x = option(in, "cold"); !x.empty())
+            it.cold = parse_time(x);
+        settings.faults.push_back(it);
+    }
+
+    double figure(const std::string& name) const
+    {
+        auto json = to_json(result);
+        REQUIRE(json.isMember(name));
+        return json[name].asDouble();
+    }
+
+    void check(const words& in) const
+    {
+        auto value = figure(in.at(0));
+        INFO(to_json(result).toStyledString());
+        REQUIRE((in.at(1) == "at-most" || in.at(1) == "at-least"));
+        if (in.at(1) == "at-most")
+            CHECK(value <= std::stod(in.at(2)));
+        else
+            CHECK(value >= std::stod(in.at(2)));
+    }
+};
+
+} // namespace
+
+TEST_CASE("load scenarios")
+{
+    auto file = GENERATE(from_range(scenario_files("load_")));
+    auto it = load_scenario(file);
+    virtual_loop loop;
+    one_gate one(loop);
+    one_experiment two;
+    two.settings.seed = it.seed;
+    auto spans = [&](const words& in) {
+        two.settings.before = parse_time(in.at(0));
+        two.settings.trigger = parse_time(in.at(1));
+        two.settings.after = parse_time(in.at(2));
+    };
+    run_scenario(
+        it, loop,
+        {{"admission", [&](const words& in) { one.open(in); }},
+         {"arrive", [&](const words& in) { one.arrive(in); }},
+         {"finish", [&](const words& in) { one.gate->finished(in[0], true); }},
+         {"cancel", [&](const words& in) { CHECK(one.gate->cancel(in[0])); }},
+         {"expect", [&](const words& in) { one.expect(in); }},
+         {"deployment", [&](const words& in) { two.deployment(in); }},
+         {"chain", [&](const words& in) { two.chain(in); }},
+         {"workspace",
+          [&](const words& in) {
+              two.settings.workspaces.at(std::stoul(in.at(0))).peak =
+                  std::stod(in.at(1));
+          }},
+         {"spans", spans},
+         {"fault", [&](const words& in) { two.fault(in); }},
+         {"slow-trigger",
+          [&](const words& in) {
+              two.settings.trigger_slowness = std::stod(in.at(0));
+          }},
+         {"run",
+          [&](const words&) {
+              two.settings.seed = it.seed;
+              two.result = run_experiment(two.settings);
+          }},
+         {"check", [&](const words& in) { two.check(in); }}});
+}
+
+} // namespace shallotwood::test
