--- a/src/process/balancer.cpp
+++ b/src/process/balancer.cpp
@@ -33,6 +33,10 @@
 // that announces 5 times its slots refuses 14% of what it gets in equilibrium.
 constexpr double relearn = 0.1;
 constexpr duration longest_ejection = std::chrono::seconds(60);
+// Largest latency over that of the service which counts as load. Announced
+// slots that a backend server does not have show in its latency long before it
+// refuses; a slow one still needs some calls, or its recovery is never seen.
+constexpr double most_latency_ratio = 4;
 // Draws before all candidates are scanned for a usable one.
 constexpr int draws = 6;
 
@@ -41,6 +45,16 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+void follow(double& average, time_point& at, double value, time_point now)
+{
+    if (now - at >= latency_lifetime)
+        average = value;
+    std::chrono::duration<double> age = now - at;
+    double weight = std::max(1 - std::exp(-age / latency_memory), 0.01);
+    average += weight * (value - average);
+    at = now;
+}
+
 bool selectable(const member& it)
 {
     return it.state == member_state::active ||
@@ -62,6 +76,8 @@
     pool next;
     next.near = old.near;
     next.far = old.far;
+    next.whole = old.whole;
+    next.best_near = old.best_near;
     next.spill = old.spill;
     for (const auto& it : members) {
         if (!selectable(it))
@@ -97,7 +113,7 @@
     const auto& first = overloaded ? in.all : spills ? in.remote : in.local;
     const auto& second = in.all;
     const auto* it = better_of_two(in, first, tried, false);
-    if (it == nullptr || load_of(*it) > full_load)
+    if (it == nullptr || load_of(in, *it) > full_load)
         it = better_of_two(in, second, tried, false);
     // An ejected candidate is better than none.
     if (it == nullptr)
@@ -114,7 +130,7 @@
     if (one == nullptr)
         return nullptr;
     const auto* other = draw(in, from, tried, with_ejected, one);
-    if (other == nullptr || load_of(*one) <= load_of(*other))
+    if (other == nullptr || load_of(in, *one) <= load_of(in, *other))
         return one;
     return other;
 }
@@ -147,9 +163,12 @@
     return nullptr;
 }
 
-double balancer::load_of(const candidate& it)
+double balancer::load_of(const pool& in, const candidate& it)
 {
-    return it.in_flight / (std::max(it.it.slots, 1) * it.capacity);
+    double slots = std::max(it.it.slots, 1) * it.capacity;
+    bool known = it.latency > 0 && in.whole.latency > 0;
+    double ratio = known ? it.latency / in.whole.latency : 1;
+    return it.in_flight / slots * std::clamp(ratio, 1.0, most_latency_ratio);
 }
 
 balancer::candidate* balancer::find(const std::string& service,
@@ -202,7 +221,7 @@
     change_spill(in);
 }
 
-void balancer::note_latency(pool& in, const candidate& of, attempt_outcome how,
+void balancer::note_latency(pool& in, candidate& of, attempt_outcome how,
                             duration elapsed)
 {
     bool success = how == attempt_outcome::success;
@@ -216,12 +235,11 @@
         value =
             refusal_penalty *
             std::max(it.latency, static_cast<double>(settings_.trip.count()));
-    if (now - it.at >= latency_lifetime)
-        it.latency = value;
-    std::chrono::duration<double> age = now - it.at;
-    double weight = std::max(1 - std::exp(-age / latency_memory), 0.01);
-    it.latency += weight * (value - it.latency);
-    it.at = now;
+    follow(it.latency, it.at, value, now);
+    if (success) {
+        follow(in.whole.latency, in.whole.at, value, now);
+        follow(of.latency, of.answered_at, value, now);
+    }
     if (!local)
         return;
     if (in.best_near == 0 || it.latency < in.best_near)
--- a/src/process/balancer.hpp
+++ b/src/process/balancer.hpp
@@ -1,12 +1,13 @@
 // Selects the backend server of a call.
 //
 // Two random candidates are compared by this node's own requests in flight over
-// their learned capacity; only figures that this node has itself are used, so
-// there is no stale figure on which all nodes could herd. Candidates are in the
-// own failure domain, except for a share of the calls that spills over: the
-// share grows while the own domain answers slower than another one, trip
-// included, and shrinks otherwise. A backend server that keeps failing is
-// ejected for a time, but at least half of a service remains.
+// their learned capacity, times latency over that of the service; only figures
+// that this node has itself are used, so there is no stale figure on which all
+// nodes could herd. Candidates are in the own failure domain, except for a
+// share of the calls that spills over: the share grows while the own domain
+// answers slower than another one, trip included, and shrinks otherwise. A
+// backend server that keeps failing is ejected for a time, but at least half of
+// a service remains.
 //
 // Bounded by the membership: one entry for each member of the assigned
 // services.
@@ -78,6 +79,9 @@
         // Share of the announced slots, learned from refusals and successes.
         double capacity = cold_capacity;
         bool refused = false;
+        // Mean latency of its answers, in microseconds; 0 while unknown.
+        double latency = 0;
+        time_point answered_at{};
         int failures = 0;
         int ejections = 0;
         time_point ejected_until{};
@@ -97,6 +101,8 @@
         std::vector<std::size_t> remote;
         side near;
         side far;
+        // Of all answers.
+        side whole;
         // Lowest near latency, following a lasting change slowly.
         double best_near = 0;
         double spill = 0;
@@ -115,8 +121,8 @@
     const candidate* draw(const pool& in, const std::vector<std::size_t>& from,
                           const std::vector<std::string>& tried,
                           bool with_ejected, const candidate* except);
-    static double load_of(const candidate& it);
-    void note_latency(pool& in, const candidate& of, attempt_outcome how,
+    static double load_of(const pool& in, const candidate& it);
+    void note_latency(pool& in, candidate& of, attempt_outcome how,
                       duration elapsed);
     void change_spill(pool& in);
     void note_failure(pool& in, candidate& of);
