--- a/src/process/configuration_feed.cpp
+++ b/src/process/configuration_feed.cpp
@@ -67,7 +67,6 @@
     started_ = loop_.now();
     tick_watch();
     tick_gossip();
-    seek_first();
 }
 
 bool configuration_feed::isolated() const
@@ -183,10 +182,15 @@
 void configuration_feed::tick_gossip()
 {
     after(settings_.gossip_period, [this] { tick_gossip(); });
-    if (rounds_left_ > 0) {
-        --rounds_left_;
-        push();
-    }
+    if (rounds_left_ == 0)
+        return;
+    bool busy = adopted_ && adoption_gap_ < settings_.busy_interval &&
+                loop_.now() - *adopted_ < settings_.busy_interval;
+    skip_round_ = busy && !skip_round_;
+    if (skip_round_)
+        return;
+    --rounds_left_;
+    push();
 }
 
 void configuration_feed::push()
@@ -259,18 +263,6 @@
     pull_pending_ = true;
 }
 
-// Until the first configuration comes, asks a random peer.
-void configuration_feed::seek_first()
-{
-    if (in_force_)
-        return;
-    after(settings_.pull_timeout, [this] { seek_first(); });
-    Json::Value params;
-    params["have"] = Json::UInt64(0);
-    for (const auto& it : members_.random_members(1))
-        transport_.send(it.peer, "configuration.pull", params);
-}
-
 void configuration_feed::on_pull(const peer_address& from,
                                  const Json::Value& params)
 {
@@ -362,6 +354,9 @@
     }
     in_force_ = newer;
     rounds_left_ = settings_.rounds;
+    adoption_gap_ =
+        adopted_ ? loop_.now() - *adopted_ : settings_.busy_interval;
+    adopted_ = loop_.now();
     ++counts_.at("configuration_adopted");
     SHALLOTWOOD_LOG(info) << "event=configuration-adopted"
                           << field("revision", newer->revision);
--- a/src/process/configuration_feed.hpp
+++ b/src/process/configuration_feed.hpp
@@ -74,7 +74,10 @@
     // Rounds in which a node tells of a revision that it adopted.
     int rounds = 3;
     // Changes that come faster are pulled together.
-    duration pull_interval = std::chrono::milliseconds(200);
+    duration pull_interval = std::chrono::milliseconds(400);
+    // While changes follow each other within this time, a node tells of them
+    // in every second period only: the next digest makes up for a lost one.
+    duration busy_interval = std::chrono::milliseconds(500);
     duration pull_timeout = std::chrono::milliseconds(500);
     std::size_t watchers_per_domain = 2;
     // How often a watcher reads the head beside its watch. The watch is silent
@@ -141,7 +144,6 @@
     void pull();
     void pull_after(duration delay);
     void send_pull();
-    void seek_first();
     void on_pull(const peer_address& from, const Json::Value& params);
     void on_changes(const peer_address& from, const Json::Value& params);
     void take_changes(const Json::Value& changes);
@@ -170,6 +172,11 @@
     time_point polled_{};
 
     int rounds_left_ = 0;
+    bool skip_round_ = false;
+    // When the last configuration was adopted, and how long after the one
+    // before.
+    std::optional<time_point> adopted_;
+    duration adoption_gap_{0};
     // The highest revision heard of, and who told last.
     std::uint64_t highest_heard_ = 0;
     std::optional<peer_address> teller_;
--- a/src/process/peer_message.cpp
+++ b/src/process/peer_message.cpp
@@ -21,8 +21,7 @@
 constexpr std::size_t header_bytes = hash_bytes + 1;
 // Shorter texts don't shrink enough to pay for the work.
 constexpr std::size_t least_compressed_bytes = 400;
-// The fastest level; the texts are small and repetitive.
-constexpr int compression_level = 1;
+constexpr int compression_level = 6;
 
 // Runs all of the input through the converter. Empty if it fails or the result
 // exceeds the bound.
@@ -93,8 +92,6 @@
         return "unauthenticated";
     case message_error::malformed:
         return "malformed";
-    case message_error::misdirected:
-        return "misdirected";
     case message_error::unknown_method:
         return "unknown-method";
     }
@@ -110,7 +107,6 @@
     call["jsonrpc"] = "2.0";
     call["method"] = it.method;
     call["params"]["from"] = to_text(it.from);
-    call["params"]["to"] = to_text(it.to);
     call["params"]["body"] = it.body;
     static const auto builder = [] {
         Json::StreamWriterBuilder made;
@@ -129,19 +125,20 @@
     } else {
         content += text;
     }
-    return keyed_hash(content, fleet_secret) + content;
+    return keyed_hash(to_text(it.to) + content, fleet_secret) + content;
 }
 
 std::variant<std::string, message_error>
-open_message(std::string_view sealed, std::string_view fleet_secret)
+open_message(std::string_view sealed, const peer_address& receiver,
+             std::string_view fleet_secret)
 {
     if (sealed.size() > max_message_bytes + header_bytes)
         return message_error::too_large;
     if (sealed.size() <= header_bytes)
         return message_error::malformed;
     auto content = sealed.substr(hash_bytes);
-    if (!keyed_hash_matches(sealed.substr(0, hash_bytes), content,
-                            fleet_secret))
+    auto hashed = to_text(receiver).append(content);
+    if (!keyed_hash_matches(sealed.substr(0, hash_bytes), hashed, fleet_secret))
         return message_error::unauthenticated;
     auto form = content[0];
     content.remove_prefix(1);
@@ -154,9 +151,8 @@
     return message_error::malformed;
 }
 
-notification_dispatcher::notification_dispatcher(peer_address self)
-    : self_(std::move(self)),
-      protocol_(jsonrpc::RequestHandlerFactory::createProtocolHandler(
+notification_dispatcher::notification_dispatcher()
+    : protocol_(jsonrpc::RequestHandlerFactory::createProtocolHandler(
           jsonrpc::JSONRPC_SERVER_V2, *this))
 {
 }
@@ -168,7 +164,6 @@
 {
     if (handlers_.count(method) == 0) {
         jsonrpc::Procedure procedure(method, jsonrpc::PARAMS_BY_NAME, "from",
-                                     jsonrpc::JSON_STRING, "to",
                                      jsonrpc::JSON_STRING, nullptr);
         protocol_->AddProcedure(procedure);
     }
@@ -203,13 +198,8 @@
                                                      const Json::Value& input)
 {
     auto from = parse_address(input["from"].asString());
-    auto to = parse_address(input["to"].asString());
-    if (!from || !to)
+    if (!from)
         return;
-    if (*to != self_) {
-        outcome_ = message_error::misdirected;
-        return;
-    }
     // A handler may send to this node again, or subscribe.
     auto handler = handlers_[it.GetProcedureName()];
     outcome_.reset();
--- a/src/process/peer_message.hpp
+++ b/src/process/peer_message.hpp
@@ -2,14 +2,16 @@
 // compressed when that makes it shorter, behind a keyed hash under the fleet
 // secret.
 //
-//     32 bytes  keyed hash of all that follows
+//     32 bytes  keyed hash of the receiver's listening address and all that
+//               follows
 //      1 byte   0: text as it is, 1: zlib
-//      n bytes  the notification; its parameters are `from` and `to`, the
-//               listening addresses of both nodes, and `body`
+//      n bytes  the notification; its parameters are `from`, the listening
+//               address of the sender, and `body`
 //
-// A message is bound to its receiver, so it can't be redirected to another
-// node. One that is replayed to the same node is like a duplicate or a late
-// message, which every protocol over peer_transport has to bear anyway.
+// The receiver's address is not sent, only hashed: a message that is
+// redirected to another node is not authentic there. One that is replayed to
+// the same node is like a duplicate or a late message, which every protocol
+// over peer_transport has to bear anyway.
 //
 // Bounds: max_message_bytes, sealed and expanded; nothing is expanded or
 // parsed before its keyed hash has been checked.
@@ -42,8 +44,6 @@
     too_large,
     unauthenticated,
     malformed,
-    // For another node.
-    misdirected,
     unknown_method,
 };
 
@@ -52,16 +52,17 @@
 std::variant<std::string, message_error>
 seal_message(const peer_message& it, std::string_view fleet_secret);
 
-// The text of the notification. Never throws on untrusted input.
+// The text of the notification, if it was sealed for this receiver. Never
+// throws on untrusted input.
 std::variant<std::string, message_error>
-open_message(std::string_view sealed, std::string_view fleet_secret);
+open_message(std::string_view sealed, const peer_address& receiver,
+             std::string_view fleet_secret);
 
 // Validates notifications and calls the handler of their method.
 class notification_dispatcher final : jsonrpc::IProcedureInvokationHandler
 {
 public:
-    // Takes messages to the listening address `self`.
-    explicit notification_dispatcher(peer_address self);
+    notification_dispatcher();
     ~notification_dispatcher() override;
     notification_dispatcher(const notification_dispatcher&) = delete;
     notification_dispatcher& operator=(const notification_dispatcher&) = delete;
@@ -77,7 +78,6 @@
     void HandleNotificationCall(jsonrpc::Procedure& it,
                                 const Json::Value& input) override;
 
-    peer_address self_;
     std::unique_ptr<jsonrpc::IProtocolHandler> protocol_;
     std::map<std::string, peer_transport::handler> handlers_;
     // Of the message being dispatched.
--- a/src/process/peer_socket.cpp
+++ b/src/process/peer_socket.cpp
@@ -108,8 +108,7 @@
                          const peer_address& self, std::uint16_t control_port,
                          const std::string& fleet_secret)
     : loop_(loop), counts_(counts), self_(self),
-      port_difference_(control_port - self.port), fleet_secret_(fleet_secret),
-      dispatcher_(self)
+      port_difference_(control_port - self.port), fleet_secret_(fleet_secret)
 {
 }
 
@@ -432,7 +431,7 @@
 bool peer_socket::receive(std::string_view sealed)
 {
     counts_.at("peer_bytes_received") += sealed.size();
-    auto opened = open_message(sealed, fleet_secret_);
+    auto opened = open_message(sealed, self_, fleet_secret_);
     if (const auto* error = std::get_if<message_error>(&opened)) {
         reject(name_of(*error));
         return false;
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -16,11 +16,17 @@
         // Highest incarnation seen for each member by each node.
         std::map<std::string, std::uint64_t> highest;
         int lowered = 0;
+        // Which nodes took one for dead, or for alive.
+        std::map<std::string, std::set<std::string>> taken_for_dead;
+        std::map<std::string, std::set<std::string>> taken_for_alive;
         nodes.on_node = [&](fleet_node& node) {
             auto observer = node.members->self().instance;
             node.members->listen([&, observer](const process::member& now) {
                 auto& seen = highest[observer + "/" + now.instance];
                 lowered += now.incarnation < seen ? 1 : 0;
+                bool dead = now.state == process::member_state::dead;
+                (dead ? taken_for_dead : taken_for_alive)[now.instance].insert(
+                    observer);
                 seen = std::max(seen, now.incarnation);
             });
         };
@@ -50,6 +56,19 @@
             for (const auto& [other, node] : nodes.nodes())
                 CHECK(node->members->find(name) == own);
         };
+        verbs["reset_events"] = [&](const words&) {
+            taken_for_dead.clear();
+            taken_for_alive.clear();
+        };
+        verbs["expect_never_dead"] = [&](const words& arguments) {
+            CHECK(taken_for_dead[arguments.at(0)].empty());
+        };
+        // `expect_never_alive NAME EXCEPT_AT`
+        verbs["expect_never_alive"] = [&](const words& arguments) {
+            auto by = taken_for_alive[arguments.at(0)];
+            by.erase(arguments.at(1));
+            CHECK(by.empty());
+        };
         verbs["expect_never_lowered"] = [&](const words&) {
             CHECK(lowered == 0);
         };
