Take the first incarnation from the membership when a fence is answered

A setter had to be called again whenever the membership learnt of a later process of the same instance, and its listeners ran before the new value was in place.

--- a/src/process/attempt_register.cpp
+++ b/src/process/attempt_register.cpp
@@ -14,11 +14,12 @@
 
 } // namespace
 
-attempt_register::attempt_register(event_loop& loop, peer_transport& transport,
-                                   counters& counts,
-                                   const attempt_register_settings& settings)
+attempt_register::attempt_register(
+    event_loop& loop, peer_transport& transport, counters& counts,
+    const attempt_register_settings& settings,
+    std::function<std::uint64_t()> first_incarnation)
     : loop_(loop), transport_(transport), counts_(counts), settings_(settings),
-      last_tick_(loop.now())
+      first_incarnation_(std::move(first_incarnation)), last_tick_(loop.now())
 {
     using handle =
         void (attempt_register::*)(const peer_address&, const Json::Value&);
@@ -37,11 +38,6 @@
 
 attempt_register::~attempt_register() = default;
 
-void attempt_register::set_first_incarnation(std::uint64_t incarnation)
-{
-    first_incarnation_ = std::max(first_incarnation_, incarnation);
-}
-
 attempt_register::admission
 attempt_register::start(const std::string& attempt_id)
 {
@@ -73,8 +69,8 @@
     if (found != attempts_.end())
         return found->second.now == state::fenced ? execution::not_run
                                                   : found->second.how;
-    bool this_process =
-        first_incarnation_ != 0 && incarnation >= first_incarnation_;
+    auto first = first_incarnation_();
+    bool this_process = first != 0 && incarnation >= first;
     bool recent = sent_ago >= duration(0) && sent_ago <= settings_.oldest_asked;
     if (!this_process || !recent || attempts_.size() >= settings_.max_attempts)
         return execution::may_have_run;
--- a/src/process/attempt_register.hpp
+++ b/src/process/attempt_register.hpp
@@ -50,19 +50,18 @@
 class attempt_register
 {
 public:
+    // `first_incarnation` gives the lowest incarnation of this node that
+    // belongs to this process, or 0 while that is not known, such as
+    // membership::first_incarnation(). While it gives 0, every fence answers
+    // "may have run".
     attempt_register(event_loop& loop, peer_transport& transport,
                      counters& counts,
-                     const attempt_register_settings& settings);
+                     const attempt_register_settings& settings,
+                     std::function<std::uint64_t()> first_incarnation);
     ~attempt_register();
     attempt_register(const attempt_register&) = delete;
     attempt_register& operator=(const attempt_register&) = delete;
 
-    // The lowest incarnation of this node that belongs to this process, from
-    // membership::first_incarnation() once the membership has joined. Until
-    // then every fence answers "may have run". A lower value than before is
-    // ignored.
-    void set_first_incarnation(std::uint64_t incarnation);
-
     enum class admission {
         // It may run now, and is known to have started.
         started,
@@ -129,7 +128,7 @@
     peer_transport& transport_;
     counters& counts_;
     const attempt_register_settings settings_;
-    std::uint64_t first_incarnation_ = 0;
+    const std::function<std::uint64_t()> first_incarnation_;
 
     std::unordered_map<std::string, attempt> attempts_;
     // In the order of their times, because each has one retention.
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -599,9 +599,9 @@
     bool foreign = claimed.incarnation > self_.incarnation;
     if (!foreign && !is_short(claimed))
         return false;
-    raise_incarnation(claimed.incarnation);
     if (foreign)
-        first_incarnation_ = self_.incarnation;
+        first_incarnation_ = claimed.incarnation + 1;
+    raise_incarnation(claimed.incarnation);
     ++counts_.at("membership_refutations");
     return true;
 }
@@ -1120,7 +1120,10 @@
     }
     // Only this node has registered, so there is nobody to learn from; others
     // that start now find it.
-    if (registered && alone && settings_.seeds.empty() && members_.size() == 1)
+    alone = alone && members_.size() == 1 &&
+            std::all_of(settings_.seeds.begin(), settings_.seeds.end(),
+                        [this](const auto& it) { return it == self_.peer; });
+    if (registered && alone)
         completed();
 }
 
--- a/src/process/membership.hpp
+++ b/src/process/membership.hpp
@@ -105,8 +105,12 @@
     bool joined() const { return joined_; }
 
     // The lowest incarnation that belongs to this process and to no earlier
-    // one of the same instance, as far as the peers remember.
-    std::uint64_t first_incarnation() const { return first_incarnation_; }
+    // one of the same instance, as far as the peers remember; 0 until this
+    // node has joined and heard them.
+    std::uint64_t first_incarnation() const
+    {
+        return joined_ ? first_incarnation_ : 0;
+    }
 
     // When a message of a peer last arrived; empty if none did.
     std::optional<time_point> last_heard() const { return last_heard_; }
