Carry the HTTP port of a member in its entry

Cause: the member has a port for calls beside its control address, and entries dropped it, so that every node saw 0 for all others.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -36,7 +36,7 @@
 
 // JSON punctuation and numbers of an entry.
 constexpr std::size_t short_entry_bytes = 26;
-constexpr std::size_t full_entry_bytes = 52;
+constexpr std::size_t full_entry_bytes = 58;
 // Envelope, authentication and UDP/IP headers of a message.
 constexpr std::size_t envelope_bytes = 230;
 
@@ -76,6 +76,7 @@
     entry.append(it.service);
     entry.append(it.peer.host);
     entry.append(it.peer.port);
+    entry.append(it.http_port);
     entry.append(it.slots);
     entry.append(it.failure_domain);
     entry.append(it.region);
@@ -106,22 +107,30 @@
     return name.size() <= membership::max_name_bytes;
 }
 
-bool read_details(const Json::Value& entry, member& it)
+bool read_port(const Json::Value& from, std::uint16_t& port)
 {
-    if (!read_name(entry[3], it.service) || !read_name(entry[4], it.peer.host))
+    if (!from.isUInt() || from.asUInt() > 65'535)
         return false;
-    if (!entry[5].isUInt() || entry[5].asUInt() > 65'535 || !entry[6].isInt())
+    port = static_cast<std::uint16_t>(from.asUInt());
+    return true;
+}
+
+bool read_details(const Json::Value& entry, member& it)
+{
+    if (!read_name(entry[3], it.service) ||
+        !read_name(entry[4], it.peer.host) ||
+        !read_port(entry[5], it.peer.port) ||
+        !read_port(entry[6], it.http_port) || !entry[7].isInt())
         return false;
-    it.peer.port = static_cast<std::uint16_t>(entry[5].asUInt());
-    it.slots = std::max(0, entry[6].asInt());
-    return read_name(entry[7], it.failure_domain) &&
-           read_name(entry[8], it.region);
+    it.slots = std::max(0, entry[7].asInt());
+    return read_name(entry[8], it.failure_domain) &&
+           read_name(entry[9], it.region);
 }
 
 std::optional<member> parse_entry(const Json::Value& entry)
 {
     member it;
-    if (!entry.isArray() || (entry.size() != 3 && entry.size() != 9) ||
+    if (!entry.isArray() || (entry.size() != 3 && entry.size() != 10) ||
         !read_name(entry[0], it.instance) || it.instance.empty() ||
         !entry[1].isUInt64() || !entry[2].isInt())
         return std::nullopt;
@@ -135,7 +144,7 @@
     it.state = states[rank];
     if (is_short(it) != (entry.size() == 3))
         return std::nullopt;
-    if (entry.size() == 9 && !read_details(entry, it))
+    if (entry.size() == 10 && !read_details(entry, it))
         return std::nullopt;
     return it;
 }
@@ -180,10 +189,9 @@
     for (const auto& it : value["seeds"]) {
         seed_entry next;
         if (!it.isObject() || !read_name(it["instance"], next.instance) ||
-            !read_name(it["host"], next.peer.host) || !it["port"].isUInt() ||
-            it["port"].asUInt() > 65'535)
+            !read_name(it["host"], next.peer.host) ||
+            !read_port(it["port"], next.peer.port))
             continue;
-        next.peer.port = static_cast<std::uint16_t>(it["port"].asUInt());
         found.push_back(next);
     }
     return found;
--- a/src/process/peer_socket.hpp
+++ b/src/process/peer_socket.hpp
@@ -2,9 +2,8 @@
 // else TCP with a length before each message.
 //
 // Nodes are addressed by their peer address, the one in the membership. The
-// control port differs, because HTTP has the TCP port of the peer address; all
-// nodes of a fleet have the same difference between the two ports, and each
-// node finds the others' control ports by its own difference.
+// control port may differ from the port in it by the same number at all nodes
+// of a fleet.
 //
 // Bounds: max_outgoing connections with max_queued_bytes waiting on each,
 // max_incoming connections holding max_incoming_bytes together; a message has
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -52,6 +52,7 @@
     // A later process of the same instance begins higher.
     self.incarnation = loop.now().time_since_epoch().count();
     self.peer = it->address;
+    self.http_port = 7080;
     self.failure_domain = "d" + std::to_string(1 + index % 4);
     self.region = "r" + std::to_string(1 + index % 2);
     it->members = std::make_unique<process::membership>(
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -41,7 +41,7 @@
                 old.append(rank);
                 for (const auto* text : {"old", "10.9.9.9"})
                     old.append(text);
-                for (int value : {1, 1})
+                for (int value : {1, 1, 1})
                     old.append(value);
                 for (const auto* text : {"d1", "r1"})
                     old.append(text);
@@ -100,10 +100,11 @@
         R"({"u":[[]]})",
         R"({"u":[["n2",1]],"f":{}})",
         R"({"u":[["n9",-1,0]]})",
-        R"({"u":[["n9",5,9,"s","h",1,1,"d","r"]]})",
-        R"({"u":[["n9",5,0,"s","h",70000,1,"d","r"]]})",
-        R"({"u":[["n9",5,0,"s","h",1,"x","d","r"]]})",
-        R"({"u":[["",5,0,"s","h",1,1,"d","r"]]})",
+        R"({"u":[["n9",5,9,"s","h",1,1,1,"d","r"]]})",
+        R"({"u":[["n9",5,0,"s","h",70000,1,1,"d","r"]]})",
+        R"({"u":[["n9",5,0,"s","h",1,70000,1,"d","r"]]})",
+        R"({"u":[["n9",5,0,"s","h",1,1,"x","d","r"]]})",
+        R"({"u":[["",5,0,"s","h",1,1,1,"d","r"]]})",
         R"({"id":"x","i":3})",
         R"({"kind":"digest","d":"x"})",
         R"({"kind":"buckets","b":"AAAA"})",
