--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -76,10 +76,10 @@
     entry.append(it.service);
     entry.append(it.peer.host);
     entry.append(it.peer.port);
+    entry.append(it.http_port);
     entry.append(it.slots);
     entry.append(it.failure_domain);
     entry.append(it.region);
-    entry.append(it.http_port);
     return entry;
 }
 
@@ -107,19 +107,24 @@
     return name.size() <= membership::max_name_bytes;
 }
 
-bool read_details(const Json::Value& entry, member& it)
+bool read_port(const Json::Value& from, std::uint16_t& port)
 {
-    if (!read_name(entry[3], it.service) || !read_name(entry[4], it.peer.host))
+    if (!from.isUInt() || from.asUInt() > 65'535)
         return false;
-    if (!entry[5].isUInt() || entry[5].asUInt() > 65'535 || !entry[6].isInt())
-        return false;
-    it.peer.port = static_cast<std::uint16_t>(entry[5].asUInt());
-    it.slots = std::max(0, entry[6].asInt());
-    if (!entry[9].isUInt() || entry[9].asUInt() > 65'535)
+    port = static_cast<std::uint16_t>(from.asUInt());
+    return true;
+}
+
+bool read_details(const Json::Value& entry, member& it)
+{
+    if (!read_name(entry[3], it.service) ||
+        !read_name(entry[4], it.peer.host) ||
+        !read_port(entry[5], it.peer.port) ||
+        !read_port(entry[6], it.http_port) || !entry[7].isInt())
         return false;
-    it.http_port = static_cast<std::uint16_t>(entry[9].asUInt());
-    return read_name(entry[7], it.failure_domain) &&
-           read_name(entry[8], it.region);
+    it.slots = std::max(0, entry[7].asInt());
+    return read_name(entry[8], it.failure_domain) &&
+           read_name(entry[9], it.region);
 }
 
 std::optional<member> parse_entry(const Json::Value& entry)
@@ -184,10 +189,9 @@
     for (const auto& it : value["seeds"]) {
         seed_entry next;
         if (!it.isObject() || !read_name(it["instance"], next.instance) ||
-            !read_name(it["host"], next.peer.host) || !it["port"].isUInt() ||
-            it["port"].asUInt() > 65'535)
+            !read_name(it["host"], next.peer.host) ||
+            !read_port(it["port"], next.peer.port))
             continue;
-        next.peer.port = static_cast<std::uint16_t>(it["port"].asUInt());
         found.push_back(next);
     }
     return found;
@@ -612,9 +616,9 @@
     bool foreign = claimed.incarnation > self_.incarnation;
     if (!foreign && !is_short(claimed))
         return false;
-    raise_incarnation(claimed.incarnation);
     if (foreign)
-        first_incarnation_ = self_.incarnation;
+        first_incarnation_ = claimed.incarnation + 1;
+    raise_incarnation(claimed.incarnation);
     ++counts_.at("membership_refutations");
     return true;
 }
@@ -1133,7 +1137,10 @@
     }
     // Only this node has registered, so there is nobody to learn from; others
     // that start now find it.
-    if (registered && alone && settings_.seeds.empty() && members_.size() == 1)
+    alone = alone && members_.size() == 1 &&
+            std::all_of(settings_.seeds.begin(), settings_.seeds.end(),
+                        [this](const auto& it) { return it == self_.peer; });
+    if (registered && alone)
         completed();
 }
 
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -5,11 +5,6 @@
 namespace shallotwood::process
 {
 
-namespace
-{
-constexpr duration join_poll_period = std::chrono::milliseconds(200);
-}
-
 node_core::node_core(
     event_loop& loop, peer_transport& transport, object_store& store,
     counters& counts, const node_core_settings& settings, const member& self,
@@ -27,7 +22,8 @@
           [this](const std::string& workspace) { return limit_of(workspace); },
           settings.rates),
       records_(loop, transport, owners_, counts, settings.records),
-      attempts_(loop, transport, counts, settings.attempts),
+      attempts_(loop, transport, counts, settings.attempts,
+                [this] { return members_.first_incarnation(); }),
       suspects_(loop, transport, members_, counts, settings.suspects),
       cuts_(loop), demand_(loop),
       balancer_(loop, random_, {self.failure_domain}),
@@ -57,22 +53,6 @@
     members_.start();
     feed_.start();
     owners_.start();
-    await_joined();
-}
-
-// Which incarnations belong to this process is only known once a peer has told
-// what it remembers of earlier ones.
-void node_core::await_joined()
-{
-    if (members_.joined()) {
-        attempts_.set_first_incarnation(members_.first_incarnation());
-        return;
-    }
-    loop_.call_after(join_poll_period,
-                     [this, alive = std::weak_ptr<bool>(alive_)] {
-                         if (!alive.expired())
-                             await_joined();
-                     });
 }
 
 version::configuration_ptr node_core::configuration() const
--- a/src/process/node_core.hpp
+++ b/src/process/node_core.hpp
@@ -82,7 +82,6 @@
     void server_present(const backend_announcement& it);
     void server_absent(bool lost);
     void hand_over();
-    void await_joined();
 
     event_loop& loop_;
     const std::string boot_;
@@ -110,7 +109,6 @@
     routing_controller routing_;
     execution_controller execution_;
     backend_presence server_;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace shallotwood::process
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -16,11 +16,17 @@
         // Highest incarnation seen for each member by each node.
         std::map<std::string, std::uint64_t> highest;
         int lowered = 0;
+        // Which nodes took one for dead, or for alive.
+        std::map<std::string, std::set<std::string>> taken_for_dead;
+        std::map<std::string, std::set<std::string>> taken_for_alive;
         nodes.on_node = [&](fleet_node& node) {
             auto observer = node.members->self().instance;
             node.members->listen([&, observer](const process::member& now) {
                 auto& seen = highest[observer + "/" + now.instance];
                 lowered += now.incarnation < seen ? 1 : 0;
+                bool dead = now.state == process::member_state::dead;
+                (dead ? taken_for_dead : taken_for_alive)[now.instance].insert(
+                    observer);
                 seen = std::max(seen, now.incarnation);
             });
         };
@@ -35,7 +41,7 @@
                 old.append(rank);
                 for (const auto* text : {"old", "10.9.9.9"})
                     old.append(text);
-                for (int value : {1, 1})
+                for (int value : {1, 1, 1})
                     old.append(value);
                 for (const auto* text : {"d1", "r1"})
                     old.append(text);
@@ -50,6 +56,19 @@
             for (const auto& [other, node] : nodes.nodes())
                 CHECK(node->members->find(name) == own);
         };
+        verbs["reset_events"] = [&](const words&) {
+            taken_for_dead.clear();
+            taken_for_alive.clear();
+        };
+        verbs["expect_never_dead"] = [&](const words& arguments) {
+            CHECK(taken_for_dead[arguments.at(0)].empty());
+        };
+        // `expect_never_alive NAME EXCEPT_AT`
+        verbs["expect_never_alive"] = [&](const words& arguments) {
+            auto by = taken_for_alive[arguments.at(0)];
+            by.erase(arguments.at(1));
+            CHECK(by.empty());
+        };
         verbs["expect_never_lowered"] = [&](const words&) {
             CHECK(lowered == 0);
         };
@@ -81,11 +100,11 @@
         R"({"u":[[]]})",
         R"({"u":[["n2",1]],"f":{}})",
         R"({"u":[["n9",-1,0]]})",
-        R"({"u":[["n9",5,9,"s","h",1,1,"d","r",1]]})",
-        R"({"u":[["n9",5,0,"s","h",70000,1,"d","r",1]]})",
-        R"({"u":[["n9",5,0,"s","h",1,"x","d","r",1]]})",
-        R"({"u":[["",5,0,"s","h",1,1,"d","r",1]]})",
-        R"({"u":[["n9",5,0,"s","h",1,1,"d","r",70000]]})",
+        R"({"u":[["n9",5,9,"s","h",1,1,1,"d","r"]]})",
+        R"({"u":[["n9",5,0,"s","h",70000,1,1,"d","r"]]})",
+        R"({"u":[["n9",5,0,"s","h",1,70000,1,"d","r"]]})",
+        R"({"u":[["n9",5,0,"s","h",1,1,"x","d","r"]]})",
+        R"({"u":[["",5,0,"s","h",1,1,1,"d","r"]]})",
         R"({"id":"x","i":3})",
         R"({"kind":"digest","d":"x"})",
         R"({"kind":"buckets","b":"AAAA"})",
