--- a/src/process/entry_controller.cpp
+++ b/src/process/entry_controller.cpp
@@ -184,7 +184,7 @@
                 claims_[it.it.context.request_id] = granted->claim;
                 accept(std::move(it));
             } else if (const auto* ended = std::get_if<claim_done>(&result)) {
-                repeat(std::move(it), ended->response);
+                repeat(it, ended->response);
             } else if (std::get_if<claim_in_progress>(&result)) {
                 refuse(it,
                        {execution::may_have_run, reason::duplicate_in_progress},
@@ -202,7 +202,7 @@
         });
 }
 
-void entry_controller::repeat(pending it,
+void entry_controller::repeat(const pending& it,
                               const request::recorded_response& response)
 {
     if (!response.body_recorded) {
--- a/src/process/entry_controller.hpp
+++ b/src/process/entry_controller.hpp
@@ -85,7 +85,7 @@
     void charge(pending it);
     void claim(pending it);
     // An earlier request with the same idempotency key has ended.
-    void repeat(pending it, const request::recorded_response& response);
+    void repeat(const pending& it, const request::recorded_response& response);
     void accept(pending it);
     // Gives the claim back: the key may be claimed again.
     void leave_unrun(const request::call& it);
