Return the client side to libsoup, with one session for each host

It is dropped, because HTTP is by library here; a parser and a pool of our own would have to be kept correct against every server.

Within libsoup's means: a session scans its idle connections several times for each request (strace), so there is one session for each host, and idle connections are dropped after 10 s. libsoup gives no access to a pooled connection; when one goes silent or breaks, the session of its host is replaced. That also removes a race in which a request after a crash of the backend server was written to another broken connection and got may-have-run.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,10 +1,6 @@
 #include "connection/http_client.hpp"
 
 #include <algorithm>
-#include <array>
-#include <cerrno>
-#include <cstring>
-#include <sys/socket.h>
 #include <utility>
 
 namespace shallotwood::connection
@@ -13,334 +9,250 @@
 namespace
 {
 
-// Large enough to make the cost of a call to the kernel small, and bounds what
-// a body in transit holds in memory.
-constexpr std::size_t buffer_bytes = 64 * 1024;
-// Enough for most responses, so that many calls in flight take little memory.
-constexpr std::size_t first_buffer_bytes = 4 * 1024;
+// Large enough to make the cost of a read small, and bounds what a body in
+// transit holds in memory.
+constexpr std::size_t read_bytes = 64 * 1024;
 
-std::string host_header(const host_address& to)
+std::string uri_of(const client_request& it)
 {
-    bool v6 = to.host.find(':') != std::string::npos;
-    return (v6 ? "[" + to.host + "]" : to.host) + ":" + std::to_string(to.port);
+    bool v6 = it.host.find(':') != std::string::npos;
+    auto host = v6 ? "[" + it.host + "]" : it.host;
+    return "http://" + host + ":" + std::to_string(it.port) + it.path;
 }
 
-// Text that would end a line of the head early.
-bool is_single_line(std::string_view text)
+void set_body(SoupMessage* message, const client_request& request)
 {
-    return text.find_first_of(std::string_view("\r\n\0", 3)) ==
-           std::string_view::npos;
-}
-
-void append_header(std::string& to, const header& it)
-{
-    if (!is_single_line(it.name) || !is_single_line(it.value))
+    auto* headers = soup_message_get_request_headers(message);
+    if (!request.body || request.body->length() == 0) {
+        if (request.method != "GET" && request.method != "HEAD")
+            soup_message_headers_set_content_length(headers, 0);
         return;
-    to.append(it.name).append(": ").append(it.value).append("\r\n");
-}
-
-std::string framing_of(const client_request& it)
-{
-    if (it.body && !it.body->length())
-        return "Transfer-Encoding: chunked\r\n";
-    auto length = it.body ? *it.body->length() : 0;
-    if (length == 0 && (it.method == "GET" || it.method == "HEAD"))
-        return {};
-    return "Content-Length: " + std::to_string(length) + "\r\n";
+    }
+    if (bytes_handle bytes{request.body->as_bytes()}) {
+        soup_message_set_request_body_from_bytes(message, nullptr, bytes.get());
+        return;
+    }
+    object_handle<GInputStream> stream(request.body->open());
+    auto length = request.body->length();
+    soup_message_set_request_body(message, nullptr, stream.get(),
+                                  length ? static_cast<gssize>(*length) : -1);
 }
 
-std::string head_of(const client_request& it, const host_address& to)
+response_head head_of(SoupMessage* message)
 {
-    std::string text;
-    text.reserve(1024);
-    text.append(it.method).append(" ").append(it.path);
-    text.append(" HTTP/1.1\r\nHost: ").append(host_header(to)).append("\r\n");
-    for (const auto& header : it.headers)
-        append_header(text, header);
-    return text.append(framing_of(it)).append("\r\n");
+    auto* headers = soup_message_get_response_headers(message);
+    response_head head;
+    head.status = soup_message_get_status(message);
+    if (soup_message_headers_get_encoding(headers) ==
+        SOUP_ENCODING_CONTENT_LENGTH)
+        head.length = soup_message_headers_get_content_length(headers);
+    return head;
 }
 
-void append_chunk(std::string& to, std::string_view bytes)
+// A body that ends with its connection can't be told from a truncated one.
+bool has_known_end(SoupMessage* message)
 {
-    std::array<char, 20> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
-    to.append(size.data()).append(bytes).append("\r\n");
+    auto status = soup_message_get_status(message);
+    if (status == SOUP_STATUS_NO_CONTENT ||
+        status == SOUP_STATUS_NOT_MODIFIED ||
+        std::string_view(soup_message_get_method(message)) == "HEAD")
+        return true;
+    auto encoding = soup_message_headers_get_encoding(
+        soup_message_get_response_headers(message));
+    return encoding == SOUP_ENCODING_CONTENT_LENGTH ||
+           encoding == SOUP_ENCODING_CHUNKED;
 }
 
 } // namespace
 
-client_call::client_call(std::shared_ptr<connection_pool> pool,
-                         client_request request, client_handlers handlers)
-    : pool_(std::move(pool)), request_(std::move(request)),
-      handlers_(std::make_shared<client_handlers>(std::move(handlers))),
-      to_{request_.host, request_.port},
-      chunked_(request_.body && !request_.body->length()),
-      parser_(request_.method == "HEAD")
+http_client::http_client(client_limits limits)
+    : limits_(limits),
+      expiry_(g_timeout_source_new_seconds(limits.idle_seconds))
 {
+    g_source_set_callback(expiry_.get(), &http_client::expire, this, nullptr);
+    g_source_attach(expiry_.get(), nullptr);
 }
 
-client_call::~client_call()
-{
-    release(false);
-}
+http_client::~http_client() = default;
 
-void client_call::watch(source_handle& slot, GIOCondition condition,
-                        GUnixFDSourceFunc callback)
+SoupSession* http_client::session_for(const std::string& host,
+                                      std::uint16_t port)
 {
-    if (slot)
-        return;
-    slot.reset(g_unix_fd_source_new(socket_.fd(), condition));
-    g_source_set_callback(slot.get(), G_SOURCE_FUNC(callback), this, nullptr);
-    g_source_attach(slot.get(), nullptr);
+    auto& it = sessions_[{host, port}];
+    it.used = g_get_monotonic_time();
+    if (it.session)
+        return it.session.get();
+    it.session.reset(soup_session_new_with_options(
+        "max-conns", limits_.connections_per_host, "max-conns-per-host",
+        limits_.connections_per_host, "idle-timeout", limits_.idle_seconds,
+        "timeout", 0U, "proxy-resolver", nullptr, nullptr));
+    // Responses pass as they are: not decoded, and without authentication.
+    for (auto type : {SOUP_TYPE_CONTENT_DECODER, SOUP_TYPE_AUTH_MANAGER,
+                      SOUP_TYPE_WEBSOCKET_EXTENSION_MANAGER})
+        soup_session_remove_feature_by_type(it.session.get(), type);
+    return it.session.get();
 }
 
-void client_call::start()
+void http_client::discard_idle(const std::string& host, std::uint16_t port)
 {
-    if (!is_single_line(request_.path) || !is_single_line(request_.method) ||
-        request_.path.empty() || request_.path.front() != '/') {
-        start_.reset(g_idle_source_new());
-        g_source_set_priority(start_.get(), G_PRIORITY_DEFAULT);
-        g_source_set_callback(start_.get(), &client_call::started, this,
-                              nullptr);
-        g_source_attach(start_.get(), nullptr);
-        return;
-    }
-    output_ = head_of(request_, to_);
-    if (request_.body) {
-        std::weak_ptr<client_call> self = weak_from_this();
-        request_.body->on_available([self] {
-            auto it = self.lock();
-            if (it && !it->ended_ && !it->connecting_)
-                it->write();
-        });
-    }
-    connect();
+    sessions_.erase({host, port});
 }
 
-// Reports a request that can't be sent from the loop, as every result.
-gboolean client_call::started(gpointer data)
+gboolean http_client::expire(gpointer data)
 {
-    auto self = static_cast<client_call*>(data)->shared_from_this();
-    self->start_.reset();
-    if (!self->ended_)
-        self->fail("the request can't be sent");
-    return G_SOURCE_REMOVE;
+    auto* self = static_cast<http_client*>(data);
+    auto oldest = g_get_monotonic_time() -
+                  gint64{self->limits_.idle_seconds} * G_USEC_PER_SEC;
+    for (auto it = self->sessions_.begin(); it != self->sessions_.end();)
+        it = it->second.used < oldest ? self->sessions_.erase(it)
+                                      : std::next(it);
+    return G_SOURCE_CONTINUE;
 }
 
-void client_call::connect()
+std::shared_ptr<client_call> http_client::start(const client_request& request,
+                                                client_handlers handlers)
 {
-    socket_ = pool_->take(to_);
-    pooled_ = bool(socket_);
-    if (!socket_)
-        socket_ = pool_->open(to_);
-    if (!socket_) {
-        start_.reset(g_idle_source_new());
-        g_source_set_priority(start_.get(), G_PRIORITY_DEFAULT);
-        g_source_set_callback(start_.get(), &client_call::started, this,
-                              nullptr);
-        g_source_attach(start_.get(), nullptr);
-        return;
-    }
-    connecting_ = !pooled_;
-    if (pooled_)
-        return write();
-    watch(writable_, GIOCondition(G_IO_OUT | G_IO_ERR | G_IO_HUP),
-          &client_call::writable);
+    std::shared_ptr<client_call> it(new client_call());
+    it->start(session_for(request.host, request.port), request,
+              std::move(handlers));
+    return it;
 }
 
-gboolean client_call::writable(gint fd, GIOCondition /*unused*/, gpointer data)
+void client_call::start(SoupSession* session, const client_request& request,
+                        client_handlers handlers)
 {
-    auto self = static_cast<client_call*>(data)->shared_from_this();
-    self->writable_.reset();
-    if (self->connecting_) {
-        int ec = 0;
-        ::socklen_t size = sizeof ec;
-        ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &ec, &size);
-        if (ec != 0) {
-            self->fail(std::strerror(ec));
-            return G_SOURCE_REMOVE;
-        }
-        self->connecting_ = false;
+    handlers_ = std::make_shared<client_handlers>(std::move(handlers));
+    session_.reset(SOUP_SESSION(g_object_ref(session)));
+    cancellable_.reset(g_cancellable_new());
+    message_.reset(
+        soup_message_new(request.method.c_str(), uri_of(request).c_str()));
+    if (!message_) {
+        // Callbacks come from the loop only.
+        auto* self = new std::shared_ptr<client_call>(shared_from_this());
+        g_idle_add(
+            [](gpointer data) -> gboolean {
+                std::unique_ptr<std::shared_ptr<client_call>> it(
+                    static_cast<std::shared_ptr<client_call>*>(data));
+                (*it)->fail("the target is not a valid URI");
+                return G_SOURCE_REMOVE;
+            },
+            self);
+        return;
     }
-    self->write();
-    return G_SOURCE_REMOVE;
+    soup_message_set_flags(message_.get(), SOUP_MESSAGE_NO_REDIRECT);
+    set_body(message_.get(), request);
+    append_headers(soup_message_get_request_headers(message_.get()),
+                   request.headers);
+    g_signal_connect(message_.get(), "starting",
+                     G_CALLBACK(&client_call::starting), this);
+    g_signal_connect(message_.get(), "restarted",
+                     G_CALLBACK(&client_call::restarted), this);
+    soup_session_send_async(
+        session, message_.get(), G_PRIORITY_DEFAULT, cancellable_.get(),
+        &client_call::sent,
+        new std::shared_ptr<client_call>(shared_from_this()));
 }
 
-bool client_call::body_sent() const
+void client_call::starting(SoupMessage* /*unused*/, gpointer data)
 {
-    return body_ended_ && output_sent_ == output_.size();
+    static_cast<client_call*>(data)->written_ = true;
 }
 
-void client_call::fill_output()
+// libsoup sends an idempotent request again when a reused connection closes.
+void client_call::restarted(SoupMessage* /*unused*/, gpointer data)
 {
-    if (output_sent_ == output_.size()) {
-        output_.clear();
-        output_sent_ = 0;
-    }
-    auto& body = request_.body;
-    if (!body)
-        body_ended_ = true;
-    while (!body_ended_ && output_.size() < buffer_bytes) {
-        auto bytes = body->at(body_position_).substr(0, buffer_bytes);
-        if (bytes.empty()) {
-            body_ended_ = body->complete();
-            if (body_ended_ && chunked_)
-                output_ += "0\r\n\r\n";
-            break;
-        }
-        if (chunked_)
-            append_chunk(output_, bytes);
-        else
-            output_ += bytes;
-        body_position_ += bytes.size();
-        body->consumed(body_position_);
-    }
+    g_cancellable_cancel(static_cast<client_call*>(data)->cancellable_.get());
 }
 
-void client_call::write()
+void client_call::sent(GObject* session, GAsyncResult* result, gpointer data)
 {
-    auto self = shared_from_this();
-    while (!ended_ && !writable_) {
-        fill_output();
-        if (output_sent_ == output_.size())
-            break;
-        auto count =
-            ::send(socket_.fd(), output_.data() + output_sent_,
-                   output_.size() - output_sent_, MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (count > 0) {
-            written_ = true;
-            output_sent_ += static_cast<std::size_t>(count);
-            continue;
-        }
-        if (errno == EINTR)
-            continue;
-        if (errno == EAGAIN) {
-            watch(writable_, G_IO_OUT, &client_call::writable);
-            break;
-        }
-        // The response may be there although the other side stopped reading;
-        // receive() finds out.
-        if (written_)
-            break;
-        if (!pooled_)
-            return fail(std::strerror(errno));
-        readable_.reset();
-        pool_->closed(to_);
-        socket_ = socket_handle();
-        return connect();
-    }
-    if (ended_)
-        return;
-    if (!has_head_ || read_wanted_)
-        watch(readable_, G_IO_IN, &client_call::readable);
-    if (!body_ended_ && !writable_)
-        request_.body->want();
+    std::unique_ptr<std::shared_ptr<client_call>> owner(
+        static_cast<std::shared_ptr<client_call>*>(data));
+    auto self = *owner;
+    GError* error = nullptr;
+    self->stream_.reset(
+        soup_session_send_finish(SOUP_SESSION(session), result, &error));
+    g_signal_handlers_disconnect_by_data(self->message_.get(), self.get());
+    error_handle failure(error);
+    if (self->ended_)
+        self->release_stream();
+    else if (!self->stream_)
+        self->fail(failure ? failure->message : "no response");
+    else if (!has_known_end(self->message_.get()))
+        self->fail("response body without a known end");
+    else
+        self->head_received();
 }
 
-gboolean client_call::readable(gint /*unused*/, GIOCondition /*unused*/,
-                               gpointer data)
+void client_call::head_received()
 {
-    auto self = static_cast<client_call*>(data)->shared_from_this();
-    self->readable_.reset();
-    self->receive();
-    return G_SOURCE_REMOVE;
+    auto head = head_of(message_.get());
+    auto size = head.length
+                    ? std::min<std::uint64_t>(read_bytes, *head.length + 1)
+                    : read_bytes;
+    buffer_.resize(size);
+    auto* headers = soup_message_get_response_headers(message_.get());
+    head.headers = end_to_end_headers(headers);
+    internal_headers internal;
+    internal.feedback =
+        single_header(headers, header_name::feedback).value_or("");
+    internal.verdict =
+        single_header(headers, header_name::verdict).value_or("");
+    internal.reason = single_header(headers, header_name::reason).value_or("");
+    auto handlers = handlers_;
+    handlers->on_head(std::move(head), internal);
 }
 
+// A loop rather than recursion: on_data may ask for the next piece at once.
 void client_call::read()
 {
-    if (ended_)
-        return;
     read_wanted_ = true;
-    if (!in_parse_)
-        parse();
-}
-
-void client_call::receive()
-{
-    if (ended_ || !receive_some())
+    if (in_read_ || readable_)
         return;
-    parse();
-}
-
-// False if there is nothing to parse yet, or the call has failed.
-bool client_call::receive_some()
-{
-    if (buffer_.empty())
-        buffer_.resize(first_buffer_bytes);
-    else if (buffer_filled_)
-        buffer_.resize(buffer_bytes);
-    for (;;) {
-        auto count =
-            ::recv(socket_.fd(), buffer_.data(), buffer_.size(), MSG_DONTWAIT);
-        if (count > 0) {
-            input_ = {buffer_.data(), static_cast<std::size_t>(count)};
-            buffer_filled_ = input_.size() == buffer_.size();
-            return true;
-        }
-        if (count < 0 && errno == EINTR)
-            continue;
-        if (count < 0 && errno == EAGAIN) {
-            watch(readable_, G_IO_IN, &client_call::readable);
-            return false;
-        }
-        fail(count == 0 ? "connection closed" : std::strerror(errno));
-        return false;
-    }
+    auto self = shared_from_this();
+    in_read_ = true;
+    while (read_wanted_ && !ended_ && stream_ && !readable_)
+        read_once();
+    in_read_ = false;
 }
 
-// A loop rather than recursion: on_data may ask for the next piece at once.
-void client_call::parse()
+void client_call::read_once()
 {
-    auto self = shared_from_this();
-    in_parse_ = true;
-    while (!ended_ && !readable_ && (!has_head_ || read_wanted_)) {
-        std::string_view piece;
-        auto handlers = handlers_;
-        switch (parser_.next(input_, piece)) {
-        case response_parser::event::need_more:
-            receive_some();
-            break;
-        case response_parser::event::head:
-            head_received();
-            break;
-        case response_parser::event::data:
-            read_wanted_ = false;
-            handlers->on_data(piece);
-            break;
-        case response_parser::event::end:
-            finish();
-            break;
-        case response_parser::event::error:
-            fail("malformed response");
-            break;
-        }
-    }
-    in_parse_ = false;
+    GError* error = nullptr;
+    auto count = g_pollable_input_stream_read_nonblocking(
+        G_POLLABLE_INPUT_STREAM(stream_.get()), buffer_.data(), buffer_.size(),
+        cancellable_.get(), &error);
+    error_handle failure(error);
+    if (count < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+        return wait_readable();
+    read_wanted_ = false;
+    if (count < 0)
+        return fail(failure->message);
+    auto handlers = handlers_;
+    if (count > 0)
+        return handlers->on_data(
+            std::string_view(buffer_.data(), static_cast<std::size_t>(count)));
+    ended_ = true;
+    handlers_.reset();
+    release_stream();
+    handlers->on_end();
 }
 
-void client_call::head_received()
+void client_call::wait_readable()
 {
-    has_head_ = true;
-    auto* headers = parser_.headers();
-    response_head head{parser_.status(), end_to_end_headers(headers),
-                       parser_.length()};
-    internal_headers internal;
-    internal.feedback =
-        single_header(headers, header_name::feedback).value_or("");
-    internal.verdict =
-        single_header(headers, header_name::verdict).value_or("");
-    internal.reason = single_header(headers, header_name::reason).value_or("");
-    auto handlers = handlers_;
-    handlers->on_head(std::move(head), internal);
+    readable_.reset(g_pollable_input_stream_create_source(
+        G_POLLABLE_INPUT_STREAM(stream_.get()), cancellable_.get()));
+    g_source_set_callback(readable_.get(),
+                          G_SOURCE_FUNC(&client_call::readable), this, nullptr);
+    g_source_attach(readable_.get(), nullptr);
 }
 
-void client_call::finish()
+gboolean client_call::readable(GObject* /*unused*/, gpointer data)
 {
-    ended_ = true;
-    auto handlers = std::exchange(handlers_, nullptr);
-    // Bytes after the response belong to no request.
-    release(body_sent() && input_.empty() && parser_.keeps_connection());
-    handlers->on_end();
+    auto self = static_cast<client_call*>(data)->shared_from_this();
+    self->readable_.reset();
+    self->read();
+    return G_SOURCE_REMOVE;
 }
 
 void client_call::fail(const std::string& message)
@@ -354,43 +266,31 @@
 
 void client_call::cancel()
 {
-    if (std::exchange(ended_, true))
+    if (ended_)
         return;
+    ended_ = true;
     handlers_.reset();
-    release(false);
-}
-
-void client_call::release(bool reusable)
-{
-    start_.reset();
-    writable_.reset();
     readable_.reset();
-    if (!socket_)
-        return;
-    auto it = std::exchange(socket_, socket_handle());
-    if (reusable)
-        pool_->keep(to_, std::move(it));
-    else
-        pool_->closed(to_);
+    g_cancellable_cancel(cancellable_.get());
+    release_stream();
 }
 
-http_client::http_client(client_limits limits)
-    : pool_(std::make_shared<connection_pool>(limits))
-{
-}
-
-std::shared_ptr<client_call> http_client::start(client_request request,
-                                                client_handlers handlers)
+// Closes without waiting: dropping the last reference would close the stream
+// synchronously, which reads the rest of a body.
+void client_call::release_stream()
 {
-    std::shared_ptr<client_call> it(
-        new client_call(pool_, std::move(request), std::move(handlers)));
-    it->start();
-    return it;
-}
-
-void http_client::discard_idle(const std::string& host, std::uint16_t port)
-{
-    pool_->discard_idle({host, port});
+    auto* stream = stream_.release();
+    if (!stream)
+        return;
+    // The session must outlive the close.
+    g_input_stream_close_async(
+        stream, G_PRIORITY_DEFAULT, cancellable_.get(),
+        [](GObject* it, GAsyncResult* result, gpointer session) {
+            g_input_stream_close_finish(G_INPUT_STREAM(it), result, nullptr);
+            g_object_unref(it);
+            g_object_unref(session);
+        },
+        g_object_ref(session_.get()));
 }
 
 } // namespace shallotwood::connection
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -1,34 +1,40 @@
-// HTTP/1.1 requests to other processes over pooled connections.
+// HTTP/1.1 requests to other processes over pooled connections, by libsoup.
 //
-// Not libsoup's session: that checks every idle connection of its pool several
-// times for each request, so its cost grows with the number of connections
-// (measured in the commit that added this), and it sends idempotent requests
-// again by itself. Heads are read by libsoup's parser.
+// One session for each host: a session checks all of its idle connections
+// several times for each request. libsoup gives no access to a pooled
+// connection, so when one goes silent or breaks, the whole session of its host
+// is replaced; calls in flight on it go on.
 //
-// Each request is written at most once: only the policies decide on another
-// attempt. A pooled connection that turns out to be closed before any byte is
-// written is replaced.
+// Each request is written at most once: a request that libsoup would send
+// again over a new connection fails instead, because only the policies decide
+// on another attempt.
 #pragma once
 
-#include "connection/connection_pool.hpp"
 #include "connection/glib_handle.hpp"
 #include "connection/request_body.hpp"
-#include "connection/response_parser.hpp"
 #include "connection/server_exchange.hpp"
 
 #include <functional>
-#include <glib-unix.h>
+#include <libsoup/soup.h>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace shallotwood::connection
 {
 
+struct client_limits {
+    int connections_per_host = 1024;
+    // Below the idle limit of the listeners, so that the client closes first
+    // and no request meets a closing connection.
+    unsigned idle_seconds = 10;
+};
+
 struct client_request {
     std::string method;
-    // A literal IP address.
     std::string host;
     std::uint16_t port = 0;
     // With query.
@@ -39,7 +45,7 @@
 };
 
 struct client_failure {
-    // False if no byte of the request was written.
+    // False if no byte of the request can have been written.
     bool written = false;
     std::string message;
 };
@@ -61,13 +67,11 @@
     std::function<void(const client_failure&)> on_failure;
 };
 
+class http_client;
+
 class client_call : public std::enable_shared_from_this<client_call>
 {
 public:
-    ~client_call();
-    client_call(const client_call&) = delete;
-    client_call& operator=(const client_call&) = delete;
-
     // Asks for the next piece of the response's body.
     void read();
     // Ends the call and breaks its connection.
@@ -77,71 +81,63 @@
 
 private:
     friend class http_client;
-    client_call(std::shared_ptr<connection_pool> pool, client_request request,
-                client_handlers handlers);
-    void start();
-    void connect();
-    void write();
-    void fill_output();
-    bool body_sent() const;
-    void receive();
-    bool receive_some();
-    void parse();
+    client_call() = default;
+    void start(SoupSession* session, const client_request& request,
+               client_handlers handlers);
+    static void sent(GObject* session, GAsyncResult* result, gpointer data);
+    static gboolean readable(GObject* stream, gpointer data);
+    static void starting(SoupMessage* message, gpointer data);
+    static void restarted(SoupMessage* message, gpointer data);
     void head_received();
-    void finish();
     void fail(const std::string& message);
-    void release(bool reusable);
-    void watch(source_handle& slot, GIOCondition condition,
-               GUnixFDSourceFunc callback);
-
-    static gboolean started(gpointer data);
-    static gboolean writable(gint fd, GIOCondition condition, gpointer data);
-    static gboolean readable(gint fd, GIOCondition condition, gpointer data);
-
-    std::shared_ptr<connection_pool> pool_;
-    client_request request_;
+    void read_once();
+    void wait_readable();
+    void release_stream();
+
+    // Declared first, so that the session outlives what it made.
+    object_handle<SoupSession> session_;
+    object_handle<SoupMessage> message_;
+    object_handle<GInputStream> stream_;
+    object_handle<GCancellable> cancellable_;
+    source_handle readable_;
     // Shared, so that a handler may end the call that runs it.
     std::shared_ptr<client_handlers> handlers_;
-    host_address to_;
-    socket_handle socket_;
-    source_handle start_;
-    source_handle writable_;
-    source_handle readable_;
-
-    std::string output_;
-    std::size_t output_sent_ = 0;
-    std::uint64_t body_position_ = 0;
-    bool body_ended_ = false;
-    bool chunked_ = false;
-
-    response_parser parser_;
     std::vector<char> buffer_;
-    std::string_view input_;
-    bool buffer_filled_ = false;
-    bool connecting_ = false;
-    bool pooled_ = false;
     bool written_ = false;
-    bool has_head_ = false;
     bool ended_ = false;
     // A read was asked for and has not been answered yet.
     bool read_wanted_ = false;
-    bool in_parse_ = false;
+    bool in_read_ = false;
 };
 
 class http_client
 {
 public:
     explicit http_client(client_limits limits = {});
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
 
     // Nothing is called before this returns.
-    std::shared_ptr<client_call> start(client_request request,
+    std::shared_ptr<client_call> start(const client_request& request,
                                        client_handlers handlers);
 
-    // After a connection to the host went silent: the idle ones may be, too.
+    // After a connection to the host went silent or broke: the idle ones may
+    // have, too, so further requests take new ones.
     void discard_idle(const std::string& host, std::uint16_t port);
 
 private:
-    std::shared_ptr<connection_pool> pool_;
+    struct host_session {
+        object_handle<SoupSession> session;
+        gint64 used = 0;
+    };
+    SoupSession* session_for(const std::string& host, std::uint16_t port);
+    static gboolean expire(gpointer data);
+
+    client_limits limits_;
+    // Those used within the idle limit.
+    std::map<std::pair<std::string, std::uint16_t>, host_session> sessions_;
+    source_handle expiry_;
 };
 
 } // namespace shallotwood::connection
--- a/src/connection/http_listener.cpp
+++ b/src/connection/http_listener.cpp
@@ -1,5 +1,6 @@
 #include "connection/http_listener.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <netinet/in.h>
@@ -16,6 +17,7 @@
 
 constexpr int listen_backlog = 1024;
 constexpr const char* socket_key = "shallotwood-socket";
+constexpr const char* busy_key = "shallotwood-busy";
 constexpr const char* exchange_key = "shallotwood-exchange";
 
 constexpr std::string_view too_many_connections =
@@ -100,13 +102,17 @@
     : limits_(limits), on_request_(std::move(on_request)),
       server_(soup_server_new(nullptr, nullptr)),
       service_(g_socket_service_new()),
-      connections_(std::make_shared<connection_count>())
+      connections_(std::make_shared<open_connections>()),
+      idle_sweep_(g_timeout_source_new_seconds(limits.idle_seconds / 10 + 1))
 {
     soup_server_add_early_handler(server_.get(), nullptr,
                                   &http_listener::head_received, this, nullptr);
     soup_server_add_handler(server_.get(), nullptr,
                             &http_listener::body_received, this, nullptr);
     keep_connections_open();
+    g_source_set_callback(idle_sweep_.get(), &http_listener::sweep_idle, this,
+                          nullptr);
+    g_source_attach(idle_sweep_.get(), nullptr);
     g_socket_listener_set_backlog(G_SOCKET_LISTENER(service_.get()),
                                   listen_backlog);
     g_signal_connect(service_.get(), "incoming",
@@ -182,14 +188,13 @@
 {
     auto* self = static_cast<http_listener*>(data);
     auto* socket = g_socket_connection_get_socket(connection);
-    if (self->connections_->open >= self->limits_.connections) {
+    if (self->connections_->all.size() >= self->limits_.connections) {
         g_socket_send(socket, too_many_connections.data(),
                       too_many_connections.size(), nullptr, nullptr);
         g_io_stream_close(G_IO_STREAM(connection), nullptr, nullptr);
         return TRUE;
     }
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-    g_socket_set_timeout(socket, self->limits_.idle_seconds);
     object_handle<GSocketAddress> local(
         g_socket_connection_get_local_address(connection, nullptr));
     object_handle<GSocketAddress> remote(
@@ -199,20 +204,47 @@
     // The only link from a message back to its socket that libsoup keeps.
     g_object_set_data_full(G_OBJECT(remote.get()), socket_key,
                            g_object_ref(socket), g_object_unref);
-    ++self->connections_->open;
+    self->connections_->all.insert(connection);
     g_object_weak_ref(
         G_OBJECT(connection), &http_listener::closed,
-        new std::shared_ptr<connection_count>(self->connections_));
+        new std::shared_ptr<open_connections>(self->connections_));
     soup_server_accept_iostream(self->server_.get(), G_IO_STREAM(connection),
                                 local.get(), remote.get(), nullptr);
     return TRUE;
 }
 
-void http_listener::closed(gpointer data, GObject* /*unused*/)
+void http_listener::closed(gpointer data, GObject* connection)
 {
-    std::unique_ptr<std::shared_ptr<connection_count>> it(
-        static_cast<std::shared_ptr<connection_count>*>(data));
-    --(*it)->open;
+    std::unique_ptr<std::shared_ptr<open_connections>> it(
+        static_cast<std::shared_ptr<open_connections>*>(data));
+    // Only the address: the object is being destroyed.
+    (*it)->all.erase(reinterpret_cast<GSocketConnection*>(connection));
+}
+
+void http_listener::set_busy(GSocket* socket, bool busy)
+{
+    g_object_set_data(G_OBJECT(socket), busy_key, GINT_TO_POINTER(busy));
+}
+
+// Not the timeout of GSocket: each operation on a socket that has one wakes
+// the main loop once more (strace).
+gboolean http_listener::sweep_idle(gpointer data)
+{
+    auto* self = static_cast<http_listener*>(data);
+    auto limit_ms = self->limits_.idle_seconds * 1000;
+    for (auto* it : self->connections_->all) {
+        auto* socket = g_socket_connection_get_socket(it);
+        ::tcp_info info{};
+        ::socklen_t size = sizeof info;
+        if (g_object_get_data(G_OBJECT(socket), busy_key) ||
+            ::getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info,
+                         &size) != 0)
+            continue;
+        if (std::min(info.tcpi_last_data_recv, info.tcpi_last_data_sent) >
+            limit_ms)
+            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
+    return G_SOURCE_CONTINUE;
 }
 
 int http_listener::status_of_head(SoupServerMessage* message) const
--- a/src/connection/http_listener.hpp
+++ b/src/connection/http_listener.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <libsoup/soup.h>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace shallotwood::connection
@@ -22,7 +23,8 @@
     std::size_t path_bytes = 8 * 1024;
     std::size_t header_count = 100;
     std::size_t header_bytes = 32 * 1024;
-    // A connection without any traffic is closed after this time.
+    // A connection without a request and without any traffic is closed after
+    // this time, within a tenth of it.
     unsigned idle_seconds = 120;
 };
 
@@ -55,14 +57,17 @@
     // their current response.
     void stop_accepting();
 
-    std::size_t connections() const { return connections_->open; }
+    std::size_t connections() const { return connections_->all.size(); }
 
     // The socket behind a message of any listener; nullptr if it is closed.
     static GSocket* socket_of(SoupServerMessage* message);
+    // A connection with a request in progress is never idle.
+    static void set_busy(GSocket* socket, bool busy);
 
 private:
-    struct connection_count {
-        std::size_t open = 0;
+    // The connections that are open; shared with their destruction.
+    struct open_connections {
+        std::set<GSocketConnection*> all;
     };
 
     static gboolean accepted(GSocketService* service,
@@ -75,6 +80,7 @@
     static void body_received(SoupServer* server, SoupServerMessage* message,
                               const char* path, GHashTable* query,
                               gpointer data);
+    static gboolean sweep_idle(gpointer data);
     void keep_connections_open();
     int status_of_head(SoupServerMessage* message) const;
 
@@ -84,7 +90,8 @@
     object_handle<GSocket> silent_;
     object_handle<SoupServer> server_;
     object_handle<GSocketService> service_;
-    std::shared_ptr<connection_count> connections_;
+    std::shared_ptr<open_connections> connections_;
+    source_handle idle_sweep_;
     std::uint16_t port_ = 0;
     bool stopping_ = false;
 };
--- a/src/connection/request_body.hpp
+++ b/src/connection/request_body.hpp
@@ -6,8 +6,9 @@
 // that has passed the prefix can't be sent again.
 #pragma once
 
-#include <cstdint>
 #include <functional>
+#include <gio/gio.h>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,7 +16,7 @@
 namespace shallotwood::connection
 {
 
-class request_body
+class request_body : public std::enable_shared_from_this<request_body>
 {
 public:
     // Bounds the memory of a request in flight: 900 of them hold 29 MB.
@@ -33,33 +34,36 @@
     // True while another attempt can send the body from its start.
     bool replayable() const { return !passed_prefix_; }
 
-    // The writer: asked for more when the reader has consumed everything.
+    // Asked for more when a reader has consumed everything.
     void on_wanted(std::function<void()> wanted);
+
     void append(std::string_view chunk);
     void finish();
 
-    // The reader: told when there is more, or the body is complete. Replaces
-    // the reader of an earlier attempt.
-    void on_available(std::function<void()> available);
-    // Bytes at `position`; empty if none are there yet.
-    std::string_view at(std::uint64_t position) const;
-    // Everything before `position` was taken.
-    void consumed(std::uint64_t position);
-    // Asks the writer for more.
-    void want() const;
+    // Small complete bodies as one value; nullptr otherwise.
+    GBytes* as_bytes() const;
+    // A stream over the body from its start, for one attempt. The latest
+    // stream is the only one that gets data.
+    GInputStream* open();
+
+    struct reader;
 
 private:
+    friend struct reader;
+    // Bytes at `position` for the reader; empty if none are there yet.
+    std::string_view at(std::size_t position) const;
+    void consumed(std::size_t position);
     void wake();
 
     std::optional<std::uint64_t> length_;
     std::string prefix_;
     // What follows the prefix, from tail_start_ on.
     std::string tail_;
-    std::uint64_t tail_start_ = 0;
+    std::size_t tail_start_ = 0;
     bool complete_ = false;
     bool passed_prefix_ = false;
     std::function<void()> wanted_;
-    std::function<void()> available_;
+    reader* reader_ = nullptr;
 };
 
 } // namespace shallotwood::connection
--- a/src/connection/server_exchange.cpp
+++ b/src/connection/server_exchange.cpp
@@ -58,6 +58,8 @@
     it->connect("finished", &server_exchange::finished);
     it->connect("disconnected", &server_exchange::finished);
     soup_server_message_pause(message);
+    if (auto* connected = it->socket())
+        http_listener::set_busy(connected, true);
     return it;
 }
 
@@ -312,6 +314,8 @@
 {
     if (!message_)
         return;
+    if (auto* connected = socket())
+        http_listener::set_busy(connected, false);
     message_ = nullptr;
     socket_watch_.reset();
     on_chunk_ = nullptr;
--- a/src/process/http_environment.cpp
+++ b/src/process/http_environment.cpp
@@ -33,16 +33,45 @@
             }};
 }
 
+scoped_timer::~scoped_timer()
+{
+    if (id_ != timer_id{})
+        on_.cancel(id_);
+}
+
 void scoped_timer::start(duration delay, std::function<void()> task)
 {
-    cancel();
-    id_ = on_.call_after(std::max(delay, duration(0)), std::move(task));
+    task_ = std::move(task);
+    due_ = on_.now() + std::max(delay, duration(0));
+    if (id_ != timer_id{} && armed_at_ <= due_)
+        return;
+    if (id_ != timer_id{})
+        on_.cancel(id_);
+    arm(due_);
 }
 
 void scoped_timer::cancel()
 {
-    if (id_ != timer_id{})
-        on_.cancel(std::exchange(id_, timer_id{}));
+    task_ = nullptr;
+}
+
+void scoped_timer::arm(time_point at)
+{
+    armed_at_ = at;
+    id_ = on_.call_after(std::max(at - on_.now(), duration(0)),
+                         [this] { fire(); });
+}
+
+void scoped_timer::fire()
+{
+    id_ = timer_id{};
+    if (!task_)
+        return;
+    if (due_ > on_.now())
+        return arm(due_);
+    // The task may destroy the timer.
+    auto task = std::exchange(task_, nullptr);
+    task();
 }
 
 void refuse(http_environment& in, connection::server_exchange& to,
--- a/src/process/http_environment.hpp
+++ b/src/process/http_environment.hpp
@@ -54,21 +54,32 @@
 };
 
 // A timer that is cancelled with the object.
+//
+// Starting and cancelling it again and again is cheap: a timer of the loop that
+// is already pending is kept, and checks the time when it fires.
 class scoped_timer
 {
 public:
-    explicit scoped_timer(scheduler& on) : on_(on) {}
-    ~scoped_timer() { cancel(); }
+    explicit scoped_timer(event_loop& on) : on_(on) {}
+    ~scoped_timer();
     scoped_timer(const scoped_timer&) = delete;
     scoped_timer& operator=(const scoped_timer&) = delete;
 
     // Replaces the pending task.
     void start(duration delay, std::function<void()> task);
+    // The task is released.
     void cancel();
 
 private:
-    scheduler& on_;
+    void arm(time_point at);
+    void fire();
+
+    event_loop& on_;
+    std::function<void()> task_;
+    time_point due_;
+    // Of the timer of the loop; 0 if there is none.
     timer_id id_{};
+    time_point armed_at_;
 };
 
 // Refuses a request towards a caller or backend server; breaks the connection
--- a/src/process/http_execution.cpp
+++ b/src/process/http_execution.cpp
@@ -127,6 +127,7 @@
     it.on_failure = [self](const client_failure& failure) {
         self->failed(failure.written);
     };
+    host_ = connection::listen_address{permit.host, permit.port};
     client_ = in_.client.start(make_request(permit), std::move(it));
     deadline_timer_.start(permit.remaining, [self] {
         auto run = self->client_->written() ? execution::may_have_run
@@ -195,6 +196,9 @@
 
 void http_execution::failed(bool written)
 {
+    // Other idle connections to it may be broken, too.
+    if (host_)
+        in_.client.discard_idle(host_->host, host_->port);
     auto run = written ? execution::may_have_run : execution::not_run;
     auto why =
         written ? reason::backend_server_failed : reason::connection_failed;
--- a/src/process/http_execution.hpp
+++ b/src/process/http_execution.hpp
@@ -50,6 +50,8 @@
     scoped_timer progress_timer_;
     // Set while the backend server answers that it did not run the call.
     std::optional<request::refusal> refused_;
+    // Of the backend server, once the call was sent there.
+    std::optional<connection::listen_address> host_;
     std::optional<std::uint64_t> length_;
     std::uint64_t relayed_bytes_ = 0;
     int status_ = 0;
--- a/src/process/http_forward.cpp
+++ b/src/process/http_forward.cpp
@@ -298,8 +298,10 @@
         return;
     progress_timer_.cancel();
     client_->cancel();
-    if (why == reason::connection_silent)
-        in_.client.discard_idle(target_.host, target_.port);
+    in_.client.discard_idle(target_.host, target_.port);
+    // Both sides give up at the deadline; the break may be seen first.
+    if (remaining() <= duration(0))
+        why = reason::deadline;
     if (phase_ == phase::refused)
         return conclude(feedback_);
     if (phase_ == phase::relaying || (resuming_ && phase_ == phase::waiting))
--- a/src/process/load_generator.cpp
+++ b/src/process/load_generator.cpp
@@ -58,7 +58,7 @@
 }
 
 struct load_generator::request {
-    explicit request(scheduler& on) : give_up(on) {}
+    explicit request(event_loop& on) : give_up(on) {}
 
     const load_workspace* workspace = nullptr;
     std::string mark;
@@ -86,7 +86,7 @@
 load_generator::load_generator(load_settings settings, event_loop& loop,
                                connection::http_client& client)
     : settings_(std::move(settings)), loop_(loop), client_(client),
-      random_(settings_.seed), timer_(loop)
+      random_(settings_.seed), timer_([this] { launch_due(); })
 {
     for (const auto& it : settings_.workspaces)
         total_weight_ += it.weight;
@@ -128,7 +128,7 @@
         plan_next();
     }
     if (planning_)
-        timer_.start(next_ - loop_.now(), [this] { launch_due(); });
+        timer_.start(next_ - loop_.now());
 }
 
 const load_workspace& load_generator::pick_workspace()
--- a/src/process/load_generator.hpp
+++ b/src/process/load_generator.hpp
@@ -10,6 +10,7 @@
 #include "process/event_loop.hpp"
 #include "process/http_environment.hpp"
 #include "process/latency_histogram.hpp"
+#include "process/precise_timer.hpp"
 #include "process/random_source.hpp"
 
 #include <json/json.h>
@@ -123,7 +124,7 @@
     event_loop& loop_;
     connection::http_client& client_;
     random_source random_;
-    scoped_timer timer_;
+    precise_timer timer_;
     load_report report_;
     std::function<void()> done_;
     time_point started_;
--- a/tests/test_process_path.cpp
+++ b/tests/test_process_path.cpp
@@ -358,6 +358,9 @@
     CHECK(crash.status == 502);
     CHECK(crash.header("Shallotwood-Verdict") == "may-have-run");
     CHECK(crash.header("Shallotwood-Reason") == "backend-server-failed");
+    // The connection breaks a moment before the listening socket is closed.
+    constexpr int crash_status = 70;
+    CHECK(alpha.backend.wait() == crash_status);
     auto refused = get(port, "/x");
     CHECK(refused.status == 502);
     CHECK(refused.header("Shallotwood-Verdict") == "not-run");
