Test records and fences in the data path, and fix the status of a cut response

Cause: a response to a call that is not repeatable, cut short before its record was made, was refused with the status of its head, so the caller got 200 with the body of a refusal. Seen first in the new test: 200 in place of 502.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -11,7 +11,7 @@
 
 // Large enough to make the cost of a read small, and bounds what a body in
 // transit holds in memory.
-constexpr std::size_t read_bytes = 64 * 1024;
+constexpr std::size_t read_bytes = std::size_t{64} * 1024;
 
 std::string uri_of(const client_request& it)
 {
--- a/src/connection/http_listener.hpp
+++ b/src/connection/http_listener.hpp
@@ -20,9 +20,9 @@
 
 struct listener_limits {
     std::size_t connections = 4096;
-    std::size_t path_bytes = 8 * 1024;
+    std::size_t path_bytes = std::size_t{8} * 1024;
     std::size_t header_count = 100;
-    std::size_t header_bytes = 32 * 1024;
+    std::size_t header_bytes = std::size_t{32} * 1024;
     // A connection without a request and without any traffic is closed after
     // this time, within a tenth of it.
     unsigned idle_seconds = 120;
--- a/src/connection/lingering_close.cpp
+++ b/src/connection/lingering_close.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::size_t max_discarded_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_discarded_bytes = std::size_t{16} << 20;
 constexpr guint max_wait_ms = 2000;
 
 struct lingering {
@@ -32,7 +32,7 @@
 gboolean discard(GSocket* socket, GIOCondition /*unused*/, gpointer data)
 {
     auto* self = static_cast<lingering*>(data);
-    std::array<char, 16 * 1024> buf{};
+    std::array<char, 16384> buf{};
     GError* error = nullptr;
     auto count =
         g_socket_receive(socket, buf.data(), buf.size(), nullptr, &error);
--- a/src/connection/request_body.hpp
+++ b/src/connection/request_body.hpp
@@ -20,7 +20,7 @@
 {
 public:
     // Bounds the memory of a request in flight: 900 of them hold 29 MB.
-    static constexpr std::size_t prefix_bytes = 32 * 1024;
+    static constexpr std::size_t prefix_bytes = std::size_t{32} * 1024;
 
     explicit request_body(std::optional<std::uint64_t> length) : length_(length)
     {
--- a/src/connection/server_exchange.cpp
+++ b/src/connection/server_exchange.cpp
@@ -20,7 +20,8 @@
 {
     ::sockaddr none{};
     none.sa_family = AF_UNSPEC;
-    ::connect(socket, &none, sizeof none);
+    // Fails only if the connection is gone already.
+    static_cast<void>(::connect(socket, &none, sizeof none));
 }
 
 } // namespace
--- a/src/connection/server_exchange.hpp
+++ b/src/connection/server_exchange.hpp
@@ -31,7 +31,8 @@
 public:
     // Bytes of a request body that are read and discarded after an early
     // response, so that the caller gets it; then the connection is broken.
-    static constexpr std::uint64_t max_discarded_bytes = 16 * 1024 * 1024;
+    static constexpr std::uint64_t max_discarded_bytes = std::uint64_t{16}
+                                                         << 20;
 
     static std::shared_ptr<server_exchange> create(SoupServerMessage* message);
     ~server_exchange();
--- a/src/process/data_path.hpp
+++ b/src/process/data_path.hpp
@@ -54,7 +54,7 @@
 {
 public:
     // Largest body of a control request or announcement.
-    static constexpr std::size_t max_control_bytes = 1024 * 1024;
+    static constexpr std::size_t max_control_bytes = std::size_t{1} << 20;
 
     // Everything given by reference must outlive the object.
     data_path(data_path_settings settings, event_loop& loop,
--- a/src/process/http_entry.cpp
+++ b/src/process/http_entry.cpp
@@ -185,7 +185,7 @@
 
 } // namespace
 
-void begin_caller_request(http_environment& in, exchange_handle exchange)
+void begin_caller_request(http_environment& in, const exchange_handle& exchange)
 {
     if (in.draining)
         return refuse(in, *exchange,
@@ -214,7 +214,7 @@
     });
 }
 
-void begin_child_call(http_environment& in, exchange_handle exchange)
+void begin_child_call(http_environment& in, const exchange_handle& exchange)
 {
     auto token = connection::single_header(exchange->request_headers(),
                                            connection::header_name::token);
--- a/src/process/http_entry.hpp
+++ b/src/process/http_entry.hpp
@@ -11,10 +11,11 @@
 // and reports the end of the request to it.
 void begin_caller_request(
     http_environment& in,
-    std::shared_ptr<connection::server_exchange> exchange);
+    const std::shared_ptr<connection::server_exchange>& exchange);
 
 // Handles `/call/SERVICE/PATH` at the local listener.
-void begin_child_call(http_environment& in,
-                      std::shared_ptr<connection::server_exchange> exchange);
+void begin_child_call(
+    http_environment& in,
+    const std::shared_ptr<connection::server_exchange>& exchange);
 
 } // namespace shallotwood::process
--- a/src/process/http_environment.cpp
+++ b/src/process/http_environment.cpp
@@ -1,6 +1,7 @@
 #include "process/http_environment.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace shallotwood::process
@@ -18,7 +19,7 @@
 {
     double seconds = std::max(1.0, std::chrono::duration<double>(wait).count());
     auto jittered = seconds * (1.0 + random.unit());
-    return std::to_string(static_cast<std::int64_t>(jittered + 0.5));
+    return std::to_string(std::lround(jittered));
 }
 
 } // namespace
--- a/src/process/http_execution.cpp
+++ b/src/process/http_execution.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 void http_execution::begin(http_environment& in,
-                           std::shared_ptr<server_exchange> exchange)
+                           const std::shared_ptr<server_exchange>& exchange)
 {
     auto call = call_of(*exchange, in.settings.fleet_secret);
     if (auto* refused = std::get_if<refusal>(&call)) {
--- a/src/process/http_execution.hpp
+++ b/src/process/http_execution.hpp
@@ -14,8 +14,9 @@
 {
 public:
     // Handles a request at the peer listener.
-    static void begin(http_environment& in,
-                      std::shared_ptr<connection::server_exchange> exchange);
+    static void
+    begin(http_environment& in,
+          const std::shared_ptr<connection::server_exchange>& exchange);
 
     http_execution(http_environment& in,
                    std::shared_ptr<connection::server_exchange> exchange,
--- a/src/process/http_forward.cpp
+++ b/src/process/http_forward.cpp
@@ -324,8 +324,9 @@
     answered(feedback);
     tried_.push_back(target_.instance);
     worst_ = std::max(worst_, feedback.what.run);
-    refusal it{feedback.what, status_ ? status_ : status_for(feedback.what),
-               retry_after_};
+    // A response that was cut short may have had a good status.
+    int status = phase_ == phase::refused ? status_ : status_for(feedback.what);
+    refusal it{feedback.what, status, retry_after_};
     last_refusal_ = it;
     retry_or_refuse(feedback);
 }
--- a/src/process/http_forward.hpp
+++ b/src/process/http_forward.hpp
@@ -33,7 +33,7 @@
                                              const request::call_feedback&)>;
 
     // Largest body that a record keeps (section 4.5 of the design).
-    static constexpr std::size_t max_recorded_bytes = 64 * 1024;
+    static constexpr std::size_t max_recorded_bytes = std::size_t{64} * 1024;
 
     // `record` may be empty; `done` is called once.
     http_forward(http_environment& in,
--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -44,7 +44,7 @@
 using exchange_handle = std::shared_ptr<server_exchange>;
 
 constexpr std::size_t max_log_entries = 200'000;
-constexpr std::size_t block_bytes = 64 * 1024;
+constexpr std::size_t block_bytes = std::size_t{64} * 1024;
 constexpr auto announce_period = std::chrono::seconds(1);
 constexpr auto idle_poll_period = std::chrono::milliseconds(10);
 constexpr int crash_status = 70;
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -52,6 +52,7 @@
                      std::string(PROGRAM_DIRECTORY "/") + program);
     arguments.push_back("--port-file=" + directory_ + "/ports");
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (auto& it : arguments)
         argv.push_back(it.data());
     argv.push_back(nullptr);
--- a/tests/support/raw_http.cpp
+++ b/tests/support/raw_http.cpp
@@ -75,7 +75,7 @@
 
 bool raw_connection::read_some()
 {
-    std::array<char, 64 * 1024> buf{};
+    std::array<char, 65536> buf{};
     auto count = ::recv(socket_, buf.data(), buf.size(), 0);
     if (count <= 0)
         return false;
--- /dev/null
+++ b/tests/test_data_path.cpp
@@ -0,0 +1,199 @@
+// The data path in this process, with policies that the test controls: what
+// the real programs can't be made to show reliably.
+#include "process/data_path.hpp"
+#include "process/glib_event_loop.hpp"
+#include "process/pass_through_policy.hpp"
+#include "support/child_process.hpp"
+#include "support/raw_http.hpp"
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <thread>
+
+using namespace shallotwood;
+using request::call;
+using request::execution;
+using request::reason;
+using request::recorded_response;
+using request::refusal;
+
+namespace
+{
+
+// Forwards to the pass-through policy, except for recording and fencing.
+class controlled_policy final : public request::entry_policy,
+                                public request::routing_policy
+{
+public:
+    explicit controlled_policy(process::pass_through_policy& to) : to_(to) {}
+
+    std::vector<recorded_response> records;
+    std::vector<request::call_feedback> left;
+    std::optional<refusal> record_refusal;
+    execution fenced = execution::may_have_run;
+    int fences = 0;
+
+    void enter(const request::caller_request& it,
+               std::function<void(request::entry_result)> done) override
+    {
+        to_.enter(it, std::move(done));
+    }
+    void record(const call& /*it*/, const recorded_response& response,
+                std::function<void(std::optional<refusal>)> done) override
+    {
+        records.push_back(response);
+        done(record_refusal);
+    }
+    void leave(const call& /*it*/, const request::call_feedback& it) override
+    {
+        left.push_back(it);
+    }
+    std::variant<request::target, refusal>
+    choose(const call& it, const std::vector<std::string>& tried) override
+    {
+        return to_.choose(it, tried);
+    }
+    void sent(const call& /*it*/, const request::target& /*to*/) override {}
+    void answered(const call& /*it*/, const request::target& /*to*/,
+                  const request::call_feedback& /*feedback*/,
+                  process::duration /*elapsed*/) override
+    {
+    }
+    bool retry(call& it, const request::call_feedback& feedback) override
+    {
+        return to_.retry(it, feedback);
+    }
+    void fence(const call& /*it*/, const request::target& /*to*/,
+               std::function<void(execution)> done) override
+    {
+        ++fences;
+        done(fenced);
+    }
+    std::variant<call, refusal> begin_child(const std::string& token,
+                                            const std::string& service,
+                                            const std::string& path) override
+    {
+        return to_.begin_child(token, service, path);
+    }
+    void end_child(const std::string& /*token*/, const call& /*child*/,
+                   const request::call_feedback& /*feedback*/) override
+    {
+    }
+
+private:
+    process::pass_through_policy& to_;
+};
+
+// A node and its backend server; requests are sent from a second thread while
+// the loop runs here.
+struct controlled_node {
+    process::glib_event_loop loop;
+    process::random_source random{1};
+    process::counters counts;
+    process::pass_through_policy pass_through{
+        {{{"/", "alpha", false}}, {}, std::chrono::seconds(30), 1}};
+    controlled_policy policy{pass_through};
+    support::child_process backend{"backend_standin",
+                                   {"--settings={\"latency_ms\":0}"}};
+    std::optional<process::data_path> path;
+
+    controlled_node()
+    {
+        process::data_path_settings settings;
+        settings.caller.host = settings.peer.host = settings.local.host =
+            "127.0.0.1";
+        settings.fleet_secret = "secret";
+        settings.head_progress_limit = std::chrono::milliseconds(200);
+        path.emplace(settings, loop, random, counts, policy, policy,
+                     pass_through);
+        REQUIRE(path->start().empty());
+        pass_through.add_member("alpha",
+                                {"self", "127.0.0.1", path->peer_port()});
+        pass_through.set_backend("127.0.0.1", backend.port(0));
+    }
+
+    // Serves while a second thread sends the request.
+    support::raw_response get(const std::string& target)
+    {
+        support::raw_response response;
+        std::thread caller([&] {
+            response = support::get(path->caller_port(), target);
+            g_idle_add(&controlled_node::stop, &loop);
+        });
+        loop.run();
+        caller.join();
+        return response;
+    }
+
+    static gboolean stop(gpointer loop)
+    {
+        static_cast<process::glib_event_loop*>(loop)->stop();
+        return G_SOURCE_REMOVE;
+    }
+};
+
+} // namespace
+
+// Guards against a caller that has a response of which no record exists: its
+// repeat would run again.
+TEST_CASE("a response is recorded before its first byte is sent", "[process]")
+{
+    controlled_node node;
+    auto it = node.get("/x?mark=abc&size=6");
+    CHECK(it.body == "abcabc");
+    REQUIRE(node.policy.records.size() == 1);
+    CHECK(node.policy.records[0].status == 200);
+    CHECK(node.policy.records[0].content_type == "application/octet-stream");
+    CHECK(node.policy.records[0].body == "abcabc");
+    CHECK(node.policy.records[0].body_recorded);
+
+    for (const auto* query : {"size=300000", "size=300000&chunked=1"}) {
+        INFO(query);
+        auto large = node.get(std::string("/x?") + query);
+        CHECK(large.complete);
+        CHECK(large.body.size() == 300000);
+        CHECK_FALSE(node.policy.records.back().body_recorded);
+        CHECK(node.policy.records.back().body.empty());
+    }
+
+    node.policy.record_refusal = refusal{
+        {execution::ran, reason::record_owner_unknown}, 503, std::nullopt};
+    for (const auto* query :
+         {"size=6", "size=300000", "size=300000&chunked=1"}) {
+        INFO(query);
+        auto refused = node.get(std::string("/x?") + query);
+        CHECK(refused.status == 503);
+        CHECK(refused.header("Shallotwood-Verdict") == "ran");
+    }
+    CHECK(node.policy.records.size() == 6);
+    CHECK(node.policy.left.size() == 6);
+}
+
+// Guards against a record of a response that is not whole.
+TEST_CASE("a response cut short before its record is not recorded", "[process]")
+{
+    controlled_node node;
+    auto it = node.get("/x?size=60000&truncate=30000");
+    CHECK(it.status == 502);
+    CHECK(it.header("Shallotwood-Verdict") == "may-have-run");
+    CHECK(node.policy.records.empty());
+    REQUIRE(node.policy.left.size() == 1);
+    CHECK(node.policy.left[0].what.run == execution::may_have_run);
+}
+
+// Guards against "not run" for a silent attempt that was not fenced.
+TEST_CASE("a silent attempt gets the verdict of its fence", "[process]")
+{
+    controlled_node node;
+    support::post(node.backend.port(0), "/control/settings",
+                  "{\"silent\":true}");
+    auto unknown = node.get("/x");
+    CHECK(unknown.status == 502);
+    CHECK(unknown.header("Shallotwood-Verdict") == "may-have-run");
+    CHECK(unknown.header("Shallotwood-Reason") == "connection-silent");
+    node.policy.fenced = execution::not_run;
+    auto fenced = node.get("/x");
+    CHECK(fenced.header("Shallotwood-Verdict") == "not-run");
+    CHECK(fenced.header("Shallotwood-Reason") == "fenced");
+    CHECK(node.policy.fences == 2);
+}
