--- /dev/null
+++ b/fuzz/fuzz_settings.cpp
@@ -0,0 +1,19 @@
+// A settings file.
+#include "process/settings.hpp"
+
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size)
+{
+    using namespace shallotwood::process;
+    std::string_view text(reinterpret_cast<const char*>(data), size);
+    auto result = parse_settings(text);
+    // An invalid file without a fault would leave its operator without a clue.
+    auto* faults = std::get_if<settings_faults>(&result);
+    if (faults && (faults->empty() || faults->size() > max_settings_faults))
+        std::abort();
+    return 0;
+}
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -298,6 +298,7 @@
 
     std::variant<settings, settings_faults> run()
     {
+        reject_unsafe_lines();
         auto table = parse_toml();
         for (const auto& [key, value] : table)
             read(key, value);
@@ -325,6 +326,34 @@
         }
     }
 
+    // toml++ 3.3 has undefined behaviour on some characters above U+00A0 that
+    // are neither in a text nor in a comment. So that it sees them in comments
+    // only, which are then recognised line by line, texts are ASCII and do not
+    // go on over several lines.
+    void reject_unsafe_lines()
+    {
+        for (std::size_t n = 0; n < lines_.size(); ++n) {
+            auto content = without_comment(lines_[n]);
+            auto line = static_cast<int>(n) + 1;
+            if (content.find("\"\"\"") != std::string_view::npos ||
+                content.find("'''") != std::string_view::npos)
+                repair(line, "a text can't go on over several lines");
+            else if (!std::all_of(content.begin(), content.end(), [](char c) {
+                         return static_cast<unsigned char>(c) < 0x80;
+                     }))
+                repair(line, "must be ASCII, except for comments");
+        }
+    }
+
+    // The part before a '#', unless that may be inside a text.
+    static std::string_view without_comment(std::string_view line)
+    {
+        auto end = line.find_first_of("#\"'");
+        if (end != std::string_view::npos && line[end] == '#')
+            return line.substr(0, end);
+        return line;
+    }
+
     // The first `count` lines.
     std::string joined(std::size_t count) const
     {
--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -71,6 +71,8 @@
 
 TEST_CASE("each faulty field is reported with its line")
 {
+    const auto added =
+        static_cast<int>(std::count(minimal.begin(), minimal.end(), '\n') + 1);
     struct {
         std::string text;
         settings_fault expected;
@@ -101,10 +103,14 @@
           "must be an address that other processes can connect to"}},
         {replaced("0123456789abcdef0123", "0"),
          {8, "fleet_secret", "must have 32 to 128 bytes"}},
+        {minimal + "shards = 16 \xc5\xa1 # \xc5\xa1\n",
+         {added, "shards", "must be ASCII, except for comments"}},
+        {minimal + "shards = \"\"\"\n",
+         {added, "shards", "a text can't go on over several lines"}},
         {std::string(max_settings_bytes + 1, '\n'),
          {0, "", "the file is too large"}},
     };
-    REQUIRE(faults_of(minimal).empty());
+    REQUIRE(faults_of(minimal + "shards = 16 # \xc5\xa1\n").empty());
     for (const auto& it : cases) {
         INFO(it.text.substr(0, 500));
         auto faults = faults_of(it.text);
