--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -521,7 +521,7 @@
     // as often as it takes.
     void write(shard_slot& slot, const shard_object& wanted,
                std::uint64_t expected,
-               std::function<void(std::optional<std::uint64_t>)> done)
+               const std::function<void(std::optional<std::uint64_t>)>& done)
     {
         ++calls_under_way;
         ++platform_calls;
--- a/src/process/record_store.cpp
+++ b/src/process/record_store.cpp
@@ -417,7 +417,7 @@
     // Copies the record's present state; calls `then` if it is still in force
     // once a majority holds it and this node still owns the shard.
     void copy(const claim_message& it, shard_entry entry,
-              std::function<void()> then)
+              const std::function<void()>& then)
     {
         auto kept = record_at(it);
         auto state_copied = kept->state;
@@ -477,12 +477,12 @@
     // after it was copied. While a copy is under way the message is dropped,
     // because its sender repeats it.
     void once_held(const std::string& key, shard_id shard, const record& kept,
-                   std::function<void()> act)
+                   const std::function<void()>& act)
     {
         if (kept.held)
             act();
         else if (!kept.copying)
-            copy({kept.claim, key, shard}, entry_of(key, kept), std::move(act));
+            copy({kept.claim, key, shard}, entry_of(key, kept), act);
     }
 
     // --- Owner: ends of claims ----------------------------------------------
--- a/src/process/witness_quorum.hpp
+++ b/src/process/witness_quorum.hpp
@@ -25,7 +25,10 @@
     const std::optional<std::vector<node_ref>>& next() const { return next_; }
 
     // Adds a second set; confirm() makes it the only one, abandon() drops it.
-    void propose(std::vector<node_ref> witnesses) { next_ = witnesses; }
+    void propose(std::vector<node_ref> witnesses)
+    {
+        next_ = std::move(witnesses);
+    }
     void confirm();
     void abandon() { next_.reset(); }
 
--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -78,7 +78,7 @@
         // different node each time.
         auto when =
             gap * n + process::duration(it.random.below(gap.count() / 8 + 1));
-        auto node = at[it.random.below(at.size())];
+        const auto& node = at[it.random.below(at.size())];
         it.loop.call_after(
             when, [this, workspace, node] { charge(workspace, node); });
     }
