--- a/src/process/ownership.cpp
+++ b/src/process/ownership.cpp
@@ -121,7 +121,7 @@
     // The object says that earlier owners are excluded.
     bool settled = false;
     time_point started{};
-    time_point lease_end = time_point::min();
+    time_point lease_end{};
     // Witnesses that said that they lost their state.
     std::set<std::string> restarted;
     // A witness has seen a higher epoch.
@@ -142,7 +142,7 @@
     std::map<std::string, fence_progress> fences;
     resend_state fencing;
     // Latest end of a lease that an answer told of.
-    time_point lease_bound = time_point::min();
+    time_point lease_bound{};
     // End of every earlier lease; set once the old owner is excluded.
     std::optional<time_point> excluded_at;
     shard_state state;
--- a/src/process/record_store.cpp
+++ b/src/process/record_store.cpp
@@ -118,7 +118,7 @@
 struct owned_shard {
     std::unordered_map<std::string, record> records;
     // Claims of unknown keys are refused until then.
-    time_point lost_until = time_point::min();
+    time_point lost_until{};
     std::set<std::pair<time_point, std::string>> by_expiry;
 };
 
--- a/src/process/witness_quorum.cpp
+++ b/src/process/witness_quorum.cpp
@@ -86,7 +86,7 @@
     }
     auto needed = majority(set.size());
     if (asked.size() < needed)
-        return time_point::min();
+        return {};
     std::sort(asked.rbegin(), asked.rend());
     return asked[needed - 1] + term;
 }
