Finish a request that runs once when its caller leaves

Cause: a caller that gave up cancelled an approval half-way; the claim of its idempotency key then stays "may have run" for ever, and the caller's repeat can neither run nor get an outcome. Also, the call context was parsed with JsonCpp's own nesting limit, beyond which it throws. Ruled out: cancelling and giving the claim back (the backend server may have committed the work). Making a JSON writer for each context cost most of sealing; writers are now kept. Conclusion: cancellation still passes down for requests that may be repeated.

--- a/src/process/http_forward.cpp
+++ b/src/process/http_forward.cpp
@@ -80,6 +80,11 @@
     attempt();
 }
 
+bool http_forward::must_record() const
+{
+    return record_ && !request_.call.context.repeatable;
+}
+
 duration http_forward::remaining() const
 {
     return deadline_ - in_.loop.now();
@@ -189,11 +194,10 @@
 {
     head_ = std::move(head);
     validator_ = strong_validator(head_);
-    bool must_record = record_ && !request_.call.context.repeatable;
-    if (must_record && head_.length.value_or(0) > max_recorded_bytes)
+    if (must_record() && head_.length.value_or(0) > max_recorded_bytes)
         return record_response(false);
-    phase_ = must_record ? phase::collecting : phase::relaying;
-    if (!must_record)
+    phase_ = must_record() ? phase::collecting : phase::relaying;
+    if (!must_record())
         exchange_->start_response(head_);
     client_->read();
 }
@@ -281,6 +285,12 @@
         return refuse_call(*refused);
     }
     phase_ = phase::relaying;
+    if (without_caller_) {
+        client_->cancel();
+        answered(feedback_);
+        finish(feedback_);
+        return;
+    }
     exchange_->start_response(head_);
     if (!collected_.empty() && !whole)
         return relay_data(std::exchange(collected_, {}));
@@ -394,10 +404,22 @@
     refuse_call({{run, reason::deadline}, SOUP_STATUS_GATEWAY_TIMEOUT, {}});
 }
 
+// Half a run of a request that may not be repeated could neither be completed
+// nor sent again, so it goes on until its outcome is recorded.
+bool http_forward::outlives_caller() const
+{
+    return must_record() && open_ && client_->written() &&
+           phase_ != phase::relaying;
+}
+
 void http_forward::caller_left()
 {
     if (ended_)
         return;
+    if (outlives_caller()) {
+        without_caller_ = in_.hold_in_flight();
+        return;
+    }
     bool written = open_ && client_ && client_->written();
     call_feedback left{{written ? execution::may_have_run : execution::not_run,
                         reason::cancelled}};
--- a/src/process/http_forward.hpp
+++ b/src/process/http_forward.hpp
@@ -70,6 +70,8 @@
     void finish(const request::call_feedback& feedback);
     void await_progress(duration limit);
     duration remaining() const;
+    bool must_record() const;
+    bool outlives_caller() const;
 
     enum class phase { waiting, refused, collecting, recording, relaying };
 
@@ -105,6 +107,8 @@
     std::string validator_;
     bool resuming_ = false;
     bool ended_ = false;
+    // Counts as in flight once the caller has left a call that goes on.
+    std::shared_ptr<void> without_caller_;
 };
 
 } // namespace shallotwood::process
--- a/src/process/json_text.cpp
+++ b/src/process/json_text.cpp
@@ -1,6 +1,7 @@
 #include "process/json_text.hpp"
 
 #include <memory>
+#include <sstream>
 
 namespace shallotwood::process
 {
@@ -8,22 +9,38 @@
 namespace
 {
 
-std::string write(const Json::Value& value, const char* indentation)
+// Writers and the reader are kept: making one costs several times as much as
+// a call context does. Each process has one thread that uses them.
+using writer_ptr = std::unique_ptr<Json::StreamWriter>;
+
+writer_ptr make_writer(const char* indentation)
 {
     Json::StreamWriterBuilder builder;
     builder["indentation"] = indentation;
     builder["precision"] = 17;
-    return Json::writeString(builder, value);
+    return writer_ptr(builder.newStreamWriter());
 }
 
-} // namespace
+std::string write(const Json::Value& value, Json::StreamWriter& with)
+{
+    std::ostringstream out;
+    with.write(value, &out);
+    return out.str();
+}
 
-std::optional<Json::Value> parse_json(std::string_view text)
+std::unique_ptr<Json::CharReader> make_reader()
 {
     Json::CharReaderBuilder builder;
     Json::CharReaderBuilder::strictMode(&builder.settings_);
     builder["stackLimit"] = max_json_depth;
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+    return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+}
+
+} // namespace
+
+std::optional<Json::Value> parse_json(std::string_view text)
+{
+    static const auto reader = make_reader();
     Json::Value value;
     try {
         if (!reader->parse(text.data(), text.data() + text.size(), &value,
@@ -38,12 +55,14 @@
 
 std::string write_json(const Json::Value& value)
 {
-    return write(value, "");
+    static const auto writer = make_writer("");
+    return write(value, *writer);
 }
 
 std::string write_indented_json(const Json::Value& value)
 {
-    return write(value, "  ") + '\n';
+    static const auto writer = make_writer("  ");
+    return write(value, *writer) + '\n';
 }
 
 } // namespace shallotwood::process
--- a/src/request/call_context.cpp
+++ b/src/request/call_context.cpp
@@ -1,9 +1,9 @@
 #include "request/call_context.hpp"
 
+#include "process/json_text.hpp"
 #include "process/keyed_hash.hpp"
 
 #include <array>
-#include <memory>
 
 namespace shallotwood::request
 {
@@ -85,9 +85,7 @@
 
 std::string seal(const call_context& context, std::string_view fleet_secret)
 {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    auto text = Json::writeString(builder, to_json(context));
+    auto text = process::write_json(to_json(context));
     return process::to_base64(process::keyed_hash(text, fleet_secret) + text);
 }
 
@@ -103,15 +101,10 @@
     auto text = std::string_view(*bytes).substr(process::hash_bytes);
     if (!process::keyed_hash_matches(hash, text, fleet_secret))
         return context_error::bad_seal;
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value json;
-    if (!reader->parse(text.data(), text.data() + text.size(), &json, nullptr))
+    auto json = process::parse_json(text);
+    if (!json || !is_context(*json))
         return context_error::malformed;
-    if (!is_context(json))
-        return context_error::malformed;
-    return from_json(json);
+    return from_json(*json);
 }
 
 } // namespace shallotwood::request
--- a/tests/test_call_context.cpp
+++ b/tests/test_call_context.cpp
@@ -57,6 +57,8 @@
         std::string(9000, 'a'),
         sealed("{"),
         sealed("[]"),
+        // The parser is recursive and throws beyond its own limit.
+        sealed(std::string(2000, '[')),
         sealed(R"(["","","","",9,0,true,"",0,0,0])"),
         sealed(R"(["","","","",1,0,true,"",0,-1,0])"),
         sealed(R"(["","","","",1,0,1,"",0,0,0])"),
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -197,3 +197,33 @@
     CHECK(fenced.header("Shallotwood-Reason") == "fenced");
     CHECK(node.policy.fences == 2);
 }
+
+// Guards against lost work: a request that runs at most once and is cancelled
+// half-way could neither be completed nor sent again.
+TEST_CASE("a request that runs once goes on when its caller leaves",
+          "[process]")
+{
+    controlled_node node;
+    std::thread caller([&] {
+        support::raw_connection it(node.path->caller_port());
+        it.send("GET /x?delay_ms=120&size=6 HTTP/1.1\r\nHost: test\r\n\r\n");
+        support::eventually([&] {
+            return support::get(node.backend.port(0), "/control/executed")
+                       .body.find("\"running\":1") != std::string::npos;
+        });
+    });
+    g_timeout_add_seconds(5, &controlled_node::stop, &node.loop);
+    std::function<void()> poll = [&] {
+        if (node.policy.left.empty())
+            node.loop.call_after(std::chrono::milliseconds(5), poll);
+        else
+            node.loop.stop();
+    };
+    poll();
+    node.loop.run();
+    caller.join();
+    REQUIRE(node.policy.records.size() == 1);
+    CHECK(node.policy.records[0].status == 200);
+    REQUIRE(node.policy.left.size() == 1);
+    CHECK(node.policy.left[0].what.run == execution::ran);
+}
