Size the buffer by the spread of arrivals; document the policy

Cause: 0.3 of 20 slots is a buffer of 6, less than twice the spread of random arrivals, so the queue counted as standing by chance.

--- a/src/process/admission.cpp
+++ b/src/process/admission.cpp
@@ -24,6 +24,10 @@
 // cut refuses nothing below it. An empty queue lets slots run empty between two
 // arrivals; a longer one delays work and lets less valuable requests in.
 constexpr double buffer_share = 0.3;
+// The buffer is at least this times the root of the limit: the spread of random
+// arrivals over a service time is one root, and with few slots the share above
+// covers less than that.
+constexpr double buffer_spread = 2;
 // Least share of the completions that still passes while the queue drains. A
 // queue that holds several periods' worth of completions would otherwise put
 // the cut below all requests, and the slots empty before it has risen again.
@@ -153,7 +157,10 @@
 
 std::size_t admission::buffered() const
 {
-    return static_cast<std::size_t>(limit_.current() * buffer_share) + 1;
+    double limit = limit_.current();
+    double most =
+        std::max(buffer_share * limit, buffer_spread * std::sqrt(limit));
+    return std::min(static_cast<std::size_t>(most) + 1, most_queued());
 }
 
 std::size_t admission::most_queued() const
--- a/src/process/load_experiment.cpp
+++ b/src/process/load_experiment.cpp
@@ -604,7 +604,7 @@
             count_refused(*it, sent);
         if (it->attempts >= settings_.caller_attempts)
             return;
-        auto pause = std::chrono::milliseconds(50 + arrivals_.below(100));
+        auto pause = std::chrono::milliseconds(50 + world_.random.below(100));
         world_.loop.call_after(pause, [=] { send(it); });
     }
 
