--- a/programs/shallotwood_experiment.cpp
+++ b/programs/shallotwood_experiment.cpp
@@ -1,6 +1,7 @@
 // Compares the policies under load in virtual time.
 #include "process/load_experiment.hpp"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <cstdio>
 #include <fstream>
@@ -64,6 +65,21 @@
     return runs;
 }
 
+// Empty if the option names a deployment and policy that exist.
+std::string check(const options::variables_map& given)
+{
+    auto policy = given["policy"].as<std::string>();
+    auto known = std::any_of(std::begin(policies), std::end(policies),
+                             [&](auto it) { return policy == name_of(it); });
+    if (!policy.empty() && !known)
+        return "unknown policy: " + policy;
+    if (given.count("deployment") == 0)
+        return "";
+    auto deployment = given["deployment"].as<std::string>();
+    bool exists = deployment == "A" || deployment == "B";
+    return exists ? "" : "unknown deployment: " + deployment;
+}
+
 int run(const options::variables_map& given)
 {
     Json::Value all(Json::arrayValue);
@@ -122,5 +138,9 @@
         std::cout << "shallotwood_experiment " << SHALLOTWOOD_VERSION << '\n';
         return 0;
     }
+    if (auto wrong = check(given); !wrong.empty()) {
+        std::cerr << wrong << '\n';
+        return 2;
+    }
     return run(given);
 }
