Count any whole response as a success of the backend server

Cause: the concurrency limit compares latency and throughput of whole responses; a response with an error status has both. Ruled out: counting statuses from 500 as failures, which let one caller with bad requests lower the limit for all. Conclusion: as the documentation of admission::finished asks.

--- a/src/process/execution_controller.cpp
+++ b/src/process/execution_controller.cpp
@@ -21,11 +21,6 @@
 // breaks; after this time it no longer does.
 constexpr duration second_look = std::chrono::milliseconds(20);
 
-bool is_success(execution_end how, int status)
-{
-    return how == execution_end::response && status < 500;
-}
-
 } // namespace
 
 execution_controller::execution_controller(const modules& parts) : parts_(parts)
@@ -178,7 +173,7 @@
 }
 
 void execution_controller::ended(const std::string& attempt_id,
-                                 execution_end how, int status)
+                                 execution_end how, int /*status*/)
 {
     auto ended_run = runs_.extract(attempt_id);
     if (ended_run.empty())
@@ -203,7 +198,7 @@
         parts_.suspects.completed(run_id);
     else
         parts_.suspects.ended(run_id);
-    gate_->finished(attempt_id, is_success(how, status), downstream);
+    gate_->finished(attempt_id, how == execution_end::response, downstream);
     exclusive_.finished(attempt_id);
     took_end();
 }
