--- a/src/process/configuration_source.cpp
+++ b/src/process/configuration_source.cpp
@@ -69,7 +69,7 @@
     auto decoded = version::decode_head(head.value);
     if (const auto* error = std::get_if<version::codec_error>(&decoded)) {
         SHALLOTWOOD_LOG(error)
-            << "event=malformed_head" << field("message", error->message);
+            << "event=malformed-head" << field("message", error->message);
         done(std::nullopt);
         return;
     }
--- a/src/process/execution_controller.cpp
+++ b/src/process/execution_controller.cpp
@@ -38,14 +38,14 @@
         gate_->restart();
     gate_->set_slots(it.slots);
     server_ = it;
-    SHALLOTWOOD_LOG(info) << "event=server_present"
+    SHALLOTWOOD_LOG(info) << "event=server-present"
                           << field("service", it.service)
                           << field("slots", it.slots);
 }
 
 void execution_controller::server_absent(bool lost)
 {
-    SHALLOTWOOD_LOG(info) << "event=server_absent" << field("lost", lost)
+    SHALLOTWOOD_LOG(info) << "event=server-absent" << field("lost", lost)
                           << field("running", running());
     server_.reset();
     if (lost)
--- a/src/process/http_execution.cpp
+++ b/src/process/http_execution.cpp
@@ -55,7 +55,7 @@
     auto call = call_of(*exchange, in.settings.fleet_secret);
     if (auto* refused = std::get_if<refusal>(&call)) {
         ++in.counts.at("peer_calls_rejected");
-        SHALLOTWOOD_LOG(warning) << "event=reject_context";
+        SHALLOTWOOD_LOG(warning) << "event=reject-context";
         return refuse(in, *exchange, *refused);
     }
     auto it = std::make_shared<http_execution>(
