Make one test of each scenario

Cause: a test case ran all scenarios of a kind one after another; the longest took 20 to 40 s plain and 105 s with sanitizers. Ruled out: fewer nodes or shorter times, which would test less.

--- a/tests/support/fleet_world.cpp
+++ b/tests/support/fleet_world.cpp
@@ -292,9 +292,11 @@
     REQUIRE_FALSE(files.empty());
     for (const auto& file : files) {
         auto steps = load_scenario(file);
-        INFO(steps.name);
-        fleet_world world(steps.seed);
-        world.run(steps);
+        DYNAMIC_SECTION(steps.name)
+        {
+            fleet_world world(steps.seed);
+            world.run(steps);
+        }
     }
 }
 
--- a/tests/test_attempt_register.cpp
+++ b/tests/test_attempt_register.cpp
@@ -81,14 +81,15 @@
 
 } // namespace
 
-TEST_CASE("attempt scenarios")
+TEST_CASE("attempt scenarios", "[.scenario]")
 {
-    auto file = GENERATE(from_range(scenario_files("attempt_")));
-    auto it = load_scenario(file);
-    SECTION(it.name)
-    {
-        attempt_test test(it.seed);
-        run_scenario(it, test.nodes.loop, test.verbs());
+    for (const auto& file : scenario_files("attempt_")) {
+        auto it = load_scenario(file);
+        DYNAMIC_SECTION(it.name)
+        {
+            attempt_test test(it.seed);
+            run_scenario(it, test.nodes.loop, test.verbs());
+        }
     }
 }
 
--- a/tests/test_configuration_feed.cpp
+++ b/tests/test_configuration_feed.cpp
@@ -139,14 +139,15 @@
 
 } // namespace
 
-TEST_CASE("configuration feed scenarios")
+TEST_CASE("configuration feed scenarios", "[.scenario]")
 {
-    auto file = GENERATE(from_range(scenario_files("feed_")));
-    auto it = load_scenario(file);
-    SECTION(it.name)
-    {
-        feed_test test(it.seed);
-        run_scenario(it, test.nodes.loop, test.verbs());
+    for (const auto& file : scenario_files("feed_")) {
+        auto it = load_scenario(file);
+        DYNAMIC_SECTION(it.name)
+        {
+            feed_test test(it.seed);
+            run_scenario(it, test.nodes.loop, test.verbs());
+        }
     }
 }
 
--- a/tests/test_configuration_scenarios.cpp
+++ b/tests/test_configuration_scenarios.cpp
@@ -153,14 +153,17 @@
 
 } // namespace
 
-TEST_CASE("configuration scenarios")
+TEST_CASE("configuration scenarios", "[.scenario]")
 {
     auto files = scenario_files("configuration_");
     REQUIRE(files.size() == 6);
     for (const auto& file : files) {
         auto it = load_scenario(file);
-        operators all(it.seed);
-        run_scenario(it, all.loop(), all.verbs());
+        DYNAMIC_SECTION(it.name)
+        {
+            operators all(it.seed);
+            run_scenario(it, all.loop(), all.verbs());
+        }
     }
 }
 
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -5,81 +5,82 @@
 namespace shallotwood::test
 {
 
-TEST_CASE("membership scenarios")
+TEST_CASE("membership scenarios", "[.scenario]")
 {
-    auto file = GENERATE(from_range(scenario_files("membership_")));
-    auto it = load_scenario(file);
-    SECTION(it.name)
-    {
-        fleet nodes(it.seed);
-        auto verbs = nodes.verbs();
-        // Highest incarnation seen for each member by each node.
-        std::map<std::string, std::uint64_t> highest;
-        int lowered = 0;
-        // Which nodes took one for dead, or for alive.
-        std::map<std::string, std::set<std::string>> taken_for_dead;
-        std::map<std::string, std::set<std::string>> taken_for_alive;
-        nodes.on_node = [&](fleet_node& node) {
-            auto observer = node.members->self().instance;
-            node.members->listen([&, observer](const process::member& now) {
-                auto& seen = highest[observer + "/" + now.instance];
-                lowered += now.incarnation < seen ? 1 : 0;
-                bool dead = now.state == process::member_state::dead;
-                (dead ? taken_for_dead : taken_for_alive)[now.instance].insert(
-                    observer);
-                seen = std::max(seen, now.incarnation);
-            });
-        };
-        verbs["replay_old_entry"] = [&](const words& arguments) {
-            auto& target = nodes.at(arguments.at(0));
-            auto entry = nodes.at(arguments.at(1)).members->self();
-            Json::Value params;
-            for (int rank : {0, 2}) {
-                Json::Value old(Json::arrayValue);
-                old.append(entry.instance);
-                old.append(Json::UInt64(entry.incarnation - 1));
-                old.append(rank);
-                for (const auto* text : {"old", "10.9.9.9"})
-                    old.append(text);
-                for (int value : {1, 1, 1})
-                    old.append(value);
-                for (const auto* text : {"d1", "r1"})
-                    old.append(text);
-                params["u"].append(old);
-            }
-            nodes.network.at({"10.0.0.99", 7000})
-                .send(target.address, "membership.update", params);
-        };
-        verbs["expect_agreed"] = [&](const words& arguments) {
-            const auto& name = arguments.at(0);
-            auto own = nodes.at(name).members->self();
-            for (const auto& [other, node] : nodes.nodes())
-                CHECK(node->members->find(name) == own);
-        };
-        verbs["reset_events"] = [&](const words&) {
-            taken_for_dead.clear();
-            taken_for_alive.clear();
-        };
-        verbs["expect_never_dead"] = [&](const words& arguments) {
-            CHECK(taken_for_dead[arguments.at(0)].empty());
-        };
-        // `expect_never_alive NAME EXCEPT_AT`
-        verbs["expect_never_alive"] = [&](const words& arguments) {
-            auto by = taken_for_alive[arguments.at(0)];
-            by.erase(arguments.at(1));
-            CHECK(by.empty());
-        };
-        verbs["expect_never_lowered"] = [&](const words&) {
-            CHECK(lowered == 0);
-        };
-        verbs["expect_platform_calls_below"] = [&](const words& arguments) {
-            CHECK(nodes.platform.reads + nodes.platform.writes <
-                  std::stoull(arguments.at(0)));
-        };
-        verbs["reset_platform_calls"] = [&](const words&) {
-            nodes.platform.reads = nodes.platform.writes = 0;
-        };
-        run_scenario(it, nodes.loop, verbs);
+    for (const auto& file : scenario_files("membership_")) {
+        auto it = load_scenario(file);
+        DYNAMIC_SECTION(it.name)
+        {
+            fleet nodes(it.seed);
+            auto verbs = nodes.verbs();
+            // Highest incarnation seen for each member by each node.
+            std::map<std::string, std::uint64_t> highest;
+            int lowered = 0;
+            // Which nodes took one for dead, or for alive.
+            std::map<std::string, std::set<std::string>> taken_for_dead;
+            std::map<std::string, std::set<std::string>> taken_for_alive;
+            nodes.on_node = [&](fleet_node& node) {
+                auto observer = node.members->self().instance;
+                node.members->listen([&, observer](const process::member& now) {
+                    auto& seen = highest[observer + "/" + now.instance];
+                    lowered += now.incarnation < seen ? 1 : 0;
+                    bool dead = now.state == process::member_state::dead;
+                    (dead ? taken_for_dead : taken_for_alive)[now.instance]
+                        .insert(observer);
+                    seen = std::max(seen, now.incarnation);
+                });
+            };
+            verbs["replay_old_entry"] = [&](const words& arguments) {
+                auto& target = nodes.at(arguments.at(0));
+                auto entry = nodes.at(arguments.at(1)).members->self();
+                Json::Value params;
+                for (int rank : {0, 2}) {
+                    Json::Value old(Json::arrayValue);
+                    old.append(entry.instance);
+                    old.append(Json::UInt64(entry.incarnation - 1));
+                    old.append(rank);
+                    for (const auto* text : {"old", "10.9.9.9"})
+                        old.append(text);
+                    for (int value : {1, 1, 1})
+                        old.append(value);
+                    for (const auto* text : {"d1", "r1"})
+                        old.append(text);
+                    params["u"].append(old);
+                }
+                nodes.network.at({"10.0.0.99", 7000})
+                    .send(target.address, "membership.update", params);
+            };
+            verbs["expect_agreed"] = [&](const words& arguments) {
+                const auto& name = arguments.at(0);
+                auto own = nodes.at(name).members->self();
+                for (const auto& [other, node] : nodes.nodes())
+                    CHECK(node->members->find(name) == own);
+            };
+            verbs["reset_events"] = [&](const words&) {
+                taken_for_dead.clear();
+                taken_for_alive.clear();
+            };
+            verbs["expect_never_dead"] = [&](const words& arguments) {
+                CHECK(taken_for_dead[arguments.at(0)].empty());
+            };
+            // `expect_never_alive NAME EXCEPT_AT`
+            verbs["expect_never_alive"] = [&](const words& arguments) {
+                auto by = taken_for_alive[arguments.at(0)];
+                by.erase(arguments.at(1));
+                CHECK(by.empty());
+            };
+            verbs["expect_never_lowered"] = [&](const words&) {
+                CHECK(lowered == 0);
+            };
+            verbs["expect_platform_calls_below"] = [&](const words& arguments) {
+                CHECK(nodes.platform.reads + nodes.platform.writes <
+                      std::stoull(arguments.at(0)));
+            };
+            verbs["reset_platform_calls"] = [&](const words&) {
+                nodes.platform.reads = nodes.platform.writes = 0;
+            };
+            run_scenario(it, nodes.loop, verbs);
+        }
     }
 }
 
--- a/tests/test_ownership_scenarios.cpp
+++ b/tests/test_ownership_scenarios.cpp
@@ -5,7 +5,7 @@
 namespace shallotwood::test
 {
 
-TEST_CASE("ownership scenarios")
+TEST_CASE("ownership scenarios", "[.scenario]")
 {
     run_fleet_scenarios("ownership_");
 }
--- a/tests/test_rate_scenarios.cpp
+++ b/tests/test_rate_scenarios.cpp
@@ -5,7 +5,7 @@
 namespace shallotwood::test
 {
 
-TEST_CASE("rate scenarios")
+TEST_CASE("rate scenarios", "[.scenario]")
 {
     run_fleet_scenarios("rate_");
 }
--- a/tests/test_record_scenarios.cpp
+++ b/tests/test_record_scenarios.cpp
@@ -5,7 +5,7 @@
 namespace shallotwood::test
 {
 
-TEST_CASE("record scenarios")
+TEST_CASE("record scenarios", "[.scenario]")
 {
     run_fleet_scenarios("record_");
 }
--- a/tests/test_suspect_table.cpp
+++ b/tests/test_suspect_table.cpp
@@ -113,14 +113,15 @@
 
 } // namespace
 
-TEST_CASE("suspect scenarios")
+TEST_CASE("suspect scenarios", "[.scenario]")
 {
-    auto file = GENERATE(from_range(scenario_files("suspect_")));
-    auto it = load_scenario(file);
-    SECTION(it.name)
-    {
-        suspect_test test(it.seed);
-        run_scenario(it, test.nodes.loop, test.verbs());
+    for (const auto& file : scenario_files("suspect_")) {
+        auto it = load_scenario(file);
+        DYNAMIC_SECTION(it.name)
+        {
+            suspect_test test(it.seed);
+            run_scenario(it, test.nodes.loop, test.verbs());
+        }
     }
 }
 
