Strengthen the node scenarios that broken mechanisms did not turn red

Cause: on scratch copies, three broken mechanisms left all node scenarios green: retrying what may have run, starting fenced attempts, ignoring an intent to leave. Ruled out: that the mechanisms are redundant; the scenarios never reached them. Silent attempts leave no retries, fences were not answered by a frozen node, and runs on the leaving backend server were not counted.

--- a/tests/support/call_driver.cpp
+++ b/tests/support/call_driver.cpp
@@ -60,6 +60,12 @@
         on_crash(instance);
 }
 
+void call_driver::delay_attempts(const std::string& instance,
+                                 process::duration by)
+{
+    delays_[instance] = by;
+}
+
 void call_driver::drop_answers(const std::string& instance, bool on)
 {
     if (auto it = find(instance))
@@ -158,7 +164,8 @@
         std::make_shared<attempt>(attempt{it, it->it, it->attempt, to});
     it->silence = loop_.call_after(silence_limit,
                                    [this, flight] { went_silent(flight); });
-    loop_.call_after(trip, [this, flight] { deliver(flight); });
+    loop_.call_after(trip + delays_[to.instance],
+                     [this, flight] { deliver(flight); });
 }
 
 void call_driver::deliver(const attempt_ptr& it)
--- a/tests/support/call_driver.hpp
+++ b/tests/support/call_driver.hpp
@@ -47,6 +47,8 @@
     void crash_server(const std::string& instance);
     void freeze(const std::string& instance) { frozen_.insert(instance); }
     void thaw(const std::string& instance) { frozen_.erase(instance); }
+    // Attempts reach the node this much later, as over a slow connection.
+    void delay_attempts(const std::string& instance, process::duration by);
     // Answers from the node are lost from now on.
     void drop_answers(const std::string& instance, bool on);
 
@@ -97,6 +99,7 @@
     process::event_loop& loop_;
     std::map<std::string, node_ptr> nodes_;
     std::set<std::string> frozen_;
+    std::map<std::string, process::duration> delays_;
     std::map<std::string, int> runs_;
     std::map<std::string, int> runs_on_;
 };
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -272,6 +272,15 @@
     it["drop_answers"] = [this](const words& n) {
         driver_.drop_answers(n.at(0), n.at(1) == "on");
     };
+    it["delay_attempts"] = [this](const words& n) {
+        driver_.delay_attempts(n.at(0), parse_time(n.at(1)));
+    };
+    it["mark"] = [this](const words& n) {
+        marks_[n.at(0)] = driver_.runs_on(n.at(0));
+    };
+    it["expect_since_mark"] = [this](const words& n) {
+        check_count(driver_.runs_on(n.at(0)) - marks_.at(n.at(0)), n.at(1));
+    };
     it["calls"] = [this](const words& n) {
         driver_.calls_of_service[n.at(0)].push_back(n.at(1));
     };
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -10,6 +10,9 @@
 //   expect LABEL WHAT N           WHAT: sent, whole, refused, repeated, the
 //                                 name of a verdict or of a reason; N may be
 //                                 `3`, `>=3` or `<=3`
+//   delay_attempts NODE TIME      as over a slow connection; control messages
+//                                 go on as before
+//   mark NODE, expect_since_mark NODE N   runs on its backend server since
 //   expect_runs NAME N            runs of an idempotency key or path
 //   expect_revision N             in force on every living node
 //
@@ -90,6 +93,7 @@
     // Ended nodes stay: their timers are still queued.
     std::vector<std::unique_ptr<node>> ended_;
     std::map<std::string, std::string> keys_;
+    std::map<std::string, int> marks_;
     std::vector<std::shared_ptr<sent_request>> sent_;
     int made_ = 0;
 };
