Hold more tokens while the owner's bucket is plentiful

Cause: a node with 20 requests a second asked the owner of the workspace's rate 10 times a second, because it held 200 ms of its demand. All nodes ask the same owner, so its messages grow with the nodes that use the workspace. Ruled out: a longer hold for all; with a small burst, tokens held idle at some nodes are missed at others. The owner now says when at least half of the burst is left, and nodes hold 1 s of their demand and report spent tokens after 1 s. The invariant of the bucket is untouched.

--- a/src/process/rate_ledger.cpp
+++ b/src/process/rate_ledger.cpp
@@ -76,6 +76,8 @@
     bool report_pending = false;
     // The owner's last answer was a shortage, for the reason of a refusal.
     bool short_of_tokens = false;
+    // The owner's bucket was at least half full at its last answer.
+    bool plentiful = false;
 
     std::uint64_t held() const
     {
@@ -354,6 +356,7 @@
                 granted += it->count;
                 out["status"] = "ok";
                 out["count"] = Json::UInt64(it->count);
+                out["plentiful"] = it->plentiful;
                 out["retry_us"] = Json::UInt64(it->retry_after.count());
             }
         }
@@ -446,7 +449,8 @@
 
     std::uint64_t target(const token_pool& pool) const
     {
-        auto span = std::chrono::duration<double>(settings.hold).count();
+        auto hold = pool.plentiful ? settings.hold_plentiful : settings.hold;
+        auto span = std::chrono::duration<double>(hold).count();
         return static_cast<std::uint64_t>(pool.demand * span);
     }
 
@@ -477,6 +481,8 @@
             return;
         pool.report_pending = true;
         auto delay = target(pool) == 0 ? duration(0) : settings.report_period;
+        if (pool.plentiful)
+            delay = settings.hold_plentiful;
         loop.call_after(delay, guarded([this, &pool] {
                             pool.report_pending = false;
                             if (pool.unreported && !pool.question && !stopped)
@@ -673,6 +679,8 @@
         auto now = loop.now();
         auto question = *pool.question;
         auto count = in.number("count", question.need + question.ahead);
+        const auto& plentiful = in.optional("plentiful");
+        pool.plentiful = plentiful.isBool() && plentiful.asBool();
         auto retry = in.number("retry_us", INT32_MAX);
         if (!in.valid()) {
             ++malformed;
--- a/src/process/rate_ledger.hpp
+++ b/src/process/rate_ledger.hpp
@@ -6,7 +6,8 @@
 // still spend. Tokens are refilled below that cap only, so in any window at
 // most rate x time + burst are spent over all nodes together.
 //
-// A node holds about 200 ms of its own recent demand and asks ahead; it asks
+// A node holds about 200 ms of its own recent demand, or 1 s of it while the
+// owner's bucket is at least half full, and asks ahead; it asks
 // before it refuses. A grant is valid for 2 s from the moment of asking on the
 // node's own clock, and later for the owner, which counts from its answer.
 //
@@ -33,6 +34,10 @@
     duration validity = std::chrono::seconds(2);
     // Demand that a node holds tokens for.
     duration hold = std::chrono::milliseconds(200);
+    // The same while the owner's bucket is at least half full: then tokens that
+    // are held are missed nowhere, and fewer questions are asked. At most half
+    // of the validity, or tokens would expire unspent.
+    duration hold_plentiful = std::chrono::seconds(1);
     // A request waits at most this part of its remaining time for a token, and
     // at most `wait_limit`.
     double wait_share = 0.25;
--- a/src/process/token_bucket.cpp
+++ b/src/process/token_bucket.cpp
@@ -141,7 +141,7 @@
     asker.outstanding += count;
     asker.expires = now + validity;
     by_expiry_.emplace(asker.expires, it.node);
-    token_answer answer{count, {}};
+    token_answer answer{count, {}, level_ >= burst_of(limit_) / 2};
     if (count < it.need)
         answer.retry_after =
             level_ + outstanding_ -
--- a/src/process/token_bucket.hpp
+++ b/src/process/token_bucket.hpp
@@ -54,6 +54,9 @@
     std::uint64_t count = 0;
     // Time until a token is expected, if fewer than needed were granted.
     duration retry_after{};
+    // At least half of the burst is left, so that nodes may hold more and
+    // report later.
+    bool plentiful = false;
 };
 
 class token_bucket
