Parse all JSON with one bounded reader

Cause: an announcement nested 5,000 deep ended the node: JsonCpp throws beyond its own nesting limit, and the data path and the seeds of the membership did not catch it. Ruled out: a catch in each of them; json_text already bounds and catches. Before: "a deeply nested announcement gets an error" fails, the node is gone. After: it passes. Five readers and writers fewer. Conclusion: json_text is the only file that makes a JsonCpp reader.

--- a/src/process/data_path.cpp
+++ b/src/process/data_path.cpp
@@ -2,6 +2,7 @@
 
 #include "process/http_entry.hpp"
 #include "process/http_execution.hpp"
+#include "process/json_text.hpp"
 
 #include <json/json.h>
 #include <utility>
@@ -28,19 +29,7 @@
 {
     Json::Value json;
     json["error"] = message;
-    return {status, "application/json",
-            Json::writeString(Json::StreamWriterBuilder(), json) + "\n"};
-}
-
-std::optional<Json::Value> parse_json(const std::string& text)
-{
-    Json::CharReaderBuilder builder;
-    Json::CharReaderBuilder::strictMode(&builder.settings_);
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    Json::Value json;
-    if (!reader->parse(text.data(), text.data() + text.size(), &json, nullptr))
-        return std::nullopt;
-    return json;
+    return {status, "application/json", write_json(json) + "\n"};
 }
 
 bool is_count(const Json::Value& it)
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -1,5 +1,6 @@
 #include "process/membership.hpp"
 
+#include "process/json_text.hpp"
 #include "process/keyed_hash.hpp"
 #include "process/log.hpp"
 
@@ -178,15 +179,11 @@
 
 std::vector<seed_entry> parse_seeds(const std::string& text)
 {
-    Json::Value value;
-    Json::CharReaderBuilder builder;
-    std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     std::vector<seed_entry> found;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value,
-                       nullptr) ||
-        !value.isObject() || !value["seeds"].isArray())
+    auto value = parse_json(text);
+    if (!value || !value->isObject() || !(*value)["seeds"].isArray())
         return found;
-    for (const auto& it : value["seeds"]) {
+    for (const auto& it : (*value)["seeds"]) {
         seed_entry next;
         if (!it.isObject() || !read_name(it["instance"], next.instance) ||
             !read_name(it["host"], next.peer.host) ||
@@ -208,9 +205,7 @@
         entry["port"] = it.peer.port;
         value["seeds"].append(entry);
     }
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
+    return write_json(value);
 }
 
 bool before_instance(const member& a, const std::string& b)
--- a/src/process/rate_ledger.cpp
+++ b/src/process/rate_ledger.cpp
@@ -1,5 +1,6 @@
 #include "process/rate_ledger.hpp"
 
+#include "process/json_text.hpp"
 #include "process/log.hpp"
 #include "process/message_fields.hpp"
 
@@ -95,30 +96,6 @@
     std::map<std::string, token_bucket> buckets;
 };
 
-Json::Value parse(const std::string& text)
-{
-    Json::Value value;
-    Json::CharReaderBuilder builder;
-    builder["stackLimit"] = 16;
-    std::string errors;
-    try {
-        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        if (reader->parse(text.data(), text.data() + text.size(), &value,
-                          &errors))
-            return value;
-    } catch (const Json::Exception&) {
-        return {};
-    }
-    return {};
-}
-
-std::string write(const Json::Value& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 } // namespace
 
 struct rate_ledger::impl final : shard_client,
@@ -206,7 +183,7 @@
     void import(owned_shard& shard, const shard_state& state, time_point now)
     {
         for (const auto& entry : state.entries) {
-            auto value = parse(entry.value);
+            auto value = parse_json(entry.value).value_or(Json::Value());
             if (entry.key == base_key) {
                 import_base(shard, value, now);
                 continue;
@@ -257,7 +234,7 @@
         auto add = [&](const std::string& key, const Json::Value& value) {
             shard_entry it;
             it.key = key;
-            it.value = write(value);
+            it.value = write_json(value);
             it.lifetime = settings.validity;
             entries.push_back(std::move(it));
         };
--- a/src/process/record_store.cpp
+++ b/src/process/record_store.cpp
@@ -1,5 +1,6 @@
 #include "process/record_store.hpp"
 
+#include "process/json_text.hpp"
 #include "process/keyed_hash.hpp"
 #include "process/log.hpp"
 #include "process/shard_messages.hpp"
@@ -78,30 +79,6 @@
     return it;
 }
 
-Json::Value parse(const std::string& text)
-{
-    Json::Value value;
-    Json::CharReaderBuilder builder;
-    builder["stackLimit"] = 16;
-    std::string errors;
-    try {
-        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        if (reader->parse(text.data(), text.data() + text.size(), &value,
-                          &errors))
-            return value;
-    } catch (const Json::Exception&) {
-        return {};
-    }
-    return {};
-}
-
-std::string write(const Json::Value& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 const char* name_of(record_state state)
 {
     switch (state) {
@@ -271,7 +248,7 @@
             value["response"] = to_json(it.response);
         shard_entry entry;
         entry.key = key;
-        entry.value = write(value);
+        entry.value = write_json(value);
         entry.lifetime = it.expires - loop.now();
         return entry;
     }
@@ -286,7 +263,7 @@
         it.state = record_state::may_have_run;
         it.claimed_at = now;
         it.expires = now + entry.lifetime;
-        auto value = parse(entry.value);
+        auto value = parse_json(entry.value).value_or(Json::Value());
         message_fields in(value);
         auto state = in.text("state", max_name_bytes);
         it.claim = in.text("claim", max_name_bytes);
--- a/src/process/shard_messages.cpp
+++ b/src/process/shard_messages.cpp
@@ -1,5 +1,6 @@
 #include "process/shard_messages.hpp"
 
+#include "process/json_text.hpp"
 #include <tuple>
 
 namespace shallotwood::process
@@ -75,26 +76,15 @@
     out["owner"] = to_json(it.owner);
     out["witnesses"] = to_json(it.witnesses);
     out["earlier"] = to_json(it.earlier);
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, out);
+    return write_json(out);
 }
 
 std::optional<shard_object> parse_shard_object(const std::string& text)
 {
-    Json::Value parsed;
-    Json::CharReaderBuilder builder;
-    builder["stackLimit"] = 16;
-    std::string errors;
-    try {
-        std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-        if (!reader->parse(text.data(), text.data() + text.size(), &parsed,
-                           &errors))
-            return std::nullopt;
-    } catch (const Json::Exception&) {
+    auto parsed = parse_json(text);
+    if (!parsed)
         return std::nullopt;
-    }
-    message_fields in(parsed);
+    message_fields in(*parsed);
     shard_object it;
     it.epoch = in.number("epoch");
 
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -227,3 +227,14 @@
     REQUIRE(node.policy.left.size() == 1);
     CHECK(node.policy.left[0].what.run == execution::ran);
 }
+
+// Guards against a node that ends because the JSON parser throws beyond its
+// nesting limit.
+TEST_CASE("a deeply nested announcement gets an error", "[process]")
+{
+    support::child_process node("pass_through_node", {});
+    auto response = support::post(node.port(2), "/backend/announce",
+                                  std::string(5000, '['));
+    CHECK(response.status == 400);
+    CHECK(support::get(node.port(2), "/metrics").status == 200);
+}
