Share the port file and the shutdown by signals between programs

Ruled out: one main function for all; their options differ. Conclusion: process/daemon holds what long-running programs share.

--- /dev/null
+++ b/src/process/daemon.cpp
@@ -0,0 +1,66 @@
+#include "process/daemon.hpp"
+
+#include "process/log.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <glib-unix.h>
+
+namespace shallotwood::process
+{
+
+bool write_port_file(const std::string& file_name,
+                     const std::vector<std::uint16_t>& ports)
+{
+    auto part = file_name + ".new";
+    {
+        std::ofstream out(part);
+        const char* separator = "";
+        for (auto it : ports) {
+            out << separator << it;
+            separator = " ";
+        }
+        out << '\n';
+        if (!out)
+            return false;
+    }
+    return std::rename(part.c_str(), file_name.c_str()) == 0;
+}
+
+shutdown_handler::shutdown_handler(glib_event_loop& loop, program of,
+                                   duration limit)
+    : loop_(loop), program_(std::move(of)), limit_(limit)
+{
+    g_unix_signal_add(SIGTERM, &shutdown_handler::signalled, this);
+    g_unix_signal_add(SIGINT, &shutdown_handler::signalled, this);
+}
+
+gboolean shutdown_handler::signalled(gpointer data)
+{
+    static_cast<shutdown_handler*>(data)->shut_down();
+    return G_SOURCE_CONTINUE;
+}
+
+void shutdown_handler::shut_down()
+{
+    if (draining_) {
+        end("second signal");
+        return;
+    }
+    draining_ = true;
+    SHALLOTWOOD_LOG(info) << "event=drain"
+                          << field("in_flight", program_.in_flight());
+    program_.drain([this] { loop_.stop(); });
+    loop_.call_after(limit_, [this] { end("drain limit"); });
+}
+
+void shutdown_handler::end(const char* why)
+{
+    SHALLOTWOOD_LOG(warning) << "event=end" << field("why", why)
+                             << field("in_flight", program_.in_flight());
+    status_ = 1;
+    loop_.stop();
+}
+
+} // namespace shallotwood::process
--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -21,6 +21,7 @@
 // GET /health, GET /load.
 #include "connection/http_client.hpp"
 #include "connection/http_listener.hpp"
+#include "process/daemon.hpp"
 #include "process/glib_event_loop.hpp"
 #include "process/http_environment.hpp"
 #include "process/stream_hash.hpp"
@@ -704,13 +705,6 @@
     return G_SOURCE_CONTINUE;
 }
 
-void write_port(const std::string& path, std::uint16_t port)
-{
-    // Renamed into place, so that a reader never sees a part.
-    std::ofstream(path + ".new") << port << '\n';
-    std::rename((path + ".new").c_str(), path.c_str());
-}
-
 int run(const options::variables_map& values)
 {
     settings initial;
@@ -734,8 +728,12 @@
         return 1;
     }
     g_unix_signal_add(SIGTERM, signalled, &it);
-    if (values.count("port-file"))
-        write_port(values["port-file"].as<std::string>(), it.listener.port());
+    if (values.count("port-file") &&
+        !process::write_port_file(values["port-file"].as<std::string>(),
+                                  {it.listener.port()})) {
+        std::cerr << "backend_standin: can't write the port file\n";
+        return 1;
+    }
     it.announce();
     it.loop.run();
     return 0;
--- a/standins/pass_through_node.cpp
+++ b/standins/pass_through_node.cpp
@@ -1,5 +1,6 @@
 // A node with the pass-through policy: nothing is protected. The baseline for
 // measurements, and the data path alone for tests.
+#include "process/daemon.hpp"
 #include "process/data_path.hpp"
 #include "process/glib_event_loop.hpp"
 #include "process/keyed_hash.hpp"
@@ -7,9 +8,7 @@
 #include "process/pass_through_policy.hpp"
 
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <fstream>
-#include <glib-unix.h>
 #include <iostream>
 
 namespace
@@ -139,66 +138,6 @@
     }
 }
 
-// Written under another name first, so that a reader never sees a part.
-void write_ports(const std::string& path, const process::data_path& node)
-{
-    {
-        std::ofstream file(path + ".new");
-        file << node.caller_port() << ' ' << node.peer_port() << ' '
-             << node.local_port() << '\n';
-    }
-    if (std::rename((path + ".new").c_str(), path.c_str()) != 0)
-        throw usage_error("can't write " + path);
-}
-
-// Drains on the first signal; ends on the second or at the drain limit.
-class shutdown_handler
-{
-public:
-    shutdown_handler(process::glib_event_loop& loop, process::data_path& node,
-                     process::duration limit)
-        : loop_(loop), node_(node), limit_(limit)
-    {
-        g_unix_signal_add(SIGTERM, &shutdown_handler::signalled, this);
-        g_unix_signal_add(SIGINT, &shutdown_handler::signalled, this);
-    }
-
-    int status() const { return status_; }
-
-private:
-    static gboolean signalled(gpointer data)
-    {
-        static_cast<shutdown_handler*>(data)->shut_down();
-        return G_SOURCE_CONTINUE;
-    }
-
-    void shut_down()
-    {
-        if (draining_)
-            return end("second signal");
-        draining_ = true;
-        SHALLOTWOOD_LOG(info)
-            << "event=drain" << process::field("in_flight", node_.in_flight());
-        node_.drain([this] { loop_.stop(); });
-        loop_.call_after(limit_, [this] { end("drain limit"); });
-    }
-
-    void end(const char* why)
-    {
-        SHALLOTWOOD_LOG(warning)
-            << "event=end" << process::field("why", why)
-            << process::field("in_flight", node_.in_flight());
-        status_ = 1;
-        loop_.stop();
-    }
-
-    process::glib_event_loop& loop_;
-    process::data_path& node_;
-    process::duration limit_;
-    bool draining_ = false;
-    int status_ = 0;
-};
-
 int run(const options::variables_map& values)
 {
     process::glib_event_loop loop;
@@ -216,10 +155,16 @@
         return 1;
     }
     add_members(policy, values, node.peer_port());
-    shutdown_handler shutdown(loop, node,
-                              milliseconds_of(values, "drain-limit-ms"));
-    if (values.count("port-file"))
-        write_ports(values["port-file"].as<std::string>(), node);
+    process::shutdown_handler shutdown(
+        loop,
+        {[&node](auto done) { node.drain(std::move(done)); },
+         [&node] { return node.in_flight(); }},
+        milliseconds_of(values, "drain-limit-ms"));
+    if (values.count("port-file") &&
+        !process::write_port_file(
+            values["port-file"].as<std::string>(),
+            {node.caller_port(), node.peer_port(), node.local_port()}))
+        throw usage_error("can't write the port file");
     SHALLOTWOOD_LOG(info) << "event=start"
                           << process::field("caller", node.caller_port())
                           << process::field("peer", node.peer_port())
