Split the membership by its stages

Ruled out: separate classes; the stages share one table of members. Tests of membership, feed and whole nodes pass. Conclusion: one file for each stage, as with ownership.

--- /dev/null
+++ b/src/process/membership_exchange.cpp
@@ -0,0 +1,216 @@
+// Full exchanges with one peer: a digest, then digests of buckets, then the
+// entries of those that differ.
+#include "process/membership.hpp"
+
+#include "process/keyed_hash.hpp"
+#include "process/log.hpp"
+#include "process/member_codec.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+// An exchange that changed more than one entry in this many, and more than a
+// few, met a part of the fleet that was cut off; the next one follows soon.
+constexpr std::size_t repair_fraction = 50;
+constexpr std::size_t few_entries = 3;
+// Exchanges of a new node in quick succession: when many start together, the
+// first pages hold only those that started earlier.
+constexpr int exchanges_after_join = 5;
+
+std::string bytes_of(const std::uint64_t* values, std::size_t count)
+{
+    std::string bytes;
+    for (std::size_t n = 0; n < count; ++n) {
+        for (int shift = 0; shift < 64; shift += 8)
+            bytes.push_back(static_cast<char>(values[n] >> shift & 0xff));
+    }
+    return bytes;
+}
+
+} // namespace
+
+void membership::tick_exchange()
+{
+    bool quick = quick_exchanges_ > 0;
+    quick_exchanges_ -= quick ? 1 : 0;
+    schedule_exchange(quick ? settings_.repair_period
+                            : settings_.exchange_period);
+    auto chosen = random_members(1);
+    if (!chosen.empty())
+        exchange_with(chosen[0].peer);
+}
+
+void membership::schedule_exchange(duration delay)
+{
+    if (next_exchange_)
+        loop_.cancel(*next_exchange_);
+    next_exchange_ = start_timer(delay, [this](bool) { tick_exchange(); });
+}
+
+void membership::exchange_with(const peer_address& to)
+{
+    if (to == self_.peer)
+        return;
+    Json::Value params;
+    std::uint64_t sum = 0;
+    for (auto it : digests_)
+        sum += it;
+    params["f"] = to_json(self_);
+    params["kind"] = "digest";
+    params["d"] = Json::UInt64(sum);
+    transport_.send(to, "membership.exchange", params);
+}
+
+void membership::on_exchange(const peer_address& from,
+                             const Json::Value& params)
+{
+    if (!params["kind"].isString())
+        return;
+    auto kind = params["kind"].asString();
+    if (kind == "digest")
+        answer_digest(from, params);
+    else if (kind == "buckets")
+        answer_buckets(from, params);
+    else if (kind == "page")
+        answer_page(from, params);
+    else if (kind == "same")
+        completed();
+}
+
+void membership::answer_digest(const peer_address& from,
+                               const Json::Value& params)
+{
+    if (!params["d"].isUInt64())
+        return;
+    std::uint64_t sum = 0;
+    for (auto it : digests_)
+        sum += it;
+    Json::Value answer;
+    answer["f"] = to_json(self_);
+    if (sum == params["d"].asUInt64()) {
+        answer["kind"] = "same";
+    } else {
+        answer["kind"] = "buckets";
+        answer["b"] = to_base64(bytes_of(digests_.data(), buckets));
+    }
+    transport_.send(from, "membership.exchange", answer);
+}
+
+void membership::answer_buckets(const peer_address& from,
+                                const Json::Value& params)
+{
+    if (!params["b"].isString())
+        return;
+    auto theirs = from_base64(params["b"].asString());
+    if (!theirs || theirs->size() != 8 * buckets)
+        return;
+    auto ours = bytes_of(digests_.data(), buckets);
+    std::vector<std::size_t> differing;
+    Json::Value answer;
+    for (std::size_t n = 0; n < buckets; ++n) {
+        if (ours.compare(8 * n, 8, *theirs, 8 * n, 8) == 0)
+            continue;
+        differing.push_back(n);
+        answer["want"].append(Json::UInt(n));
+    }
+    if (differing.empty()) {
+        completed();
+        return;
+    }
+    bool whole = true;
+    answer["f"] = to_json(self_);
+    answer["kind"] = "page";
+    answer["join"] = !joined_;
+    if (joined_ && !stale_)
+        answer["e"] = page_of(differing, max_page_bytes, whole);
+    transport_.send(from, "membership.exchange", answer);
+}
+
+void membership::answer_page(const peer_address& from,
+                             const Json::Value& params)
+{
+    auto changed = apply(params["e"], source::exchange);
+    if (!params["want"].isArray()) {
+        bool whole = params["whole"].isBool() && params["whole"].asBool();
+        if (whole)
+            completed();
+        else if (!joined_)
+            after(settings_.join_period,
+                  [this, from](bool) { exchange_with(from); });
+        if (joined_ && (!whole || was_cut_off(changed)))
+            schedule_exchange(settings_.repair_period);
+        return;
+    }
+    if (was_cut_off(changed))
+        schedule_exchange(settings_.repair_period);
+    std::vector<std::size_t> wanted;
+    for (const auto& it : params["want"]) {
+        if (it.isUInt() && it.asUInt() < buckets && wanted.size() < buckets)
+            wanted.push_back(it.asUInt());
+    }
+    bool joins = params["join"].isBool() && params["join"].asBool();
+    bool whole = true;
+    Json::Value answer;
+    answer["f"] = to_json(self_);
+    answer["kind"] = "page";
+    // A node that has paused has nothing reliable to tell.
+    if (stale_ || (!joined_ && !joins))
+        return;
+    answer["e"] =
+        page_of(wanted, joins ? max_join_page_bytes : max_page_bytes, whole);
+    answer["whole"] = whole;
+    transport_.send(from, "membership.exchange", answer);
+}
+
+// The entries of as many of the buckets as fit, at least one, in random order
+// so that a cut page does not always end at the same one.
+Json::Value membership::page_of(std::vector<std::size_t> wanted,
+                                std::size_t limit, bool& whole)
+{
+    std::shuffle(wanted.begin(), wanted.end(), random_.engine());
+    std::vector<std::vector<const member*>> filled(buckets);
+    for (const auto& it : members_)
+        filled[bucket_of(it.instance, buckets)].push_back(&it);
+    auto unsettled = loop_.now() - settings_.death_settles;
+    for (auto it = dead_.lower_bound({unsettled, ""}); it != dead_.end(); ++it)
+        filled[bucket_of(it->second, buckets)].push_back(entry_of(it->second));
+    Json::Value entries(Json::arrayValue);
+    std::size_t bytes = 0;
+    for (auto bucket : wanted) {
+        for (const auto* it : filled[bucket])
+            bytes += size_of(*it);
+        if (bytes > limit && !entries.empty()) {
+            whole = false;
+            return entries;
+        }
+        for (const auto* it : filled[bucket])
+            entries.append(to_full_json(*it));
+    }
+    whole = true;
+    return entries;
+}
+
+bool membership::was_cut_off(std::size_t changed) const
+{
+    return changed > few_entries && changed * repair_fraction > members_.size();
+}
+
+void membership::completed()
+{
+    stale_ = false;
+    if (joined_)
+        return;
+    joined_ = true;
+    quick_exchanges_ = exchanges_after_join;
+    schedule_exchange(settings_.repair_period);
+}
+
+// Seeds.
+
+} // namespace shallotwood::process
--- /dev/null
+++ b/src/process/membership_probes.cpp
@@ -0,0 +1,206 @@
+// Probes: one random member a period, directly and then through others; dead
+// members at a low rate.
+#include "process/membership.hpp"
+
+#include "process/log.hpp"
+#include "process/member_codec.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process
+{
+
+namespace
+{
+
+constexpr std::size_t max_accused = 16;
+constexpr std::size_t accused_per_period = 2;
+constexpr std::size_t max_probes = 512;
+// A timer that fires this many periods late shows that this process paused.
+constexpr int pause_periods = 3;
+
+} // namespace
+
+void membership::tick()
+{
+    if (loop_.now() - last_tick_ > pause_periods * settings_.probe_period) {
+        // What this node was about to spread may be long refuted.
+        stale_ = true;
+        rumours_.clear();
+        probes_.clear();
+        schedule_exchange(duration(0));
+    }
+    last_tick_ = loop_.now();
+    after(settings_.probe_period, [this](bool) { tick(); });
+    if (auto instance = next_target())
+        send_probe({*instance, std::nullopt, 0});
+    // The accused hears of it from here even if every rumour is lost.
+    auto n = std::min(accused_.size(), accused_per_period);
+    for (std::size_t it = 0; it < n; ++it) {
+        auto instance = accused_.front();
+        accused_.pop_front();
+        auto found = records_.find(instance);
+        if (found == records_.end() || !found->second.suspicion)
+            continue;
+        send_probe({instance, std::nullopt, 0});
+        accused_.push_back(instance);
+    }
+}
+
+std::optional<std::string> membership::next_target()
+{
+    while (!verify_.empty()) {
+        auto instance = verify_.front();
+        verify_.pop_front();
+        auto found = records_.find(instance);
+        if (found != records_.end() &&
+            found->second.it.state != member_state::dead)
+            return instance;
+    }
+    auto chosen = random_members(1);
+    if (chosen.empty())
+        return std::nullopt;
+    return chosen[0].instance;
+}
+
+void membership::send_probe(const probe& it)
+{
+    auto found = records_.find(it.instance);
+    if (found == records_.end() || probes_.size() >= max_probes)
+        return;
+    auto id = ++last_probe_;
+    probes_[id] = it;
+    auto params = message(it.instance);
+    params["id"] = Json::UInt64(id);
+    transport_.send(found->second.it.peer, "membership.probe", params);
+    if (!it.asked_by) {
+        after(settings_.probe_timeout,
+              [this, id](bool) { probe_through_others(id); });
+    }
+    after(settings_.probe_period, [this, id](bool late) {
+        if (late)
+            probes_.erase(id);
+        else
+            probe_failed(id);
+    });
+}
+
+void membership::probe_through_others(std::uint64_t id)
+{
+    auto found = probes_.find(id);
+    if (found == probes_.end())
+        return;
+    auto instance = found->second.instance;
+    auto known = records_.find(instance);
+    if (known == records_.end() || known->second.it.state == member_state::dead)
+        return;
+    int asked = 0;
+    for (const auto& it : random_members(settings_.indirect_probes + 1)) {
+        if (it.instance == instance || asked == settings_.indirect_probes)
+            continue;
+        ++asked;
+        auto params = message(it.instance);
+        params["id"] = Json::UInt64(id);
+        params["i"] = instance;
+        transport_.send(it.peer, "membership.probe_through", params);
+    }
+}
+
+void membership::probe_failed(std::uint64_t id)
+{
+    auto node = probes_.extract(id);
+    if (node.empty() || node.mapped().asked_by)
+        return;
+    const auto& instance = node.mapped().instance;
+    auto found = records_.find(instance);
+    if (found == records_.end() || found->second.suspicion ||
+        found->second.it.state == member_state::dead)
+        return;
+    ++counts_.at("membership_suspicions_raised");
+    if (accused_.size() < max_accused)
+        accused_.push_back(instance);
+    start_suspicion(instance);
+    spread(instance);
+}
+
+// The member answered a probe sent after the last thing known about it, so it
+// lives whatever was said before.
+void membership::acknowledged(const std::string& instance,
+                              std::uint64_t incarnation)
+{
+    auto found = records_.find(instance);
+    if (found == records_.end() || found->second.it.incarnation > incarnation)
+        return;
+    auto now = found->second.it;
+    bool was_dead = now.state == member_state::dead;
+    if (found->second.suspicion) {
+        loop_.cancel(*found->second.suspicion);
+        found->second.suspicion.reset();
+    }
+    if (now.state == member_state::suspect || was_dead) {
+        now.state = member_state::active;
+        store_entry(now);
+    }
+    if (was_dead) {
+        ++counts_.at("membership_revived");
+        exchange_with(now.peer);
+    }
+}
+
+void membership::on_probe(const peer_address& from, const Json::Value& params)
+{
+    auto sender = parse_entry(params["f"]);
+    if (!params["id"].isUInt64() || !sender)
+        return;
+    auto answer = message(sender->instance);
+    answer["id"] = params["id"];
+    answer["i"] = self_.instance;
+    answer["n"] = Json::UInt64(self_.incarnation);
+    transport_.send(from, "membership.ack", answer);
+}
+
+void membership::on_ack(const peer_address&, const Json::Value& params)
+{
+    if (!params["id"].isUInt64() || !params["i"].isString() ||
+        !params["n"].isUInt64())
+        return;
+    auto found = probes_.find(params["id"].asUInt64());
+    if (found == probes_.end() ||
+        found->second.instance != params["i"].asString())
+        return;
+    auto it = found->second;
+    probes_.erase(found);
+    acknowledged(it.instance, params["n"].asUInt64());
+    if (!it.asked_by)
+        return;
+    auto answer = message("");
+    answer["id"] = Json::UInt64(it.asked_id);
+    answer["i"] = it.instance;
+    answer["n"] = params["n"];
+    transport_.send(*it.asked_by, "membership.ack", answer);
+}
+
+void membership::on_probe_through(const peer_address& from,
+                                  const Json::Value& params)
+{
+    if (params["id"].isUInt64() && params["i"].isString())
+        send_probe({params["i"].asString(), from, params["id"].asUInt64()});
+}
+
+void membership::tick_dead()
+{
+    after(settings_.dead_probe_period, [this](bool) { tick_dead(); });
+    forget_dead_until(loop_.now() - settings_.forget_dead,
+                      settings_.max_members);
+    if (dead_.empty())
+        return;
+    auto next = dead_.upper_bound(last_dead_probed_);
+    if (next == dead_.end())
+        next = dead_.begin();
+    last_dead_probed_ = *next;
+    send_probe({next->second, std::nullopt, 0});
+}
+
+// Updates.
+
+} // namespace shallotwood::process
