--- a/tests/test_process_path.cpp
+++ b/tests/test_process_path.cpp
@@ -3,6 +3,7 @@
 #include "process/stream_hash.hpp"
 #include "support/child_process.hpp"
 #include "support/raw_http.hpp"
+#include "support/silent_proxy.hpp"
 
 #include <catch2/catch.hpp>
 #include <csignal>
@@ -398,6 +399,35 @@
     CHECK(get(entry.port(caller), "/x").status == 200);
 }
 
+// Guards against pooled connections that went silent being used one after
+// another: one request finds out, the next ones go over new connections.
+TEST_CASE("silent connections are replaced", "[process]")
+{
+    served_instance alpha("alpha");
+    support::silent_proxy between(alpha.node.port(peer));
+    auto entry = entry_node(
+        {"--member=alpha=" + loopback(between.port()), "--head-limit-ms=300"});
+    auto port = entry.port(caller);
+    {
+        std::vector<std::unique_ptr<raw_connection>> together;
+        for (int n = 0; n < 4; ++n) {
+            together.push_back(std::make_unique<raw_connection>(port));
+            together.back()->send("GET /x?delay_ms=100 HTTP/1.1\r\n"
+                                  "Host: test\r\n\r\n");
+        }
+        for (auto& it : together)
+            CHECK(it->receive().status == 200);
+    }
+    REQUIRE(between.accepted() == 4);
+    between.silence_open_connections();
+    auto lost = get(port, "/x");
+    CHECK(lost.status == 502);
+    CHECK(lost.header("Shallotwood-Verdict") == "may-have-run");
+    CHECK(lost.header("Shallotwood-Reason") == "connection-silent");
+    for (int n = 0; n < 3; ++n)
+        CHECK(get(port, "/x").status == 200);
+}
+
 // Guards against a download that stays stalled, or is joined from two
 // different bodies.
 TEST_CASE("a stalled download is resumed elsewhere", "[process]")
