Log dropped control messages, at most once a minute

Cause: a node with another fleet secret was rejected and counted by its peers, but neither side said so in its log, as the design asks. Ruled out: a line for each message; a peer could fill the log. Before: a counter only. After: "messages under another secret are dropped" shows event=peer-message-dropped reason=unauthenticated.

--- a/src/process/peer_socket.cpp
+++ b/src/process/peer_socket.cpp
@@ -1,5 +1,7 @@
 #include "process/peer_socket.hpp"
 
+#include "process/log.hpp"
+
 #include <array>
 #include <deque>
 #include <sys/socket.h>
@@ -444,6 +446,11 @@
 
 void peer_socket::reject(std::string_view reason)
 {
+    if (loop_.now() >= next_warning_) {
+        next_warning_ = loop_.now() + warning_period;
+        SHALLOTWOOD_LOG(warning)
+            << "event=peer-message-dropped" << field("reason", reason);
+    }
     ++counts_.at("peer_messages_dropped",
                  "reason=\"" + std::string(reason) + "\"");
 }
--- a/src/process/peer_socket.hpp
+++ b/src/process/peer_socket.hpp
@@ -38,6 +38,8 @@
     static constexpr std::size_t max_incoming_bytes = 16'000'000;
     static constexpr duration message_limit = std::chrono::seconds(10);
     static constexpr duration idle_limit = std::chrono::seconds(30);
+    // Dropped messages are logged at most this often; all are counted.
+    static constexpr duration warning_period = std::chrono::minutes(1);
 
     // Listens on the control port of the host of `self`, which is the peer
     // address by which others know this node. Gives the reason when it can't.
@@ -94,6 +96,7 @@
     std::set<std::shared_ptr<incoming>> incoming_;
     std::size_t incoming_bytes_ = 0;
     std::optional<timer_id> sweep_timer_;
+    time_point next_warning_{};
 };
 
 } // namespace shallotwood::process
