--- /dev/null
+++ b/src/process/fleet/fleet_view.hpp
@@ -0,0 +1,58 @@
+// The instances that this node knows, and the rule by which news replaces what
+// is known.
+//
+// Bounded: max_instances entries; one that has been unreachable longest makes
+// room for a new one.
+#pragma once
+
+#include "process/fleet/instance.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace shallotwood::process::fleet
+{
+
+// Of 29,000 instances in 1,600 services, with room for replacements.
+constexpr std::size_t max_instances = 40'000;
+
+class fleet_view
+{
+public:
+    using listener = std::function<void(const instance&)>;
+
+    explicit fleet_view(instance self);
+
+    const instance& self() const { return self_; }
+    // Changes the own entry under a new sequence; true if it did change.
+    bool change_self(const std::function<void(instance&)>& change);
+
+    // True if the entry is news. News about the own instance from an earlier
+    // or doubtful incarnation raises the own incarnation above it.
+    bool learn(const instance& it);
+
+    const instance* find(const std::string& name) const;
+    // Including the own entry.
+    std::vector<const instance*> of_service(const std::string& service) const;
+    std::vector<const instance*> all() const;
+    std::size_t size() const { return others_.size() + 1; }
+    // Counts changes; caches of what the view holds compare it.
+    std::uint64_t revision() const { return revision_; }
+
+    // One number for all entries; equal views have equal digests.
+    std::uint64_t digest() const;
+
+private:
+    instance self_;
+    std::map<std::string, instance> others_;
+    std::uint64_t revision_ = 1;
+};
+
+// Order of the instances for a duty, the same at every node that knows the
+// same instances: the highest of the hashes of key and name goes first.
+std::uint64_t rendezvous_weight(const std::string& key,
+                                const std::string& name);
+
+} // namespace shallotwood::process::fleet
--- /dev/null
+++ b/src/process/fleet/instance.cpp
@@ -0,0 +1,80 @@
+#include "process/fleet/instance.hpp"
+
+#include <array>
+
+namespace shallotwood::process::fleet
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> state_names = {"unknown", "ready",
+                                                         "draining", "gone"};
+
+std::optional<backend_state> parse_state(const std::string& text)
+{
+    for (std::size_t n = 0; n < state_names.size(); ++n)
+        if (state_names.at(n) == text)
+            return static_cast<backend_state>(n);
+    return std::nullopt;
+}
+
+bool has_fields(const Json::Value& from)
+{
+    if (!from.isObject())
+        return false;
+    for (const auto* name : {"host", "domain", "service", "backend", "state"})
+        if (!from[name].isString())
+            return false;
+    for (const auto* name : {"incarnation", "sequence"})
+        if (!from[name].isUInt64())
+            return false;
+    return from["port"].isUInt() && from["port"].asUInt() <= 65535 &&
+           from["slots"].isInt() && from["leaving"].isBool();
+}
+
+} // namespace
+
+std::string_view name_of(backend_state state)
+{
+    return state_names.at(static_cast<std::size_t>(state));
+}
+
+Json::Value to_json(const instance& it)
+{
+    Json::Value to;
+    to["host"] = it.peer.host;
+    to["port"] = it.peer.port;
+    to["domain"] = it.failure_domain;
+    to["incarnation"] = Json::UInt64(it.incarnation);
+    to["sequence"] = Json::UInt64(it.sequence);
+    to["leaving"] = it.leaving;
+    to["service"] = it.service;
+    to["backend"] = it.backend_id;
+    to["state"] = std::string(name_of(it.state));
+    to["slots"] = it.slots;
+    return to;
+}
+
+std::optional<instance> instance_from_json(const Json::Value& from)
+{
+    if (!has_fields(from))
+        return std::nullopt;
+    auto state = parse_state(from["state"].asString());
+    if (!state)
+        return std::nullopt;
+    instance it;
+    it.peer.host = from["host"].asString();
+    it.peer.port = static_cast<std::uint16_t>(from["port"].asUInt());
+    it.failure_domain = from["domain"].asString();
+    it.incarnation = from["incarnation"].asUInt64();
+    it.sequence = from["sequence"].asUInt64();
+    it.leaving = from["leaving"].asBool();
+    it.service = from["service"].asString();
+    it.backend_id = from["backend"].asString();
+    it.state = *state;
+    it.slots = from["slots"].asInt();
+    return it;
+}
+
+} // namespace shallotwood::process::fleet
--- /dev/null
+++ b/src/process/fleet/instance.hpp
@@ -0,0 +1,75 @@
+// What nodes know of one another: one entry for each instance, which is a node
+// with the backend server beside it.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/peer_transport.hpp"
+
+#include <cstdint>
+#include <json/json.h>
+#include <optional>
+#include <string>
+#include <tuple>
+
+namespace shallotwood::process::fleet
+{
+
+enum class backend_state {
+    // Not announced yet.
+    unknown,
+    ready,
+    draining,
+    gone,
+};
+
+struct instance {
+    // Where other nodes reach this one; names the instance.
+    peer_address peer;
+    std::string failure_domain;
+    // Entries with a higher pair of incarnation and sequence replace lower
+    // ones. Each start of a node has a higher incarnation than the one before;
+    // each change that it makes to its entry has a higher sequence.
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    // The node is shutting down and takes nothing new.
+    bool leaving = false;
+
+    std::string service;
+    // Of the backend server; each of its starts has a new one, or a later
+    // start time under the same id.
+    std::string backend_id;
+    backend_state state = backend_state::unknown;
+    int slots = 0;
+
+    std::string name() const
+    {
+        return peer.host + ':' + std::to_string(peer.port);
+    }
+    bool is_newer_than(const instance& other) const
+    {
+        return std::tie(incarnation, sequence) >
+               std::tie(other.incarnation, other.sequence);
+    }
+    bool takes_calls() const
+    {
+        return !leaving && state == backend_state::ready;
+    }
+
+    auto fields() const
+    {
+        return std::tie(peer, failure_domain, incarnation, sequence, leaving,
+                        service, backend_id, state, slots);
+    }
+    friend bool operator==(const instance& a, const instance& b)
+    {
+        return a.fields() == b.fields();
+    }
+};
+
+Json::Value to_json(const instance& it);
+// Nothing if a field is missing or of another type. Never throws.
+std::optional<instance> instance_from_json(const Json::Value& from);
+
+std::string_view name_of(backend_state state);
+
+} // namespace shallotwood::process::fleet
--- /dev/null
+++ b/src/process/load/gate.cpp
@@ -0,0 +1,143 @@
+#include "process/load/gate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotwood::process::load
+{
+
+namespace
+{
+
+// Weight of the newest call in the mean service time.
+constexpr double mean_weight = 0.05;
+
+// Service time assumed before the first call has ended.
+constexpr duration first_service_time = std::chrono::milliseconds(50);
+
+// How often the queue is searched for calls whose time has passed.
+constexpr duration expiry_period = std::chrono::milliseconds(10);
+
+} // namespace
+
+gate::gate(const clock& time, scheduler& timers, const gate_settings& settings)
+    : clock_(time), timers_(timers), settings_(settings),
+      service_time_(first_service_time)
+{
+}
+
+gate::~gate()
+{
+    if (timer_set_)
+        timers_.cancel(timer_);
+}
+
+void gate::set_slots(int slots)
+{
+    slots_ = std::max(slots, 1);
+    limit_ = std::max(
+        1, static_cast<int>(std::floor(slots_ * settings_.used_share)));
+    run_waiting();
+}
+
+void gate::arrive(const arrival& it, decision done)
+{
+    if (running_ < limit_ && waiting_.empty()) {
+        ++running_;
+        done(turn::run);
+        return;
+    }
+    auto start = clock_.now() + expected_wait(it.rank);
+    auto most = static_cast<std::size_t>(slots_ * settings_.queue_per_slot);
+    if (start > it.latest_start || waiting_.size() >= most) {
+        done(turn::refused);
+        return;
+    }
+    waiting_.emplace(place{it.rank, it.id},
+                     entry{it.latest_start, std::move(done)});
+    ranks_.emplace(it.id, it.rank);
+    set_timer();
+}
+
+void gate::leave(std::uint64_t id)
+{
+    auto it = ranks_.find(id);
+    if (it == ranks_.end())
+        return;
+    waiting_.erase({it->second, id});
+    ranks_.erase(it);
+}
+
+void gate::finished(duration elapsed)
+{
+    --running_;
+    auto mean = static_cast<double>(service_time_.count());
+    mean += mean_weight * (static_cast<double>(elapsed.count()) - mean);
+    service_time_ = duration(static_cast<duration::rep>(mean));
+    run_waiting();
+}
+
+void gate::refuse_all()
+{
+    auto all = std::move(waiting_);
+    waiting_.clear();
+    ranks_.clear();
+    for (auto& [at, it] : all)
+        it.done(turn::refused);
+}
+
+duration gate::expected_wait(std::uint32_t rank) const
+{
+    if (running_ < limit_ && waiting_.empty())
+        return duration(0);
+    auto ahead = std::distance(waiting_.begin(),
+                               waiting_.lower_bound({rank + 1, 0}));
+    return service_time_ * (ahead + 1) / limit_;
+}
+
+void gate::run_waiting()
+{
+    while (running_ < limit_ && !waiting_.empty()) {
+        auto first = waiting_.begin();
+        auto it = std::move(first->second);
+        ranks_.erase(first->first.second);
+        waiting_.erase(first);
+        if (it.latest_start < clock_.now()) {
+            it.done(turn::refused);
+            continue;
+        }
+        ++running_;
+        it.done(turn::run);
+    }
+}
+
+void gate::set_timer()
+{
+    if (timer_set_ || waiting_.empty())
+        return;
+    timer_set_ = true;
+    timer_ = timers_.call_after(expiry_period, [this] {
+        timer_set_ = false;
+        expire();
+        set_timer();
+    });
+}
+
+void gate::expire()
+{
+    auto now = clock_.now();
+    std::vector<decision> late;
+    for (auto it = waiting_.begin(); it != waiting_.end();) {
+        if (it->second.latest_start >= now) {
+            ++it;
+            continue;
+        }
+        late.push_back(std::move(it->second.done));
+        ranks_.erase(it->first.second);
+        it = waiting_.erase(it);
+    }
+    for (auto& it : late)
+        it(turn::refused);
+}
+
+} // namespace shallotwood::process::load
--- /dev/null
+++ b/src/process/load/gate.hpp
@@ -0,0 +1,100 @@
+// Decides when a call may run on the local backend server.
+//
+// Answers the load of many nodes on one backend server: at most `limit` calls
+// run at once; the rest waits in order of rank and is refused as soon as it
+// can be foreseen that its turn comes too late. A refusal is therefore made
+// after microseconds, not after a time in the queue, and always before the
+// call has run.
+//
+// The limit is a part of the slots that the backend server announces: backend
+// servers slow down when nearly all of their slots are taken.
+#pragma once
+
+#include "process/event_loop.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace shallotwood::process::load
+{
+
+struct gate_settings {
+    // Part of the announced slots that is used. The platform's page says that
+    // some backend servers slow down when nearly full.
+    double used_share = 0.94;
+    // Queued calls for each slot.
+    double queue_per_slot = 2;
+};
+
+struct arrival {
+    std::uint64_t id = 0;
+    // Lower ones run first.
+    std::uint32_t rank = 0;
+    // Latest start that is still of use.
+    time_point latest_start;
+};
+
+enum class turn { run, refused };
+
+class gate
+{
+public:
+    // Called exactly once for each arrival, possibly before arrive() returns,
+    // except after leave().
+    using decision = std::function<void(turn)>;
+
+    gate(const clock& time, scheduler& timers,
+         const gate_settings& settings = {});
+    ~gate();
+    gate(const gate&) = delete;
+    gate& operator=(const gate&) = delete;
+
+    void set_slots(int slots);
+
+    void arrive(const arrival& it, decision done);
+    // The call waits no longer; no decision follows.
+    void leave(std::uint64_t id);
+    // A call that was told to run has ended. `elapsed` is its time on the
+    // backend server.
+    void finished(duration elapsed);
+    // Refuses all that wait.
+    void refuse_all();
+
+    int running() const { return running_; }
+    int limit() const { return limit_; }
+    std::size_t waiting() const { return waiting_.size(); }
+    // Time until a call of this rank would start if it arrived now.
+    duration expected_wait(std::uint32_t rank) const;
+    // Mean time of a call on the backend server.
+    duration service_time() const { return service_time_; }
+
+private:
+    struct entry {
+        time_point latest_start;
+        decision done;
+    };
+    // By rank, then arrival.
+    using place = std::pair<std::uint32_t, std::uint64_t>;
+
+    void run_waiting();
+    void expire();
+    void set_timer();
+
+    const clock& clock_;
+    scheduler& timers_;
+    gate_settings settings_;
+    int slots_ = 1;
+    int limit_ = 1;
+    int running_ = 0;
+    std::map<place, entry> waiting_;
+    std::unordered_map<std::uint64_t, std::uint32_t> ranks_;
+    duration service_time_{};
+    timer_id timer_{};
+    bool timer_set_ = false;
+};
+
+} // namespace shallotwood::process::load
--- a/src/process/object_store.hpp
+++ b/src/process/object_store.hpp
@@ -30,6 +30,9 @@
     }
 };
 
+// Instead of an expected version: replaces whatever is there, or creates it.
+constexpr std::uint64_t any_version = ~std::uint64_t{0};
+
 enum class store_error {
     not_found,
     // The expected version is not the current one; nothing was written.
@@ -68,6 +71,13 @@
     virtual void list(const std::string& prefix,
                       std::function<void(list_result)> done) = 0;
 
+    // As list(), but may be some seconds old where that costs less.
+    virtual void list_stale(const std::string& prefix,
+                            std::function<void(list_result)> done)
+    {
+        list(prefix, std::move(done));
+    }
+
     // Calls `on_change` with each newer version of the object, beginning with
     // the current one if it is above `after_version`. Versions may be skipped,
     // never repeated. Reports errors and goes on by itself.
--- /dev/null
+++ b/src/process/rate/token_bucket_home.cpp
@@ -0,0 +1,65 @@
+#include "process/rate/token_bucket_home.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotwood::process::rate
+{
+
+namespace
+{
+
+// What a new home grants at once, in seconds of the rate. Two changes of a home
+// within a window of 5 s then exceed the limit by less than a tenth.
+constexpr double first_level_seconds = 0.25;
+
+// Shortest time after which a refused caller may come back.
+constexpr duration shortest_wait = std::chrono::milliseconds(50);
+
+} // namespace
+
+token_bucket_home::bucket&
+token_bucket_home::refill(const std::string& workspace,
+                          const rate_limit& limit, double reserved)
+{
+    auto now = clock_.now();
+    auto [it, inserted] = buckets_.try_emplace(workspace);
+    auto& of = it->second;
+    if (inserted) {
+        of.level = std::max(1.0, limit.rate * first_level_seconds);
+        of.at = now;
+    }
+    double seconds = std::chrono::duration<double>(now - of.at).count();
+    of.level = std::min(std::max(limit.burst, 1.0),
+                        of.level + seconds * limit.rate * (1 - reserved));
+    of.at = now;
+    return of;
+}
+
+grant token_bucket_home::take(const std::string& workspace,
+                              const rate_limit& limit, double reserved,
+                              int wanted)
+{
+    auto& of = refill(workspace, limit, reserved);
+    grant given;
+    given.tokens = std::clamp(static_cast<int>(std::floor(of.level)), 0,
+                              std::max(wanted, 0));
+    of.level -= given.tokens;
+    if (given.tokens < wanted) {
+        double missing = std::max(0.0, 1 - of.level);
+        auto wait = std::chrono::duration<double>(
+            missing / std::max(limit.rate * (1 - reserved), 0.01));
+        given.retry_after =
+            std::max(shortest_wait, std::chrono::duration_cast<duration>(wait));
+    }
+    return given;
+}
+
+void token_bucket_home::give_back(const std::string& workspace,
+                                  const rate_limit& limit, int tokens)
+{
+    auto& of = refill(workspace, limit, 0);
+    of.level = std::min(std::max(limit.burst, 1.0), of.level + tokens);
+}
+
+} // namespace shallotwood::process::rate
--- /dev/null
+++ b/src/process/rate/wallet.cpp
@@ -0,0 +1,135 @@
+#include "process/rate/wallet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotwood::process::rate
+{
+
+namespace
+{
+
+// Unused tokens are void after this time.
+constexpr duration token_validity = std::chrono::seconds(2);
+
+// Demand for which tokens are fetched ahead.
+constexpr double ahead_seconds = 0.15;
+
+// Over which the demand is averaged.
+constexpr double demand_seconds = 1;
+
+// A caller over its workspace's rate comes back after this time.
+constexpr duration over_rate_wait = std::chrono::milliseconds(500);
+
+} // namespace
+
+wallet::wallet(const clock& time, token_source& source)
+    : clock_(time), source_(source)
+{
+}
+
+void wallet::note_demand(purse& of)
+{
+    auto now = clock_.now();
+    double seconds = std::chrono::duration<double>(now - of.demand_at).count();
+    of.demand *= std::exp(-seconds / demand_seconds);
+    of.demand += 1 / demand_seconds;
+    of.demand_at = now;
+}
+
+bool wallet::spend(purse& of)
+{
+    if (of.tokens <= 0 || clock_.now() > of.tokens_until)
+        return false;
+    --of.tokens;
+    return true;
+}
+
+void wallet::charge(const std::string& workspace, const rate_limit& limit,
+                    decision done)
+{
+    if (limit.rate <= 0) {
+        done(std::nullopt);
+        return;
+    }
+    auto& of = purses_[workspace];
+    note_demand(of);
+    if (of.waiting.empty() && spend(of)) {
+        done(std::nullopt);
+        auto& after = purses_[workspace];
+        if (after.tokens < after.demand * ahead_seconds / 2)
+            ask(workspace, limit);
+        return;
+    }
+    if (clock_.now() < of.refused_until) {
+        done(over_rate_wait);
+        return;
+    }
+    of.waiting.push_back(std::move(done));
+    ask(workspace, limit);
+}
+
+void wallet::refund(const std::string& workspace)
+{
+    if (auto it = purses_.find(workspace); it != purses_.end()) {
+        ++it->second.tokens;
+        it->second.tokens_until = clock_.now() + token_validity;
+    }
+}
+
+void wallet::ask(const std::string& workspace, const rate_limit& limit)
+{
+    auto& of = purses_[workspace];
+    if (of.asking || clock_.now() < of.refused_until)
+        return;
+    of.asking = true;
+    int wanted = static_cast<int>(of.waiting.size()) +
+                 static_cast<int>(std::ceil(of.demand * ahead_seconds));
+    source_.ask(workspace, wanted,
+                [this, workspace, limit](std::optional<grant> given) {
+                    answered(workspace, limit, given);
+                });
+}
+
+void wallet::answered(const std::string& workspace, const rate_limit& limit,
+                      const std::optional<grant>& given)
+{
+    auto& of = purses_[workspace];
+    of.asking = false;
+    if (!given) {
+        serve_from_own(of, limit);
+        return;
+    }
+    auto now = clock_.now();
+    if (now > of.tokens_until)
+        of.tokens = 0;
+    of.tokens += given->tokens;
+    of.tokens_until = now + token_validity;
+    if (given->retry_after > duration(0))
+        of.refused_until = now + given->retry_after;
+    auto waiting = std::move(of.waiting);
+    of.waiting.clear();
+    for (auto& it : waiting)
+        it(spend(of) ? std::nullopt
+                     : std::optional<duration>(over_rate_wait));
+}
+
+void wallet::serve_from_own(purse& of, const rate_limit& limit)
+{
+    auto now = clock_.now();
+    double part = source_.own_part();
+    double most = std::max(1.0, limit.burst * part);
+    double seconds = std::chrono::duration<double>(now - of.own_at).count();
+    of.own_level = std::min(most, of.own_level + seconds * limit.rate * part);
+    of.own_at = now;
+    auto waiting = std::move(of.waiting);
+    of.waiting.clear();
+    for (auto& it : waiting) {
+        bool allowed = of.own_level >= 1;
+        if (allowed)
+            of.own_level -= 1;
+        it(allowed ? std::nullopt : std::optional<duration>(over_rate_wait));
+    }
+}
+
+} // namespace shallotwood::process::rate
--- /dev/null
+++ b/src/process/rate/wallet.hpp
@@ -0,0 +1,76 @@
+// The tokens that this node holds of each workspace's rate.
+//
+// A request takes a token that is there, or waits for the workspace's home to
+// grant one: a request is never refused before the home was asked. Tokens are
+// fetched ahead for the demand of some 100 ms, so on a busy workspace few
+// requests wait. A node that can't reach the home uses its part of the rate;
+// the home keeps the parts of silent nodes back.
+#pragma once
+
+#include "process/rate/token_bucket_home.hpp"
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace shallotwood::process::rate
+{
+
+// Asks the home of a workspace for tokens. `reply` gets nothing if the home
+// can't be reached in time.
+class token_source
+{
+public:
+    virtual void ask(const std::string& workspace, int wanted,
+                     std::function<void(std::optional<grant>)> reply) = 0;
+    // Part of the rate that this node may use on its own.
+    virtual double own_part() const = 0;
+
+protected:
+    ~token_source() = default;
+};
+
+class wallet
+{
+public:
+    // Gets nothing if the request may go on, or the time after which the
+    // caller may come back.
+    using decision = std::function<void(std::optional<duration>)>;
+
+    wallet(const clock& time, token_source& source);
+
+    void charge(const std::string& workspace, const rate_limit& limit,
+                decision done);
+    // A charged request was not run.
+    void refund(const std::string& workspace);
+
+private:
+    struct purse {
+        int tokens = 0;
+        time_point tokens_until{};
+        std::deque<decision> waiting;
+        bool asking = false;
+        time_point refused_until{};
+        // Requests a second, averaged.
+        double demand = 0;
+        time_point demand_at{};
+        // Used while the home can't be reached.
+        double own_level = 0;
+        time_point own_at{};
+    };
+
+    void note_demand(purse& of);
+    bool spend(purse& of);
+    void ask(const std::string& workspace, const rate_limit& limit);
+    void answered(const std::string& workspace, const rate_limit& limit,
+                  const std::optional<grant>& given);
+    void serve_from_own(purse& of, const rate_limit& limit);
+
+    const clock& clock_;
+    token_source& source_;
+    std::unordered_map<std::string, purse> purses_;
+};
+
+} // namespace shallotwood::process::rate
--- /dev/null
+++ b/src/process/sidecar/dialect.hpp
@@ -0,0 +1,107 @@
+// The names that callers, backend servers and the platform use on the wire.
+//
+// Everything inside uses the project's own types; an implementation translates
+// and decides nothing.
+#pragma once
+
+#include "connection/http/message.hpp"
+#include "process/event_loop.hpp"
+#include "process/fleet/instance.hpp"
+#include "request/run.hpp"
+#include "version/policy.hpp"
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace shallotwood::process::sidecar
+{
+
+// What a caller says about its request.
+struct caller_fields {
+    // Empty if it is missing.
+    std::string request_id;
+    std::string host;
+    // Empty if there is none.
+    std::string key;
+    // How long the caller waits.
+    std::optional<duration> timeout;
+};
+
+// What a backend server says about itself.
+struct announcement {
+    std::string backend_id;
+    // Start of this incarnation, in milliseconds of the platform's clock.
+    std::uint64_t born = 0;
+    // Increases with each announcement of an incarnation.
+    std::uint64_t sequence = 0;
+    std::string service;
+    peer_address address;
+    int slots = 0;
+    bool draining = false;
+    // How much longer it is slow after its start.
+    duration warm_up_left{};
+};
+
+// It ends after this.
+struct departure {
+    std::string backend_id;
+};
+
+struct unreadable {
+    std::string message;
+};
+
+using backend_message = std::variant<announcement, departure, unreadable>;
+
+struct parse_failure {
+    std::string message;
+};
+
+using policy_result = std::variant<version::policy_ptr, parse_failure>;
+
+class dialect
+{
+public:
+    virtual ~dialect() = default;
+
+    virtual caller_fields
+    read_caller(const connection::http::request_head& from) const = 0;
+
+    // Header by which an answer of a backend server names its request.
+    virtual std::string echo_header() const = 0;
+    // Turns the head of a caller's request into that for a backend server.
+    virtual void dress_for_backend(connection::http::request_head& head,
+                                   const request::run_request& what,
+                                   const std::string& backend_id,
+                                   duration remaining) const = 0;
+    // True if the backend server says that it did not run the request.
+    virtual bool
+    says_not_run(const connection::http::response_head& head) const = 0;
+    // True if the response says that another backend server has the address.
+    virtual bool
+    says_misdirected(const connection::http::response_head& head) const = 0;
+    // True if the response bears the mark of a backend server.
+    virtual bool
+    is_from_backend(const connection::http::response_head& head) const = 0;
+
+    // The answer to a caller whose request was refused or failed.
+    virtual connection::http::response_head
+    failure_response(const request::run_failure& why) const = 0;
+
+    // A call to the address for the local backend server.
+    virtual backend_message
+    read_backend_message(const connection::http::request_head& head,
+                         const std::string& body) const = 0;
+    // True for the platform's question whether this node takes callers.
+    virtual bool
+    asks_readiness(const connection::http::request_head& head) const = 0;
+    // Id of the backend server that answered a health check; empty if it
+    // doesn't say.
+    virtual std::string
+    backend_id_of(const connection::http::response_head& head) const = 0;
+
+    virtual policy_result parse_policy(const std::string& text) const = 0;
+};
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/local_backend.cpp
@@ -0,0 +1,63 @@
+#include "process/sidecar/local_backend.hpp"
+
+namespace shallotwood::process::sidecar
+{
+
+using fleet::backend_state;
+
+local_backend::effect local_backend::announced(const announcement& it)
+{
+    bool same = it.backend_id == id_ && it.born == born_;
+    if (it.born < born_ || (same && it.sequence <= sequence_))
+        return effect::stale;
+    // What has left stays away until its next incarnation.
+    if (same && state_ == backend_state::gone)
+        return effect::stale;
+    auto state = it.draining ? backend_state::draining : backend_state::ready;
+    // An incarnation that drains does not come back to service.
+    if (same && state_ == backend_state::draining)
+        state = backend_state::draining;
+    bool changed = !same || state != state_ || it.slots != slots_ || down_;
+    id_ = it.backend_id;
+    born_ = it.born;
+    sequence_ = it.sequence;
+    slots_ = it.slots;
+    service_ = it.service;
+    address_ = it.address;
+    state_ = state;
+    down_ = false;
+    return changed ? effect::changed : effect::none;
+}
+
+local_backend::effect local_backend::departed(const departure& it)
+{
+    if (!id_.empty() && it.backend_id != id_)
+        return effect::stale;
+    if (state_ == backend_state::gone)
+        return effect::none;
+    id_ = it.backend_id;
+    state_ = backend_state::gone;
+    return effect::changed;
+}
+
+local_backend::effect local_backend::seen(const std::string& backend_id,
+                                          int slots)
+{
+    if (state_ != backend_state::unknown || backend_id.empty())
+        return effect::none;
+    id_ = backend_id;
+    slots_ = slots;
+    state_ = backend_state::ready;
+    down_ = false;
+    return effect::changed;
+}
+
+local_backend::effect local_backend::unreachable()
+{
+    if (down_ || state_ != backend_state::ready)
+        return effect::none;
+    down_ = true;
+    return effect::changed;
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/local_backend.hpp
@@ -0,0 +1,59 @@
+// What this node believes about the backend server beside it.
+//
+// Pure: takes announcements and observations, and says what changed.
+#pragma once
+
+#include "process/sidecar/dialect.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace shallotwood::process::sidecar
+{
+
+class local_backend
+{
+public:
+    enum class effect {
+        // Already known; acknowledged.
+        none,
+        changed,
+        // From an earlier incarnation or out of order; says nothing.
+        stale,
+    };
+
+    local_backend(std::string service, peer_address address)
+        : service_(std::move(service)), address_(std::move(address))
+    {
+    }
+
+    effect announced(const announcement& it);
+    effect departed(const departure& it);
+    // A health check or a response named the backend server at the address.
+    effect seen(const std::string& backend_id, int slots);
+    // Nothing listens at the address.
+    effect unreachable();
+
+    const std::string& id() const { return id_; }
+    const std::string& service() const { return service_; }
+    const peer_address& address() const { return address_; }
+    int slots() const { return slots_; }
+    fleet::backend_state state() const { return state_; }
+    bool takes_calls() const
+    {
+        return state_ == fleet::backend_state::ready && !down_;
+    }
+
+private:
+    std::string service_;
+    peer_address address_;
+    std::string id_;
+    std::uint64_t born_ = 0;
+    std::uint64_t sequence_ = 0;
+    int slots_ = 0;
+    fleet::backend_state state_ = fleet::backend_state::unknown;
+    bool down_ = false;
+};
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/local_runner.cpp
@@ -0,0 +1,473 @@
+#include "process/sidecar/local_runner.hpp"
+
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+using request::execution;
+using request::reason;
+using telemetry::decision;
+
+// Longest response of which a copy is kept for a sender that comes back.
+constexpr std::size_t max_copy_bytes = std::size_t{64} * 1024;
+
+// How long the outcome of a run is kept, and a fenced attempt refused. Longer
+// than bytes of a lost connection can be on their way.
+constexpr duration outcome_kept = std::chrono::seconds(5);
+
+// A repeatable run without a receiver goes on for this time.
+constexpr duration detached_limit = std::chrono::milliseconds(400);
+
+// The backend server stops at the deadline by itself; its answer to that may
+// take this long.
+constexpr duration deadline_grace = std::chrono::milliseconds(100);
+
+// After the deadline, for an answer that nobody waits for.
+constexpr duration abandoned_limit = std::chrono::seconds(2);
+
+// A reused connection that breaks within this time was closed while idle.
+constexpr duration idle_close_limit = std::chrono::milliseconds(50);
+
+// Shortest time that is worth starting a run.
+constexpr duration least_run_time = std::chrono::milliseconds(5);
+
+// The process shares its machine with the backend server, so an unanswered
+// byte means that nothing listens any more.
+constexpr connection::net::liveness backend_alive{
+    std::chrono::milliseconds(700), 1};
+
+connection::http::client_options backend_options(const dialect& words)
+{
+    connection::http::client_options it;
+    it.alive = backend_alive;
+    it.echo_header = words.echo_header();
+    it.message.header_bytes = 32 * 1024;
+    it.message.body_bytes = std::uint64_t{1} << 40;
+    return it;
+}
+
+} // namespace
+
+local_runner::local_runner(loop::reactor& loop, const dialect& words,
+                           counters& counts, local_backend& backend)
+    : loop_(loop), words_(words), counts_(counts), backend_(backend),
+      gate_(loop, loop), pool_(loop, backend_options(words))
+{
+    pool_.set_address(backend.address());
+}
+
+local_runner::~local_runner() = default;
+
+std::shared_ptr<request::run>
+local_runner::start(const request::run_request& what,
+                    const std::shared_ptr<request::run_receiver>& receiver)
+{
+    auto it = std::make_shared<local_run>(*this, what, receiver);
+    if (fenced_.count(what.attempt_id) != 0) {
+        it->refuse(reason::fenced);
+        return it;
+    }
+    runs_.emplace(what.attempt_id, it);
+    it->begin();
+    return it;
+}
+
+std::shared_ptr<local_run> local_runner::attach(
+    const std::string& attempt_id,
+    const std::shared_ptr<request::run_receiver>& receiver)
+{
+    auto it = runs_.find(attempt_id);
+    if (it != runs_.end() && it->second->join(receiver))
+        return it->second;
+    if (it == runs_.end()) {
+        fenced_.emplace(attempt_id, loop_.now() + outcome_kept);
+        loop_.call_after(outcome_kept,
+                         [this, attempt_id] { fenced_.erase(attempt_id); });
+    }
+    return nullptr;
+}
+
+void local_runner::backend_changed()
+{
+    pool_.set_address(backend_.address());
+    if (backend_.slots() > 0)
+        gate_.set_slots(backend_.slots());
+    if (!backend_.takes_calls())
+        gate_.refuse_all();
+}
+
+routing::load_report local_runner::load() const
+{
+    return {gate_.running(), static_cast<int>(gate_.waiting()), gate_.limit(),
+            gate_.service_time()};
+}
+
+std::optional<reason> local_runner::refusal() const
+{
+    if (leaving_)
+        return reason::draining;
+    if (backend_.takes_calls())
+        return std::nullopt;
+    return backend_.state() == fleet::backend_state::draining
+               ? reason::draining
+               : reason::no_backend_server;
+}
+
+void local_runner::forget(const std::string& attempt_id)
+{
+    runs_.erase(attempt_id);
+}
+
+local_run::local_run(local_runner& owner, const request::run_request& what,
+                     std::shared_ptr<request::run_receiver> receiver)
+    : owner_(owner), what_(what), receiver_(std::move(receiver)),
+      arrived_(owner.loop_.now()), deadline_(arrived_ + what.remaining)
+{
+}
+
+duration local_run::remaining() const { return deadline_ - owner_.loop_.now(); }
+
+void local_run::begin()
+{
+    auto self = shared_from_this();
+    if (what_.service != owner_.backend_.service()) {
+        refuse(reason::no_backend_server);
+        return;
+    }
+    if (auto why = owner_.refusal()) {
+        refuse(*why);
+        return;
+    }
+    arrival_ = ++owner_.last_arrival_;
+    load::arrival it{arrival_, what_.rank,
+                     arrived_ + std::min(what_.patience, what_.remaining)};
+    owner_.gate_.arrive(it, [self](load::turn turn) { self->take_turn(turn); });
+}
+
+void local_run::take_turn(load::turn it)
+{
+    if (it == load::turn::refused) {
+        auto why = owner_.refusal().value_or(reason::overload);
+        refuse(why, owner_.gate_.expected_wait(what_.rank));
+        return;
+    }
+    if (remaining() < least_run_time) {
+        owner_.gate_.finished(owner_.gate_.service_time());
+        refuse(reason::deadline);
+        return;
+    }
+    state_ = state::running;
+    ++owner_.running_;
+    timer_ = owner_.loop_.call_after(
+        remaining() + deadline_grace,
+        [self = shared_from_this()] { self->expire(); });
+    send();
+}
+
+void local_run::send()
+{
+    started_ = owner_.loop_.now();
+    auto newest = what_.repeatable ? owner_.settings_.idle_limit
+                                   : owner_.settings_.once_idle_limit;
+    connection_ =
+        owner_.pool_.take(sent_again_ ? duration(0) : newest);
+    auto head = what_.head;
+    owner_.words_.dress_for_backend(head, what_, owner_.backend_.id(),
+                                    remaining());
+    connection::http::framing how;
+    const auto& body = *what_.body;
+    if (body.complete() && (body.received() > 0 || body.length()))
+        how = {connection::http::framing::kind::length, body.received()};
+    else if (!body.complete() && body.length())
+        how = {connection::http::framing::kind::length, *body.length()};
+    else if (!body.complete())
+        how = {connection::http::framing::kind::chunked, 0};
+    auto first = body.from(0);
+    body_sent_ = first.size();
+    connection_->start_call(head, how, first, what_.request_id, *this);
+    if (!body.complete()) {
+        what_.body->on_more([weak = weak_from_this()] {
+            if (auto it = weak.lock())
+                it->send_more_body();
+        });
+        send_more_body();
+    }
+}
+
+void local_run::send_more_body()
+{
+    if (state_ != state::running || !connection_ || !connection_->is_open())
+        return;
+    // The upload is held back while the connection takes no more.
+    if (connection_->unsent() > request::upload::kept_bytes)
+        return;
+    auto bytes = what_.body->from(body_sent_);
+    body_sent_ += bytes.size();
+    bool last =
+        what_.body->complete() && body_sent_ == what_.body->received();
+    connection_->send_body(bytes, last);
+    what_.body->release(body_sent_);
+}
+
+void local_run::on_response(connection::http::response_head&& head,
+                            const connection::http::message_info& info)
+{
+    auto self = shared_from_this();
+    const auto& words = owner_.words_;
+    if (words.says_misdirected(head) || words.says_not_run(head)) {
+        misdirected_ = words.says_misdirected(head);
+        refused_below_ = true;
+        return;
+    }
+    // Without the name of its request, a success may be anybody's.
+    if (head.headers.find(words.echo_header()) == nullptr &&
+        head.status / 100 == 2) {
+        connection_->close();
+        backend_done();
+        fail(execution::may_have_run, reason::malformed);
+        return;
+    }
+    head.headers.remove_hop_by_hop();
+    length_ = info.length;
+    if (!what_.repeatable)
+        head_ = head;
+    if (receiver_) {
+        receiver_->on_load(owner_.load());
+        receiver_->on_response(std::move(head), info.length);
+    } else {
+        head_ = std::move(head);
+    }
+}
+
+void local_run::on_response_body(std::string_view bytes)
+{
+    if (refused_below_ || state_ != state::running)
+        return;
+    auto self = shared_from_this();
+    if (!what_.repeatable || !receiver_) {
+        if (copy_.size() + bytes.size() > max_copy_bytes)
+            copy_whole_ = false;
+        else
+            copy_.append(bytes);
+    }
+    if (auto to = receiver_)
+        to->on_response_body(bytes);
+}
+
+void local_run::on_response_end()
+{
+    auto self = shared_from_this();
+    backend_done();
+    if (refused_below_) {
+        if (misdirected_)
+            owner_.backend_.unreachable();
+        refuse(reason::backend_server_failed);
+        return;
+    }
+    response_ended_ = true;
+    auto to = receiver_;
+    end();
+    if (to)
+        to->on_response_end();
+}
+
+void local_run::on_failure(const connection::http::call_failure& why)
+{
+    auto self = shared_from_this();
+    auto took = owner_.loop_.now() - started_;
+    bool was_idle = connection_->used() && why.unanswered && !why.malformed &&
+                    took < idle_close_limit;
+    if (was_idle && what_.repeatable && !sent_again_ &&
+        what_.body->replayable() && remaining() > least_run_time) {
+        sent_again_ = true;
+        ++owner_.counts_.at("backend_idle_closes");
+        send();
+        return;
+    }
+    backend_done();
+    if (why.unsent) {
+        owner_.backend_.unreachable();
+        if (owner_.backend_lost_)
+            owner_.backend_lost_();
+        refuse(reason::connection_failed);
+        return;
+    }
+    fail(execution::may_have_run, why.malformed ? reason::malformed
+                                                : reason::connection_failed);
+}
+
+void local_run::backend_done()
+{
+    if (state_ != state::running)
+        return;
+    state_ = state::ended;
+    --owner_.running_;
+    owner_.loop_.cancel(timer_);
+    what_.body->on_more({});
+    auto took = owner_.loop_.now() - started_;
+    if (connection_)
+        owner_.pool_.give_back(std::move(connection_));
+    connection_.reset();
+    owner_.gate_.finished(took);
+}
+
+void local_run::refuse(reason why, std::optional<duration> retry_after)
+{
+    auto self = shared_from_this();
+    state_ = state::ended;
+    ++owner_.counts_.at("runs_refused");
+    if (telemetry::allow(decision::refused))
+        SHALLOTWOOD_LOG(info)
+            << "event=run_refused" << field("request", what_.request_id)
+            << field("attempt", what_.attempt_id)
+            << field("route", what_.route) << field("reason", name_of(why))
+            << field("rank", what_.rank)
+            << field("running", owner_.gate_.running())
+            << field("waiting", owner_.gate_.waiting())
+            << field("limit", owner_.gate_.limit())
+            << field("backend_state",
+                     fleet::name_of(owner_.backend_.state()));
+    failure_ = request::run_failure{{execution::not_run, why}, retry_after};
+    auto to = receiver_;
+    end();
+    if (to) {
+        to->on_load(owner_.load());
+        to->on_failure(*failure_);
+    }
+}
+
+void local_run::fail(execution known, reason why)
+{
+    auto self = shared_from_this();
+    ++owner_.counts_.at("runs_failed");
+    if (telemetry::allow(decision::failed))
+        SHALLOTWOOD_LOG(warning)
+            << "event=run_failed" << field("request", what_.request_id)
+            << field("attempt", what_.attempt_id)
+            << field("route", what_.route) << field("verdict", name_of(known))
+            << field("reason", name_of(why))
+            << field("backend", owner_.backend_.id())
+            << field("after_us", (owner_.loop_.now() - started_).count());
+    failure_ = request::run_failure{{known, why}, std::nullopt};
+    auto to = receiver_;
+    end();
+    if (to) {
+        to->on_load(owner_.load());
+        to->on_failure(*failure_);
+    }
+}
+
+void local_run::end()
+{
+    receiver_.reset();
+    if (what_.repeatable) {
+        owner_.forget(what_.attempt_id);
+        return;
+    }
+    owner_.loop_.call_after(
+        outcome_kept,
+        [&owner = owner_, id = what_.attempt_id] { owner.forget(id); });
+}
+
+void local_run::expire()
+{
+    if (state_ != state::running)
+        return;
+    auto self = shared_from_this();
+    if (auto to = std::move(receiver_)) {
+        failure_ = request::run_failure{
+            {execution::may_have_run, reason::deadline}, std::nullopt};
+        to->on_load(owner_.load());
+        to->on_failure(*failure_);
+    }
+    if (what_.repeatable) {
+        cancel();
+        return;
+    }
+    // The backend server ends it at its own deadline.
+    timer_ = owner_.loop_.call_after(abandoned_limit, [self] {
+        if (self->state_ != state::running)
+            return;
+        self->connection_->close();
+        self->backend_done();
+        self->end();
+    });
+}
+
+void local_run::cancel()
+{
+    auto self = shared_from_this();
+    receiver_.reset();
+    if (state_ == state::waiting) {
+        state_ = state::ended;
+        owner_.gate_.leave(arrival_);
+        end();
+        return;
+    }
+    if (state_ != state::running || !what_.repeatable)
+        return;
+    // A backend server drops the work of a closed connection.
+    connection_->close();
+    backend_done();
+    end();
+}
+
+void local_run::pause()
+{
+    paused_ = true;
+    if (connection_)
+        connection_->pause_reading();
+}
+
+void local_run::resume()
+{
+    paused_ = false;
+    if (connection_)
+        connection_->resume_reading();
+}
+
+void local_run::detach()
+{
+    receiver_.reset();
+    if (paused_)
+        resume();
+    if (state_ == state::ended || !what_.repeatable)
+        return;
+    owner_.loop_.call_after(detached_limit, [self = shared_from_this()] {
+        if (!self->receiver_)
+            self->cancel();
+    });
+}
+
+bool local_run::join(std::shared_ptr<request::run_receiver> receiver)
+{
+    bool started = head_.has_value();
+    if (started && !copy_whole_)
+        return false;
+    if (!started && state_ != state::ended) {
+        receiver_ = std::move(receiver);
+        return true;
+    }
+    receiver->on_load(owner_.load());
+    if (failure_) {
+        receiver->on_failure(*failure_);
+        return true;
+    }
+    if (!started)
+        return false;
+    auto head = *head_;
+    receiver->on_response(std::move(head), length_);
+    receiver->on_response_body(copy_);
+    if (response_ended_)
+        receiver->on_response_end();
+    else
+        receiver_ = std::move(receiver);
+    return true;
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/local_runner.hpp
@@ -0,0 +1,154 @@
+// Runs calls on the backend server beside this node.
+//
+// Every call that reaches the backend server passes here, from callers at this
+// node and from other nodes, so this alone decides what runs: whether the
+// backend server takes calls, when there is a slot, and what "not run" means.
+#pragma once
+
+#include "connection/http/client_pool.hpp"
+#include "process/counters.hpp"
+#include "process/load/gate.hpp"
+#include "process/sidecar/dialect.hpp"
+#include "process/sidecar/local_backend.hpp"
+#include "request/run.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace shallotwood::process::sidecar
+{
+
+class local_run;
+
+class local_runner final : public request::runner
+{
+public:
+    struct settings {
+        // Newest idle connection on which a request that must not run twice
+        // is sent: the backend server may be closing an older one.
+        duration once_idle_limit = std::chrono::milliseconds(250);
+        // Same for a request that may be repeated.
+        duration idle_limit = std::chrono::seconds(4);
+    };
+
+    local_runner(loop::reactor& loop, const dialect& words, counters& counts,
+                 local_backend& backend);
+    ~local_runner() override;
+
+    std::shared_ptr<request::run>
+    start(const request::run_request& what,
+          const std::shared_ptr<request::run_receiver>& receiver) override;
+
+    // Joins a run whose sender lost its connection. Null if it is not known;
+    // then it never starts later.
+    std::shared_ptr<local_run>
+    attach(const std::string& attempt_id,
+           const std::shared_ptr<request::run_receiver>& receiver);
+
+    // The backend server announced itself or is gone.
+    void backend_changed();
+    // Refuses what comes from now on.
+    void set_leaving() { leaving_ = true; }
+
+    routing::load_report load() const;
+    std::size_t runs() const { return running_; }
+    std::uint64_t connections_opened() const { return pool_.opened(); }
+
+    // Called when nothing listens at the backend server's address.
+    void on_backend_lost(std::function<void()> lost)
+    {
+        backend_lost_ = std::move(lost);
+    }
+
+private:
+    friend class local_run;
+    std::optional<request::reason> refusal() const;
+    void forget(const std::string& attempt_id);
+
+    loop::reactor& loop_;
+    const dialect& words_;
+    counters& counts_;
+    local_backend& backend_;
+    settings settings_;
+    load::gate gate_;
+    connection::http::client_pool pool_;
+    std::function<void()> backend_lost_;
+    bool leaving_ = false;
+    std::size_t running_ = 0;
+    std::uint64_t last_arrival_ = 0;
+    std::unordered_map<std::string, std::shared_ptr<local_run>> runs_;
+    // Attempts that must not start any more, with the end of their entry.
+    std::unordered_map<std::string, time_point> fenced_;
+};
+
+// One call on the backend server.
+class local_run final : public request::run,
+                        public std::enable_shared_from_this<local_run>,
+                        private connection::http::call_events
+{
+public:
+    local_run(local_runner& owner, const request::run_request& what,
+              std::shared_ptr<request::run_receiver> receiver);
+
+    void begin();
+    void cancel() override;
+    void pause() override;
+    void resume() override;
+
+    // The connection to the sender was lost. The sender may come back for the
+    // result.
+    void detach();
+    // False if what the former receiver got is not held any more.
+    bool join(std::shared_ptr<request::run_receiver> receiver);
+
+private:
+    friend class local_runner;
+    enum class state { waiting, running, ended };
+
+    void take_turn(load::turn it);
+    void send();
+    void send_more_body();
+    void refuse(request::reason why,
+                std::optional<duration> retry_after = std::nullopt);
+    void fail(request::execution known, request::reason why);
+    void backend_done();
+    void end();
+    void expire();
+    duration remaining() const;
+
+    void on_response(connection::http::response_head&& head,
+                     const connection::http::message_info& info) override;
+    void on_response_body(std::string_view bytes) override;
+    void on_response_end() override;
+    void on_failure(const connection::http::call_failure& why) override;
+    void on_request_drained() override { send_more_body(); }
+
+    local_runner& owner_;
+    request::run_request what_;
+    std::shared_ptr<request::run_receiver> receiver_;
+    state state_ = state::waiting;
+    std::uint64_t arrival_ = 0;
+    time_point arrived_;
+    time_point deadline_;
+    time_point started_;
+    std::shared_ptr<connection::http::client_connection> connection_;
+    timer_id timer_{};
+    std::uint64_t body_sent_ = 0;
+    bool sent_again_ = false;
+    bool paused_ = false;
+    // The backend server said that it did not run the request.
+    bool refused_below_ = false;
+    bool misdirected_ = false;
+
+    // Copy of the response for a sender that comes back.
+    std::optional<connection::http::response_head> head_;
+    std::optional<std::uint64_t> length_;
+    std::string copy_;
+    bool copy_whole_ = true;
+    bool response_ended_ = false;
+    std::optional<request::run_failure> failure_;
+};
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/node_settings.hpp
@@ -0,0 +1,56 @@
+// The settings of a node, read from a TOML file.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/peer_transport.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace shallotwood::process::sidecar
+{
+
+// Largest settings file that is read, in bytes.
+constexpr std::size_t max_settings_bytes = std::size_t{64} * 1024;
+
+struct node_settings {
+    std::string name;
+    std::string failure_domain;
+    // Service of the backend server beside the node.
+    std::string service;
+    process::peer_address backend_address;
+    // Callers, and the backend server's own calls.
+    process::peer_address caller_address;
+    // Other nodes.
+    process::peer_address peer_listen_address;
+    // Announcements of the backend server.
+    process::peer_address announce_address;
+    process::peer_address readiness_address;
+    process::peer_address metrics_address;
+    process::peer_address platform_address;
+    // Announcement addresses of nodes that may be running.
+    std::vector<process::peer_address> seeds;
+    // Retries over all nodes: a part of the calls, and an allowance besides in
+    // each window.
+    double retry_ratio = 0;
+    double retry_allowance = 0;
+    duration retry_window = std::chrono::seconds(10);
+    // Between SIGTERM and SIGKILL.
+    duration shutdown_limit = std::chrono::seconds(6);
+    std::size_t max_connections = 1024;
+};
+
+struct settings_error {
+    // `LINE: FIELD: MESSAGE`, one for each fault.
+    std::vector<std::string> faults;
+};
+
+using settings_result = std::variant<node_settings, settings_error>;
+
+// Never throws on untrusted text. Unknown fields are ignored.
+settings_result parse_node_settings(std::string_view text);
+settings_result load_node_settings(const std::string& file_name);
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/peer_codec.cpp
@@ -0,0 +1,218 @@
+#include "process/sidecar/peer_codec.hpp"
+
+#include <cctype>
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+using connection::http::header_list;
+
+// Headers that nodes add start with this; all others are the request's or the
+// response's own.
+constexpr std::string_view own_prefix = "sw-";
+
+std::string to_text(duration it) { return std::to_string(it.count()); }
+
+// HTTP/2 carries names in lower case; backend servers and callers get the
+// usual capitals again.
+std::string capitalized(std::string_view name)
+{
+    std::string text(name);
+    bool first = true;
+    for (auto& c : text) {
+        auto byte = static_cast<unsigned char>(c);
+        c = static_cast<char>(first ? std::toupper(byte) : std::tolower(byte));
+        first = c == '-';
+    }
+    return text;
+}
+
+std::string lower(std::string_view name)
+{
+    std::string text(name);
+    for (auto& c : text)
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    return text;
+}
+
+bool is_own(std::string_view name)
+{
+    return name.substr(0, own_prefix.size()) == own_prefix ||
+           (!name.empty() && name.front() == ':');
+}
+
+void add_message_headers(header_list& to, const header_list& from)
+{
+    for (const auto& it : from) {
+        auto name = lower(it.name);
+        // A caller can't set what only nodes say.
+        if (!is_own(name))
+            to.add(name, it.value);
+    }
+}
+
+header_list message_headers(const header_list& from)
+{
+    header_list to;
+    for (const auto& it : from)
+        if (!is_own(it.name))
+            to.add(capitalized(it.name), it.value);
+    return to;
+}
+
+std::string text_in(const header_list& headers, const char* name)
+{
+    const auto* it = headers.find(name);
+    return it == nullptr ? std::string() : *it;
+}
+
+duration time_in(const header_list& headers, const char* name)
+{
+    return duration(
+        static_cast<duration::rep>(number_in(headers, name).value_or(0)));
+}
+
+} // namespace
+
+std::optional<std::uint64_t> number_in(const header_list& headers,
+                                       const char* name)
+{
+    const auto* it = headers.find(name);
+    if (it == nullptr)
+        return std::nullopt;
+    return connection::http::parse_number(*it);
+}
+
+header_list to_headers(const request::run_request& what)
+{
+    header_list to;
+    to.add(":method", what.head.method);
+    to.add(path_header, peer_path::run);
+    to.add("sw-target", what.head.target);
+    to.add("sw-request", what.request_id);
+    to.add("sw-attempt", what.attempt_id);
+    to.add("sw-route", what.route);
+    to.add("sw-service", what.service);
+    if (!what.workspace.empty())
+        to.add("sw-workspace", what.workspace);
+    to.add("sw-caller", what.caller_service);
+    to.add("sw-repeatable", what.repeatable ? "1" : "0");
+    to.add("sw-rank", std::to_string(what.rank));
+    to.add("sw-number", std::to_string(what.attempt));
+    to.add("sw-remaining", to_text(what.remaining));
+    to.add("sw-patience", to_text(what.patience));
+    to.add("sw-policy", std::to_string(what.policy_revision));
+    if (what.body->length())
+        to.add("sw-length", std::to_string(*what.body->length()));
+    add_message_headers(to, what.head.headers);
+    return to;
+}
+
+std::optional<request::run_request> run_from_headers(header_list&& headers)
+{
+    request::run_request what;
+    what.head.method = text_in(headers, ":method");
+    what.head.target = text_in(headers, "sw-target");
+    what.request_id = text_in(headers, "sw-request");
+    what.attempt_id = text_in(headers, "sw-attempt");
+    what.route = text_in(headers, "sw-route");
+    what.service = text_in(headers, "sw-service");
+    what.workspace = text_in(headers, "sw-workspace");
+    what.caller_service = text_in(headers, "sw-caller");
+    what.repeatable = text_in(headers, "sw-repeatable") == "1";
+    auto rank = number_in(headers, "sw-rank");
+    auto attempt = number_in(headers, "sw-number");
+    if (what.head.method.empty() || what.head.target.empty() ||
+        what.attempt_id.empty() || what.service.empty() || !rank || !attempt)
+        return std::nullopt;
+    what.rank = static_cast<std::uint32_t>(*rank);
+    what.attempt = static_cast<int>(*attempt);
+    what.remaining = time_in(headers, "sw-remaining");
+    what.patience = time_in(headers, "sw-patience");
+    what.policy_revision = number_in(headers, "sw-policy").value_or(0);
+    what.body =
+        std::make_shared<request::upload>(number_in(headers, "sw-length"));
+    what.head.headers = message_headers(headers);
+    return what;
+}
+
+header_list to_headers(const run_reply& reply)
+{
+    header_list to;
+    int status = reply.response ? reply.response->status : 503;
+    to.add(":status", std::to_string(status));
+    to.add("sw-load", std::to_string(reply.load.running) + ' ' +
+                          std::to_string(reply.load.waiting) + ' ' +
+                          std::to_string(reply.load.limit) + ' ' +
+                          std::to_string(reply.load.service_time.count()));
+    to.add("sw-incarnation", std::to_string(reply.incarnation));
+    to.add("sw-policy", std::to_string(reply.policy_revision));
+    if (reply.failure) {
+        to.add("sw-verdict",
+               std::string(request::name_of(reply.failure->what.run)));
+        to.add("sw-reason",
+               std::string(request::name_of(reply.failure->what.why)));
+        if (reply.failure->retry_after)
+            to.add("sw-retry-after", to_text(*reply.failure->retry_after));
+        return to;
+    }
+    if (reply.length)
+        to.add("sw-length", std::to_string(*reply.length));
+    add_message_headers(to, reply.response->headers);
+    return to;
+}
+
+namespace
+{
+
+process::routing::load_report load_from(const std::string& text)
+{
+    process::routing::load_report it;
+    std::uint64_t numbers[4] = {};
+    std::string_view rest = text;
+    for (auto& n : numbers) {
+        auto space = std::min(rest.find(' '), rest.size());
+        n = connection::http::parse_number(rest.substr(0, space)).value_or(0);
+        rest.remove_prefix(std::min(space + 1, rest.size()));
+    }
+    it.running = static_cast<int>(numbers[0]);
+    it.waiting = static_cast<int>(numbers[1]);
+    it.limit = static_cast<int>(numbers[2]);
+    it.service_time = duration(static_cast<duration::rep>(numbers[3]));
+    return it;
+}
+
+} // namespace
+
+std::optional<run_reply> reply_from_headers(header_list&& headers)
+{
+    auto status = number_in(headers, ":status");
+    if (!status)
+        return std::nullopt;
+    run_reply reply;
+    reply.load = load_from(text_in(headers, "sw-load"));
+    reply.incarnation = number_in(headers, "sw-incarnation").value_or(0);
+    reply.policy_revision = number_in(headers, "sw-policy").value_or(0);
+    if (const auto* text = headers.find("sw-verdict")) {
+        request::run_failure failure;
+        if (!request::parse_execution(*text, failure.what.run))
+            return std::nullopt;
+        request::parse_reason(text_in(headers, "sw-reason"), failure.what.why);
+        if (auto after = number_in(headers, "sw-retry-after"))
+            failure.retry_after =
+                duration(static_cast<duration::rep>(*after));
+        reply.failure = failure;
+        return reply;
+    }
+    connection::http::response_head head;
+    head.status = static_cast<int>(*status);
+    head.headers = message_headers(headers);
+    reply.response = std::move(head);
+    reply.length = number_in(headers, "sw-length");
+    return reply;
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/peer_codec.hpp
@@ -0,0 +1,52 @@
+// What nodes say to one another in the headers of their HTTP/2 streams.
+#pragma once
+
+#include "connection/http/message.hpp"
+#include "request/run.hpp"
+
+#include <optional>
+
+namespace shallotwood::process::sidecar
+{
+
+// What a stream asks for, in `:path`.
+namespace peer_path
+{
+constexpr std::string_view run = "/run";
+// The response of a run whose connection was lost.
+constexpr std::string_view attach = "/attach";
+// Exchange of fleet entries.
+constexpr std::string_view fleet = "/fleet";
+// Text of the policy.
+constexpr std::string_view policy = "/policy";
+// Tokens of a workspace's rate.
+constexpr std::string_view tokens = "/tokens";
+} // namespace peer_path
+
+constexpr const char* path_header = ":path";
+
+connection::http::header_list to_headers(const request::run_request& what);
+// Nothing if a field is missing or unreadable.
+std::optional<request::run_request>
+run_from_headers(connection::http::header_list&& headers);
+
+struct run_reply {
+    // With a response: its head. With a failure: nothing.
+    std::optional<connection::http::response_head> response;
+    std::optional<std::uint64_t> length;
+    std::optional<request::run_failure> failure;
+    process::routing::load_report load;
+    // Of the node that answers.
+    std::uint64_t incarnation = 0;
+    std::uint64_t policy_revision = 0;
+};
+
+connection::http::header_list to_headers(const run_reply& reply);
+std::optional<run_reply>
+reply_from_headers(connection::http::header_list&& headers);
+
+// Value of a numeric header; nothing if it is missing or no number.
+std::optional<std::uint64_t>
+number_in(const connection::http::header_list& headers, const char* name);
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/peer_links.cpp
@@ -0,0 +1,482 @@
+#include "process/sidecar/peer_links.hpp"
+
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+using connection::http::header_list;
+using connection::peer::session;
+using connection::peer::stream_close;
+using connection::peer::stream_number;
+using request::execution;
+using request::reason;
+
+// How often connections are checked.
+constexpr duration tick_period = std::chrono::milliseconds(100);
+
+// Silence after which a node is asked for a sign of life.
+constexpr duration ping_after = std::chrono::milliseconds(250);
+
+// Without an answer to that, new calls go elsewhere.
+constexpr duration suspect_after = std::chrono::milliseconds(300);
+
+// And the connection is given up. Two lost packets in a row cost 600 ms.
+constexpr duration drop_after = std::chrono::milliseconds(900);
+
+// For a connection to be established; between failure domains it takes 2 ms.
+constexpr duration connect_limit = std::chrono::milliseconds(400);
+
+// Pause before an unreachable node is tried again.
+constexpr duration first_backoff = std::chrono::milliseconds(250);
+constexpr duration longest_backoff = std::chrono::seconds(2);
+
+// For the answer of a node that is asked for the result of a lost run.
+constexpr duration attach_limit = std::chrono::milliseconds(600);
+
+// Largest reply to a message.
+constexpr std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
+
+} // namespace
+
+// A run at another node.
+class peer_links::remote_run final
+    : public request::run,
+      public connection::peer::stream_events,
+      public std::enable_shared_from_this<remote_run>
+{
+public:
+    remote_run(peer_links& owner, const fleet::instance& at,
+               const request::run_request& what,
+               std::shared_ptr<request::run_receiver> receiver)
+        : owner_(owner), to_(at.peer), name_(at.name()),
+          incarnation_(at.incarnation), attempt_id_(what.attempt_id),
+          repeatable_(what.repeatable), body_(what.body),
+          receiver_(std::move(receiver))
+    {
+    }
+
+    void begin(const request::run_request& what)
+    {
+        auto& of = owner_.link_to(to_);
+        session_ = owner_.session_of(of);
+        bool has_body = !body_->empty() || body_->length();
+        stream_ = session_->request(to_headers(what), has_body,
+                                    shared_from_this());
+        if (stream_ < 0) {
+            fail(execution::not_run, reason::connection_failed);
+            return;
+        }
+        if (!has_body)
+            return;
+        if (!body_->complete())
+            body_->on_more([weak = weak_from_this()] {
+                if (auto it = weak.lock())
+                    it->send_body();
+            });
+        send_body();
+    }
+
+    void cancel() override
+    {
+        receiver_.reset();
+        body_->on_more({});
+        if (stream_ >= 0 && session_)
+            session_->reset(stream_);
+        stream_ = -1;
+    }
+
+    void pause() override { paused_ = true; }
+
+    void resume() override
+    {
+        paused_ = false;
+        if (session_ && stream_ >= 0)
+            session_->consumed(stream_, held_back_);
+        held_back_ = 0;
+    }
+
+    void on_head(header_list&& headers) override
+    {
+        auto self = shared_from_this();
+        auto reply = reply_from_headers(std::move(headers));
+        if (!reply) {
+            fail(execution::may_have_run, reason::malformed);
+            return;
+        }
+        if (owner_.on_revision_)
+            owner_.on_revision_(name_, reply->policy_revision);
+        if (attaching_ && reply->failure &&
+            reply->failure->what.why == reason::fenced) {
+            // The node does not know the attempt. If it is the process that
+            // the attempt was sent to, nothing was started.
+            bool same = reply->incarnation == incarnation_;
+            fail(same ? execution::not_run : execution::may_have_run,
+                 reason::connection_failed);
+            return;
+        }
+        if (!receiver_)
+            return;
+        receiver_->on_load(reply->load);
+        if (reply->failure) {
+            auto to = std::move(receiver_);
+            to->on_failure(*reply->failure);
+            return;
+        }
+        responding_ = true;
+        receiver_->on_response(std::move(*reply->response), reply->length);
+    }
+
+    void on_data(std::string_view bytes) override
+    {
+        auto self = shared_from_this();
+        if (receiver_)
+            receiver_->on_response_body(bytes);
+        if (paused_)
+            held_back_ += bytes.size();
+        else if (session_ && stream_ >= 0)
+            session_->consumed(stream_, bytes.size());
+    }
+
+    void on_end() override
+    {
+        auto self = shared_from_this();
+        body_->on_more({});
+        if (auto to = std::move(receiver_)) {
+            if (responding_)
+                to->on_response_end();
+            else
+                to->on_failure({{execution::may_have_run, reason::malformed},
+                                std::nullopt});
+        }
+    }
+
+    void on_closed(stream_close how) override
+    {
+        auto self = shared_from_this();
+        stream_ = -1;
+        body_->on_more({});
+        if (!receiver_)
+            return;
+        bool never_sent = !session_->was_connected();
+        if (how == stream_close::unprocessed || never_sent) {
+            fail(execution::not_run, reason::connection_failed);
+            return;
+        }
+        bool may_ask = how == stream_close::lost && !repeatable_ &&
+                       !responding_ && !attaching_;
+        if (may_ask)
+            attach();
+        else
+            fail(execution::may_have_run, how == stream_close::lost
+                                              ? reason::connection_silent
+                                              : reason::connection_failed);
+    }
+
+    void on_drained() override { send_body(); }
+
+private:
+    // Asks over a new connection what has become of the run.
+    void attach()
+    {
+        attaching_ = true;
+        auto& of = owner_.link_to(to_);
+        session_ = owner_.session_of(of);
+        header_list headers;
+        headers.add(":method", "GET");
+        headers.add(path_header, peer_path::attach);
+        headers.add("sw-attempt", attempt_id_);
+        stream_ = session_->request(headers, false, shared_from_this());
+        if (stream_ < 0) {
+            fail(execution::may_have_run, reason::connection_silent);
+            return;
+        }
+        // A node that lives says at once whether it knows the attempt; the
+        // response itself may take as long as the run. Silence of the node is
+        // found by the pings of its connection.
+        owner_.loop_.call_after(attach_limit, [weak = weak_from_this()] {
+            auto it = weak.lock();
+            if (it && it->receiver_ && !it->session_->established())
+                it->give_up();
+        });
+    }
+
+    void give_up()
+    {
+        if (session_ && stream_ >= 0)
+            session_->reset(stream_);
+        stream_ = -1;
+        fail(execution::may_have_run, reason::connection_silent);
+    }
+
+    void send_body()
+    {
+        if (stream_ < 0 || body_ended_)
+            return;
+        while (session_->unsent_on(stream_) <= session::max_unsent_bytes) {
+            auto bytes = body_->from(body_sent_);
+            if (bytes.empty())
+                break;
+            body_sent_ += bytes.size();
+            session_->send_data(stream_, bytes);
+            body_->release(body_sent_);
+        }
+        if (body_->complete() && body_sent_ == body_->received()) {
+            body_ended_ = true;
+            session_->end_data(stream_);
+        }
+    }
+
+    void fail(execution state, reason why)
+    {
+        if (auto to = std::move(receiver_))
+            to->on_failure({{state, why}, std::nullopt});
+    }
+
+    peer_links& owner_;
+    peer_address to_;
+    std::string name_;
+    std::uint64_t incarnation_;
+    std::string attempt_id_;
+    bool repeatable_;
+    std::shared_ptr<request::upload> body_;
+    std::shared_ptr<request::run_receiver> receiver_;
+    std::shared_ptr<session> session_;
+    stream_number stream_ = -1;
+    std::uint64_t body_sent_ = 0;
+    bool body_ended_ = false;
+    bool responding_ = false;
+    bool attaching_ = false;
+    bool paused_ = false;
+    std::size_t held_back_ = 0;
+};
+
+// A message and its reply.
+class peer_links::message final
+    : public connection::peer::stream_events,
+      public std::enable_shared_from_this<message>
+{
+public:
+    message(loop::reactor& loop, reply_handler done)
+        : loop_(loop), done_(std::move(done))
+    {
+    }
+
+    void begin(const std::shared_ptr<session>& over, std::string_view path,
+               const std::string& body, duration limit)
+    {
+        session_ = over;
+        header_list headers;
+        headers.add(":method", "POST");
+        headers.add(path_header, path);
+        stream_ = over->request(headers, true, shared_from_this());
+        if (stream_ < 0) {
+            finish(std::nullopt);
+            return;
+        }
+        over->send_data(stream_, body);
+        over->end_data(stream_);
+        timer_ = loop_.call_after(limit, [self = shared_from_this()] {
+            self->timed_out();
+        });
+        waiting_ = true;
+    }
+
+    void on_data(std::string_view bytes) override
+    {
+        if (reply_.size() + bytes.size() <= max_reply_bytes)
+            reply_.append(bytes);
+        session_->consumed(stream_, bytes.size());
+    }
+    void on_end() override { finish(std::move(reply_)); }
+    void on_closed(stream_close) override { finish(std::nullopt); }
+
+private:
+    void timed_out()
+    {
+        waiting_ = false;
+        session_->reset(stream_);
+        finish(std::nullopt);
+    }
+
+    void finish(std::optional<std::string> reply)
+    {
+        auto self = shared_from_this();
+        if (waiting_)
+            loop_.cancel(timer_);
+        waiting_ = false;
+        if (auto done = std::move(done_)) {
+            done_ = {};
+            done(std::move(reply));
+        }
+    }
+
+    loop::reactor& loop_;
+    reply_handler done_;
+    std::shared_ptr<session> session_;
+    stream_number stream_ = -1;
+    std::string reply_;
+    timer_id timer_{};
+    bool waiting_ = false;
+};
+
+peer_links::peer_links(loop::reactor& loop, counters& counts,
+                       const fleet::fleet_view& fleet,
+                       routing::placement& placement)
+    : loop_(loop), counts_(counts), fleet_(fleet), placement_(placement)
+{
+    tick();
+}
+
+peer_links::~peer_links()
+{
+    loop_.cancel(timer_);
+    for (auto& [name, it] : links_)
+        if (it.session)
+            it.session->close();
+}
+
+std::shared_ptr<request::run>
+peer_links::start(const fleet::instance& at, const request::run_request& what,
+                  const std::shared_ptr<request::run_receiver>& receiver)
+{
+    auto it = std::make_shared<remote_run>(*this, at, what, receiver);
+    it->begin(what);
+    return it;
+}
+
+void peer_links::call(const peer_address& to, std::string_view path,
+                      const std::string& body, duration limit,
+                      reply_handler done)
+{
+    auto it = std::make_shared<message>(loop_, std::move(done));
+    it->begin(session_of(link_to(to)), path, body, limit);
+}
+
+bool peer_links::reachable(const std::string& name) const
+{
+    auto it = links_.find(name);
+    return it == links_.end() || it->second.reachable;
+}
+
+std::size_t peer_links::unreachable() const
+{
+    std::size_t n = 0;
+    for (const auto& [name, it] : links_)
+        if (!it.reachable && fleet_.find(name) != nullptr)
+            ++n;
+    return n;
+}
+
+std::size_t peer_links::size() const
+{
+    std::size_t n = 0;
+    for (const auto& [name, it] : links_)
+        if (it.session)
+            ++n;
+    return n;
+}
+
+peer_links::link& peer_links::link_to(const peer_address& to)
+{
+    auto name = to.host + ':' + std::to_string(to.port);
+    auto& it = links_[name];
+    it.to = to;
+    return it;
+}
+
+std::shared_ptr<session> peer_links::session_of(link& of)
+{
+    auto now = loop_.now();
+    if (of.session) {
+        // A connection that has long been idle may have gone silent.
+        if (now - of.session->heard() > ping_after &&
+            !of.session->ping_waiting()) {
+            of.ping_at = now;
+            of.session->ping();
+        }
+        return of.session;
+    }
+    auto name = of.to.host + ':' + std::to_string(of.to.port);
+    of.opened_at = now;
+    of.session = session::connect(
+        loop_, of.to, [this, name](const std::shared_ptr<session>& which) {
+            lost(name, which);
+        });
+    ++counts_.at("peer_connections_opened");
+    return of.session;
+}
+
+void peer_links::lost(const std::string& name,
+                      const std::shared_ptr<session>& which)
+{
+    auto it = links_.find(name);
+    if (it == links_.end() || it->second.session != which)
+        return;
+    auto& of = it->second;
+    of.session.reset();
+    of.lost_at = loop_.now();
+    of.backoff = of.reachable ? first_backoff
+                              : std::min(of.backoff * 2, longest_backoff);
+    set_reachable(name, of, false);
+}
+
+void peer_links::set_reachable(const std::string& name, link& of,
+                               bool reachable)
+{
+    if (of.reachable == reachable)
+        return;
+    of.reachable = reachable;
+    placement_.set_reachable(name, reachable);
+    if (telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=" << (reachable ? "peer_regained" : "peer_lost")
+            << field("peer", name);
+}
+
+void peer_links::tick()
+{
+    auto now = loop_.now();
+    std::vector<std::string> names;
+    for (const auto& [name, it] : links_)
+        names.push_back(name);
+    for (const auto& name : names)
+        check(name, links_[name], now);
+    timer_ = loop_.call_after(tick_period, [this] { tick(); });
+}
+
+void peer_links::check(const std::string& name, link& of, time_point now)
+{
+    if (!of.session) {
+        const auto* known = fleet_.find(name);
+        bool wanted = known != nullptr && known->takes_calls();
+        if (wanted && !of.reachable && now - of.lost_at > of.backoff)
+            session_of(of);
+        return;
+    }
+    auto session = of.session;
+    if (!session->established()) {
+        if (now - of.opened_at > connect_limit)
+            session->drop();
+        return;
+    }
+    if (session->ping_waiting()) {
+        auto silent = now - std::max(session->heard(), of.ping_at);
+        if (silent > drop_after)
+            session->drop();
+        else if (silent > suspect_after)
+            set_reachable(name, of, false);
+        return;
+    }
+    set_reachable(name, of, true);
+    if (session->streams() > 0 && now - session->heard() > ping_after) {
+        of.ping_at = now;
+        session->ping();
+    }
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/peer_links.hpp
@@ -0,0 +1,89 @@
+// Connections from this node to the others.
+//
+// One HTTP/2 connection to each node that this one calls. A node is asked for a
+// sign of life only while something is expected from it; one that stays silent
+// is unreachable, and the calls on its connection are told.
+#pragma once
+
+#include "connection/peer/session.hpp"
+#include "process/counters.hpp"
+#include "process/fleet/fleet_view.hpp"
+#include "process/routing/placement.hpp"
+#include "process/sidecar/peer_codec.hpp"
+#include "request/run.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace shallotwood::process::sidecar
+{
+
+class peer_links
+{
+public:
+    // Body of the reply; nothing if there was none in time.
+    using reply_handler = std::function<void(std::optional<std::string>)>;
+    // What a reply says about the policy that the other node has.
+    using revision_handler =
+        std::function<void(const std::string& name, std::uint64_t revision)>;
+
+    peer_links(loop::reactor& loop, counters& counts,
+               const fleet::fleet_view& fleet, routing::placement& placement);
+    ~peer_links();
+    peer_links(const peer_links&) = delete;
+    peer_links& operator=(const peer_links&) = delete;
+
+    void on_revision(revision_handler handler)
+    {
+        on_revision_ = std::move(handler);
+    }
+
+    // Runs a call at another instance.
+    std::shared_ptr<request::run>
+    start(const fleet::instance& at, const request::run_request& what,
+          const std::shared_ptr<request::run_receiver>& receiver);
+
+    // Sends a message and waits for its reply.
+    void call(const peer_address& to, std::string_view path,
+              const std::string& body, duration limit, reply_handler done);
+
+    // False while the node does not answer.
+    bool reachable(const std::string& name) const;
+    std::size_t unreachable() const;
+    // Open connections.
+    std::size_t size() const;
+
+private:
+    class remote_run;
+    class message;
+    struct link {
+        peer_address to;
+        std::shared_ptr<connection::peer::session> session;
+        time_point opened_at{};
+        time_point ping_at{};
+        bool reachable = true;
+        time_point lost_at{};
+        duration backoff{};
+    };
+
+    link& link_to(const peer_address& to);
+    std::shared_ptr<connection::peer::session> session_of(link& of);
+    void lost(const std::string& name,
+              const std::shared_ptr<connection::peer::session>& which);
+    void set_reachable(const std::string& name, link& of, bool reachable);
+    void tick();
+    void check(const std::string& name, link& of, time_point now);
+
+    loop::reactor& loop_;
+    counters& counts_;
+    const fleet::fleet_view& fleet_;
+    routing::placement& placement_;
+    revision_handler on_revision_;
+    std::map<std::string, link> links_;
+    timer_id timer_{};
+};
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/peer_server.cpp
@@ -0,0 +1,284 @@
+#include "process/sidecar/peer_server.hpp"
+
+#include <utility>
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+using connection::http::header_list;
+using connection::peer::session;
+using connection::peer::stream_close;
+using connection::peer::stream_number;
+
+// Largest message.
+constexpr std::size_t max_message_bytes = std::size_t{4} * 1024 * 1024;
+
+} // namespace
+
+// A run for another node.
+class peer_server::served_run final
+    : public connection::peer::stream_events,
+      public request::run_receiver,
+      public std::enable_shared_from_this<served_run>
+{
+public:
+    served_run(peer_server& owner, const session_ptr& from,
+               stream_number stream)
+        : owner_(owner), session_(from), stream_(stream)
+    {
+    }
+
+    void begin(request::run_request what)
+    {
+        body_ = what.body;
+        waiting_ = std::make_unique<request::run_request>(std::move(what));
+    }
+
+    void join(const std::string& attempt_id)
+    {
+        auto self = shared_from_this();
+        if (auto it = owner_.runner_.attach(attempt_id, self)) {
+            if (!ended_)
+                run_ = it;
+            return;
+        }
+        on_failure({{request::execution::may_have_run, request::reason::fenced},
+                    std::nullopt});
+    }
+
+    void on_data(std::string_view bytes) override
+    {
+        if (!body_)
+            return;
+        body_->append(bytes);
+        auto n = bytes.size();
+        if (!body_->full())
+            consume(n);
+        else
+            held_back_ += n;
+        if (body_->full())
+            start_run();
+    }
+
+    void on_end() override
+    {
+        if (!body_)
+            return;
+        body_->finish();
+        start_run();
+    }
+
+    void on_closed(stream_close how) override
+    {
+        auto self = shared_from_this();
+        closed_ = true;
+        waiting_.reset();
+        if (body_) {
+            body_->on_more({});
+            body_->on_space({});
+        }
+        auto it = std::move(run_);
+        if (!it || ended_)
+            return;
+        if (how == stream_close::lost)
+            it->detach();
+        else
+            it->cancel();
+    }
+
+    void on_drained() override
+    {
+        if (run_)
+            run_->resume();
+    }
+
+    void on_load(const routing::load_report& it) override { load_ = it; }
+
+    void on_response(connection::http::response_head&& head,
+                     std::optional<std::uint64_t> length) override
+    {
+        if (closed_)
+            return;
+        auto reply = new_reply();
+        reply.response = std::move(head);
+        reply.length = length;
+        responded_ = true;
+        session_->respond(stream_, to_headers(reply), true);
+    }
+
+    void on_response_body(std::string_view bytes) override
+    {
+        if (closed_)
+            return;
+        session_->send_data(stream_, bytes);
+        if (run_ && session_->unsent_on(stream_) > session::max_unsent_bytes)
+            run_->pause();
+    }
+
+    void on_response_end() override
+    {
+        ended_ = true;
+        if (!closed_)
+            session_->end_data(stream_);
+    }
+
+    void on_failure(const request::run_failure& why) override
+    {
+        ended_ = true;
+        if (closed_)
+            return;
+        if (responded_) {
+            // What was sent must not look whole.
+            session_->reset(stream_);
+            return;
+        }
+        auto reply = new_reply();
+        reply.failure = why;
+        session_->respond(stream_, to_headers(reply), false);
+    }
+
+private:
+    run_reply new_reply() const
+    {
+        run_reply reply;
+        auto self = owner_.self_();
+        reply.load = load_;
+        reply.incarnation = self.incarnation;
+        reply.policy_revision = self.policy_revision;
+        return reply;
+    }
+
+    void start_run()
+    {
+        if (!waiting_)
+            return;
+        auto what = std::move(*waiting_);
+        waiting_.reset();
+        auto self = shared_from_this();
+        body_->on_space([weak = weak_from_this()] {
+            if (auto it = weak.lock())
+                it->consume(std::exchange(it->held_back_, 0));
+        });
+        auto it = owner_.runner_.start(what, self);
+        if (!ended_)
+            run_ = std::static_pointer_cast<local_run>(it);
+    }
+
+    void consume(std::size_t bytes)
+    {
+        if (!closed_)
+            session_->consumed(stream_, bytes);
+    }
+
+    peer_server& owner_;
+    session_ptr session_;
+    stream_number stream_;
+    std::unique_ptr<request::run_request> waiting_;
+    std::shared_ptr<request::upload> body_;
+    std::shared_ptr<local_run> run_;
+    routing::load_report load_;
+    std::size_t held_back_ = 0;
+    bool responded_ = false;
+    bool ended_ = false;
+    bool closed_ = false;
+};
+
+// A message of another node.
+class peer_server::served_message final
+    : public connection::peer::stream_events
+{
+public:
+    served_message(peer_server& owner, const session_ptr& from,
+                   stream_number stream, std::string path)
+        : owner_(owner), session_(from), stream_(stream),
+          path_(std::move(path))
+    {
+    }
+
+    void on_data(std::string_view bytes) override
+    {
+        if (body_.size() + bytes.size() <= max_message_bytes)
+            body_.append(bytes);
+        session_->consumed(stream_, bytes.size());
+    }
+
+    void on_end() override
+    {
+        auto reply = owner_.on_message_(path_, body_);
+        header_list headers;
+        headers.add(":status", "200");
+        session_->respond(stream_, headers, true);
+        session_->send_data(stream_, reply);
+        session_->end_data(stream_);
+    }
+
+    void on_closed(stream_close) override {}
+
+private:
+    peer_server& owner_;
+    session_ptr session_;
+    stream_number stream_;
+    std::string path_;
+    std::string body_;
+};
+
+peer_server::peer_server(loop::reactor& loop, local_runner& runner,
+                         identity_source self, message_handler on_message,
+                         revision_handler on_revision)
+    : loop_(loop), runner_(runner), self_(std::move(self)),
+      on_message_(std::move(on_message)), on_revision_(std::move(on_revision)),
+      listener_(loop, [this](int fd) {
+          sessions_.insert(session::accept(
+              loop_, fd,
+              [this](const session_ptr& from, stream_number stream,
+                     header_list&& headers) {
+                  return request(from, stream, std::move(headers));
+              },
+              [this](const session_ptr& which) { sessions_.erase(which); }));
+      })
+{
+}
+
+peer_server::~peer_server()
+{
+    for (const auto& it : sessions_)
+        it->close();
+}
+
+std::string peer_server::listen(const peer_address& address)
+{
+    return listener_.listen(address);
+}
+
+std::shared_ptr<connection::peer::stream_events>
+peer_server::request(const session_ptr& from, stream_number stream,
+                     header_list&& headers)
+{
+    const auto* path = headers.find(path_header);
+    if (path == nullptr)
+        return nullptr;
+    if (*path == peer_path::attach) {
+        const auto* id = headers.find("sw-attempt");
+        auto it = std::make_shared<served_run>(*this, from, stream);
+        it->join(id == nullptr ? std::string() : *id);
+        return it;
+    }
+    if (*path != peer_path::run)
+        return std::make_shared<served_message>(*this, from, stream, *path);
+    auto it = std::make_shared<served_run>(*this, from, stream);
+    auto what = run_from_headers(std::move(headers));
+    if (!what) {
+        it->on_failure({{request::execution::not_run,
+                         request::reason::malformed},
+                        std::nullopt});
+        return it;
+    }
+    on_revision_(what->policy_revision);
+    it->begin(std::move(*what));
+    return it;
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/peer_server.hpp
@@ -0,0 +1,59 @@
+// Serves the other nodes: runs their calls on the local backend server, and
+// answers their messages.
+#pragma once
+
+#include "connection/peer/session.hpp"
+#include "process/sidecar/local_runner.hpp"
+#include "process/sidecar/peer_codec.hpp"
+
+#include <functional>
+#include <set>
+
+namespace shallotwood::process::sidecar
+{
+
+class peer_server
+{
+public:
+    // Gets the path and body of a message, returns the body of the reply.
+    using message_handler = std::function<std::string(
+        std::string_view path, const std::string& body)>;
+    // What this node says of itself with each reply.
+    struct identity {
+        std::uint64_t incarnation = 0;
+        std::uint64_t policy_revision = 0;
+    };
+    using identity_source = std::function<identity()>;
+    // Another node has a policy of this revision.
+    using revision_handler = std::function<void(std::uint64_t revision)>;
+
+    peer_server(loop::reactor& loop, local_runner& runner,
+                identity_source self, message_handler on_message,
+                revision_handler on_revision);
+    ~peer_server();
+    peer_server(const peer_server&) = delete;
+    peer_server& operator=(const peer_server&) = delete;
+
+    std::string listen(const peer_address& address);
+    std::uint16_t port() const { return listener_.port(); }
+    std::size_t sessions() const { return sessions_.size(); }
+
+private:
+    class served_run;
+    class served_message;
+    using session_ptr = std::shared_ptr<connection::peer::session>;
+
+    std::shared_ptr<connection::peer::stream_events>
+    request(const session_ptr& from, connection::peer::stream_number stream,
+            connection::http::header_list&& headers);
+
+    loop::reactor& loop_;
+    local_runner& runner_;
+    identity_source self_;
+    message_handler on_message_;
+    revision_handler on_revision_;
+    connection::net::tcp_listener listener_;
+    std::set<session_ptr> sessions_;
+};
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/policy_feed.cpp
@@ -0,0 +1,114 @@
+#include "process/sidecar/policy_feed.hpp"
+
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+std::string_view name_of(store_error why)
+{
+    switch (why) {
+    case store_error::not_found:
+        return "not-found";
+    case store_error::conflict:
+        return "conflict";
+    case store_error::rate_limited:
+        return "rate-limited";
+    case store_error::unavailable:
+        return "unavailable";
+    case store_error::unknown_outcome:
+        return "no-answer";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+policy_feed::policy_feed(loop::reactor& loop, object_store& store,
+                         const dialect& words, counters& counts,
+                         std::string object_name, puller pull, listener adopted)
+    : loop_(loop), store_(store), words_(words), counts_(counts),
+      object_name_(std::move(object_name)), pull_(std::move(pull)),
+      adopted_(std::move(adopted))
+{
+}
+
+policy_feed::~policy_feed() { set_watching(false); }
+
+void policy_feed::set_watching(bool watching)
+{
+    if (watching == watch_.has_value())
+        return;
+    if (!watching) {
+        store_.cancel(*watch_);
+        watch_.reset();
+        return;
+    }
+    watch_ = store_.watch(
+        object_name_, object_version_,
+        [this](const get_result& result) { changed(result); });
+}
+
+void policy_feed::changed(const get_result& result)
+{
+    if (const auto* why = std::get_if<store_error>(&result)) {
+        if (*why == store_error::not_found || store_lost_)
+            return;
+        store_lost_ = true;
+        if (telemetry::allow(telemetry::decision::state))
+            SHALLOTWOOD_LOG(warning) << "event=store_lost"
+                                     << field("error", name_of(*why));
+        return;
+    }
+    if (store_lost_ && telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info) << "event=store_regained";
+    store_lost_ = false;
+    const auto& object = std::get<stored_object>(result);
+    object_version_ = object.version;
+    adopt(object.value, "store");
+}
+
+void policy_feed::heard(const std::string& name, std::uint64_t revision)
+{
+    if (revision <= this->revision() || pulling_)
+        return;
+    pulling_ = true;
+    pull_(name, [this, name](const std::optional<std::string>& text) {
+        pulling_ = false;
+        if (text && !text->empty())
+            adopt(*text, name);
+    });
+}
+
+bool policy_feed::adopt(const std::string& text, std::string_view source)
+{
+    auto parsed = words_.parse_policy(text);
+    if (const auto* why = std::get_if<parse_failure>(&parsed)) {
+        ++counts_.at("policies_unreadable");
+        if (telemetry::allow(telemetry::decision::state))
+            SHALLOTWOOD_LOG(error) << "event=policy_unreadable"
+                                   << field("source", source)
+                                   << field("error", why->message);
+        return false;
+    }
+    auto policy = std::get<version::policy_ptr>(std::move(parsed));
+    bool newer = policy->revision() > revision();
+    if (!newer)
+        return false;
+    if (telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=policy_adopted" << field("revision", policy->revision())
+            << field("before", revision()) << field("source", source)
+            << field("routes", policy->routes().size())
+            << field("workspaces", policy->workspaces().size());
+    current_ = std::move(policy);
+    text_ = text;
+    adopted_(*current_);
+    return true;
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -0,0 +1,154 @@
+// The node beside one backend server, as a whole.
+//
+// Joins the parts: listeners, the policy, the fleet, rates, placement, and the
+// gate of the local backend server. What is decided is decided there; what
+// callers, backend servers and the platform call things is in the dialect.
+#pragma once
+
+#include "process/latency_histogram.hpp"
+#include "process/object_store.hpp"
+#include "process/random_source.hpp"
+#include "process/sidecar/local_runner.hpp"
+#include "process/sidecar/node_settings.hpp"
+#include "process/sidecar/peer_links.hpp"
+#include "process/sidecar/peer_server.hpp"
+#include "process/sidecar/policy_feed.hpp"
+#include "request/entry_call.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace shallotwood::process::sidecar
+{
+
+// Names of the objects in the platform's store.
+struct object_names {
+    std::string policy;
+    // The names of instances follow it.
+    std::string instance_prefix;
+};
+
+class sidecar_node final : private request::entry_services,
+                           private rate::token_source
+{
+public:
+    sidecar_node(loop::reactor& loop, const dialect& words,
+                 object_store& store, object_names names,
+                 const node_settings& settings, std::uint64_t incarnation,
+                 std::uint64_t seed);
+    ~sidecar_node();
+    sidecar_node(const sidecar_node&) = delete;
+    sidecar_node& operator=(const sidecar_node&) = delete;
+
+    // Returns an error message, empty on success.
+    std::string start();
+    // The settings file has changed.
+    void reload(const node_settings& settings);
+    // Takes nothing new, finishes what is in flight, then calls `done`.
+    void shut_down(std::function<void()> done);
+
+private:
+    using connection_ptr =
+        std::shared_ptr<connection::http::server_connection>;
+    using exchange_ptr = std::shared_ptr<connection::http::exchange>;
+    class backend_message_exchange;
+
+    // entry_services
+    loop::reactor& loop() override { return loop_; }
+    const dialect& words() override { return words_; }
+    counters& counts() override { return counts_; }
+    latency_histogram& latency() override { return latency_; }
+    version::policy_ptr policy() override { return feed_.current(); }
+    rate::wallet& rates() override { return wallet_; }
+    routing::placement& placement() override { return placement_; }
+    retry::retry_budget& retries() override { return retries_; }
+    const std::string& own_service() override { return settings_.service; }
+    std::string new_attempt_id() override;
+    const std::string& choose_service(const version::route& route) override;
+    std::shared_ptr<request::run>
+    start_run(const fleet::instance& at, const request::run_request& what,
+              const std::shared_ptr<request::run_receiver>& receiver) override;
+    void call_ended() override { --calls_; }
+
+    // token_source
+    void ask(const std::string& workspace, int wanted,
+             std::function<void(std::optional<rate::grant>)> reply) override;
+    double own_part() const override;
+
+    exchange_ptr caller_request(const connection_ptr& from,
+                                connection::http::request_head&& head,
+                                const connection::http::message_info& info);
+    exchange_ptr announce_request(const connection_ptr& from,
+                                  connection::http::request_head&& head);
+    exchange_ptr readiness_request(const connection_ptr& from,
+                                   const connection::http::request_head& head);
+    exchange_ptr metrics_request(const connection_ptr& from,
+                                 const connection::http::request_head& head);
+
+    void take_backend_message(const backend_message& it);
+    void backend_changed(std::string_view cause);
+    void publish();
+    void write_entry();
+    void read_entries();
+
+    void spread(const std::string& name);
+    void send_news();
+    void exchange_with(const peer_address& to, const Json::Value& message);
+    Json::Value fleet_message(const std::set<std::string>& names) const;
+    std::string take_message(std::string_view path, const std::string& body);
+    Json::Value take_fleet(const Json::Value& message);
+    void compare_views();
+    std::vector<const fleet::instance*> other_nodes() const;
+    std::string home_of(const std::string& workspace) const;
+
+    void policy_adopted(const version::policy& it);
+    void set_node_count();
+    void end_if_idle();
+    bool ready() const;
+
+    loop::reactor& loop_;
+    const dialect& words_;
+    object_store& store_;
+    object_names names_;
+    node_settings settings_;
+    random_source random_;
+    counters counts_;
+    latency_histogram latency_;
+    fleet::fleet_view fleet_;
+    routing::placement placement_;
+    retry::retry_budget retries_;
+    rate::token_bucket_home home_;
+    rate::wallet wallet_;
+    local_backend backend_;
+    local_runner runner_;
+    peer_links links_;
+    peer_server peers_;
+    policy_feed feed_;
+    connection::http::server callers_;
+    connection::http::server announcements_;
+    connection::http::server readiness_;
+    connection::http::server metrics_;
+
+    // Progress of each split between weighted services.
+    struct split {
+        std::vector<version::service_share> shares;
+        std::vector<double> credit;
+    };
+    std::map<std::string, split> splits_;
+
+    std::set<std::string> news_;
+    bool news_planned_ = false;
+    bool entry_written_ = false;
+    bool entry_writing_ = false;
+    bool entry_changed_ = false;
+    std::uint64_t last_attempt_ = 0;
+    std::size_t calls_ = 0;
+    bool leaving_ = false;
+    time_point leaving_since_{};
+    std::function<void()> shut_down_;
+    timer_id compare_timer_{};
+};
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/telemetry/decision_log.cpp
@@ -0,0 +1,150 @@
+#include "process/telemetry/decision_log.hpp"
+
+#include "process/log.hpp"
+
+#include <array>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/make_shared.hpp>
+#include <cerrno>
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+namespace shallotwood::process::telemetry
+{
+
+namespace
+{
+
+// Lines a second of each kind.
+constexpr std::array<int, 4> lines_per_second = {100, 60, 100, 100};
+
+// Lines that the reader of standard output has not taken yet.
+constexpr std::size_t max_pending_bytes = std::size_t{64} * 1024;
+
+constexpr duration report_period = std::chrono::seconds(1);
+
+struct limits {
+    std::array<int, 4> left = lines_per_second;
+    std::uint64_t suppressed = 0;
+    std::uint64_t dropped = 0;
+};
+
+limits& current()
+{
+    static limits it;
+    return it;
+}
+
+// Hands lines to standard output in batches.
+class output
+{
+public:
+    void append(std::string_view line)
+    {
+        if (pending_.size() + line.size() > max_pending_bytes) {
+            ++current().dropped;
+            return;
+        }
+        pending_ += line;
+        pending_ += '\n';
+        if (loop_ == nullptr) {
+            flush();
+            return;
+        }
+        if (!planned_) {
+            planned_ = true;
+            loop_->defer([this] { flush(); });
+        }
+    }
+
+    void flush()
+    {
+        planned_ = false;
+        auto n = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+        if (n > 0)
+            pending_.erase(0, static_cast<std::size_t>(n));
+        else if (n < 0 && errno != EAGAIN && errno != EINTR)
+            // Nobody reads; there is nowhere to say so.
+            pending_.clear();
+    }
+
+    void set_loop(loop::reactor* loop) { loop_ = loop; }
+
+private:
+    loop::reactor* loop_ = nullptr;
+    std::string pending_;
+    bool planned_ = false;
+};
+
+output& standard_output()
+{
+    static output it;
+    return it;
+}
+
+class line_backend
+    : public boost::log::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    void consume(const boost::log::record_view&, const std::string& line)
+    {
+        standard_output().append(line);
+    }
+};
+
+void report(loop::reactor& loop)
+{
+    auto& it = current();
+    it.left = lines_per_second;
+    if (it.suppressed + it.dropped > 0)
+        SHALLOTWOOD_LOG(info)
+            << "event=log_lines_dropped" << field("over_limit", it.suppressed)
+            << field("reader_slow", it.dropped);
+    it.suppressed = 0;
+    it.dropped = 0;
+    standard_output().flush();
+    loop.call_after(report_period, [&loop] { report(loop); });
+}
+
+} // namespace
+
+bool allow(decision kind)
+{
+    auto& it = current();
+    auto& left = it.left.at(static_cast<std::size_t>(kind));
+    if (left > 0) {
+        --left;
+        return true;
+    }
+    ++it.suppressed;
+    return false;
+}
+
+void start_log(loop::reactor& loop)
+{
+    namespace expr = boost::log::expressions;
+    using sink = boost::log::sinks::synchronous_sink<line_backend>;
+    fcntl(STDOUT_FILENO, F_SETFL,
+          fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    standard_output().set_loop(&loop);
+    boost::log::add_common_attributes();
+    auto it = boost::make_shared<sink>();
+    it->set_formatter(
+        expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+                            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                     << " level=" << boost::log::trivial::severity << ' '
+                     << expr::smessage);
+    boost::log::core::get()->add_sink(it);
+    boost::log::core::get()->set_filter(boost::log::trivial::severity >=
+                                        boost::log::trivial::info);
+    report(loop);
+}
+
+void reset_limits() { current() = limits{}; }
+
+} // namespace shallotwood::process::telemetry
--- /dev/null
+++ b/src/request/entry_call.cpp
@@ -0,0 +1,462 @@
+#include "request/entry_call.hpp"
+
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::request
+{
+
+namespace
+{
+
+using connection::http::message_info;
+using connection::http::request_head;
+using connection::http::response_head;
+using process::duration;
+using process::field;
+using process::routing::call_outcome;
+using process::telemetry::decision;
+
+// Instances that may refuse one request before it is given up.
+constexpr int max_moves = 3;
+
+// A refusal within this part of the objective costs its caller little; later
+// the request is worth more effort.
+constexpr int patience_divisor = 8;
+
+// Calls of backend servers may wait for this part of what is left: the work
+// done for them would be wasted.
+constexpr double inner_patience = 0.5;
+
+// Least time that is worth another attempt.
+constexpr duration least_attempt_time = std::chrono::milliseconds(20);
+
+// When a caller may come back after a refusal without a better hint.
+constexpr duration default_retry_after = std::chrono::milliseconds(300);
+
+// Ranks of one workspace priority; routes have fewer priorities than this.
+constexpr std::uint32_t ranks_per_workspace = 16;
+
+std::uint32_t rank_of(const version::route& route,
+                      const version::workspace* of)
+{
+    if (of == nullptr)
+        return inner_rank;
+    auto priority = [](int it) {
+        return static_cast<std::uint32_t>(std::clamp(
+            it, 0, static_cast<int>(ranks_per_workspace) - 1));
+    };
+    return 1 + priority(of->priority) * ranks_per_workspace +
+           priority(route.priority);
+}
+
+run_failure not_run(reason why,
+                    std::optional<duration> retry_after = std::nullopt)
+{
+    return {{execution::not_run, why}, retry_after};
+}
+
+} // namespace
+
+// Passes the events of one attempt to the call, until the call has gone on to
+// another one.
+class entry_call::attempt final : public run_receiver
+{
+public:
+    attempt(entry_call& of, std::string instance)
+        : call_(&of), instance_(std::move(instance))
+    {
+    }
+
+    void release() { call_ = nullptr; }
+
+    void on_load(const process::routing::load_report& it) override
+    {
+        if (call_ != nullptr)
+            call_->node_.placement().report(instance_, it);
+    }
+    void on_response(response_head&& head,
+                     std::optional<std::uint64_t> length) override
+    {
+        if (call_ != nullptr)
+            call_->attempt_responded(std::move(head), length);
+    }
+    void on_response_body(std::string_view bytes) override
+    {
+        if (call_ != nullptr)
+            call_->attempt_body(bytes);
+    }
+    void on_response_end() override
+    {
+        if (call_ != nullptr)
+            call_->attempt_ended();
+    }
+    void on_failure(const run_failure& why) override
+    {
+        if (call_ != nullptr)
+            call_->attempt_failed(why);
+    }
+
+private:
+    entry_call* call_;
+    std::string instance_;
+};
+
+entry_call::entry_call(
+    entry_services& node,
+    std::shared_ptr<connection::http::server_connection> caller)
+    : node_(node), caller_(std::move(caller)), arrived_(node.loop().now()),
+      deadline_(arrived_)
+{
+}
+
+entry_call::~entry_call()
+{
+    if (attempt_)
+        attempt_->release();
+}
+
+void entry_call::begin(request_head&& head, const message_info& info)
+{
+    body_ = std::make_shared<upload>(info.length);
+    if (!admit(head))
+        return;
+    head_ = std::move(head);
+    head_.headers.remove_hop_by_hop();
+    timer_ = node_.loop().call_after(
+        remaining(), [weak = weak_from_this()] {
+            if (auto it = weak.lock())
+                it->time_up();
+        });
+    body_->on_space([weak = weak_from_this()] {
+        if (auto it = weak.lock(); it && !it->ended_)
+            it->caller_->resume_body();
+    });
+}
+
+bool entry_call::admit(const request_head& head)
+{
+    auto self = shared_from_this();
+    auto fields = node_.words().read_caller(head);
+    request_id_ = fields.request_id;
+    policy_ = node_.policy();
+    if (!policy_) {
+        fail(not_run(reason::no_configuration, default_retry_after));
+        return false;
+    }
+    if (fields.request_id.empty() || fields.host.empty()) {
+        fail(not_run(reason::malformed));
+        return false;
+    }
+    route_ = policy_->find_route(fields.host, head.target);
+    if (route_ == nullptr) {
+        fail(not_run(reason::no_route));
+        return false;
+    }
+    if (!route_->open && policy_->needs_keys()) {
+        workspace_ = policy_->workspace_of_key(fields.key);
+        if (workspace_ == nullptr) {
+            fail(not_run(reason::unknown_key));
+            return false;
+        }
+    }
+    auto timeout = route_->timeout;
+    if (fields.timeout)
+        timeout = std::min(timeout, *fields.timeout);
+    deadline_ = arrived_ + timeout;
+    return true;
+}
+
+void entry_call::on_body(std::string_view bytes)
+{
+    body_->append(bytes);
+    if (!body_->full())
+        return;
+    caller_->pause_body();
+    if (!started_)
+        charge();
+}
+
+void entry_call::on_body_end()
+{
+    body_->finish();
+    if (!started_)
+        charge();
+}
+
+void entry_call::charge()
+{
+    if (ended_)
+        return;
+    started_ = true;
+    if (workspace_ == nullptr) {
+        charged(std::nullopt);
+        return;
+    }
+    node_.rates().charge(workspace_->name,
+                         {workspace_->rate, workspace_->burst},
+                         [self = shared_from_this()](auto refused) {
+                             self->charged(refused);
+                         });
+}
+
+void entry_call::charged(std::optional<duration> refused)
+{
+    if (ended_) {
+        if (!refused && workspace_ != nullptr)
+            node_.rates().refund(workspace_->name);
+        return;
+    }
+    if (refused) {
+        fail(not_run(reason::over_rate, refused));
+        return;
+    }
+    charged_ = workspace_ != nullptr;
+    service_ = node_.choose_service(*route_);
+    node_.retries().called(service_);
+    try_next();
+}
+
+duration entry_call::remaining() const
+{
+    return deadline_ - node_.loop().now();
+}
+
+duration entry_call::patience() const
+{
+    if (workspace_ == nullptr)
+        return std::chrono::duration_cast<duration>(remaining() *
+                                                    inner_patience);
+    auto spent = node_.loop().now() - arrived_;
+    return std::max(duration(0),
+                    route_->objective / patience_divisor - spent);
+}
+
+void entry_call::try_next()
+{
+    auto self = shared_from_this();
+    const auto* at = node_.placement().choose(service_, tried_);
+    if (at == nullptr) {
+        fail(not_run(tried_.empty() ? reason::no_backend_server
+                                    : reason::overload,
+                     default_retry_after));
+        return;
+    }
+    instance_ = at->name();
+    sent_at_ = node_.loop().now();
+    node_.placement().sent(instance_);
+    attempt_ = std::make_shared<attempt>(*this, instance_);
+    auto current = attempt_;
+    auto started = node_.start_run(*at, make_run(*at), current);
+    // The attempt may have ended, and another one begun, before it returned.
+    if (attempt_ == current)
+        run_ = std::move(started);
+}
+
+run_request entry_call::make_run(const process::fleet::instance&)
+{
+    run_request what;
+    what.request_id = request_id_;
+    what.attempt_id = node_.new_attempt_id();
+    what.route = route_->name;
+    what.service = service_;
+    if (workspace_ != nullptr)
+        what.workspace = workspace_->name;
+    what.caller_service = node_.own_service();
+    what.repeatable = route_->kind != version::work_kind::once;
+    what.rank = rank_of(*route_, workspace_);
+    what.attempt = arrivals_ + 1;
+    what.remaining = remaining();
+    what.patience = patience();
+    what.policy_revision = policy_->revision();
+    what.head = head_;
+    what.body = body_;
+    return what;
+}
+
+void entry_call::attempt_responded(response_head&& head,
+                                   std::optional<std::uint64_t> length)
+{
+    response_ = std::move(head);
+    length_ = length;
+    held_.clear();
+}
+
+void entry_call::attempt_body(std::string_view bytes)
+{
+    if (ended_)
+        return;
+    if (!streaming_) {
+        held_.append(bytes);
+        if (held_.size() > max_held_bytes)
+            start_streaming();
+        return;
+    }
+    caller_->respond_body(bytes);
+    if (run_ &&
+        caller_->unsent() > connection::http::server_connection::max_unsent_bytes)
+        run_->pause();
+}
+
+void entry_call::start_streaming()
+{
+    streaming_ = true;
+    auto head = *response_;
+    caller_->respond_head(std::move(head), length_);
+    caller_->respond_body(held_);
+    std::string().swap(held_);
+}
+
+void entry_call::on_drained()
+{
+    if (run_)
+        run_->resume();
+}
+
+void entry_call::attempt_ended()
+{
+    auto self = shared_from_this();
+    release_attempt(call_outcome::served);
+    if (ended_)
+        return;
+    int status = response_->status;
+    if (streaming_)
+        caller_->respond_end();
+    else
+        caller_->respond(std::move(*response_), held_);
+    finish(status, "answered");
+}
+
+void entry_call::attempt_failed(const run_failure& why)
+{
+    auto self = shared_from_this();
+    bool arrived = why.what.run != execution::not_run ||
+                   why.what.why == reason::backend_server_failed;
+    if (arrived)
+        ++arrivals_;
+    else
+        ++moves_;
+    auto how = call_outcome::failed;
+    if (why.what.run == execution::not_run && !arrived)
+        how = why.what.why == reason::overload ? call_outcome::refused_busy
+                                               : call_outcome::refused_away;
+    else if (why.what.why == reason::deadline)
+        how = call_outcome::abandoned;
+    release_attempt(how);
+    if (ended_)
+        return;
+    if (streaming_) {
+        caller_->respond_abort();
+        finish(0, "cut", &why);
+        return;
+    }
+    response_.reset();
+    held_.clear();
+    tried_.push_back(instance_);
+    if (may_send_again(why))
+        try_next();
+    else
+        fail(why);
+}
+
+bool entry_call::may_send_again(const run_failure& why)
+{
+    if (remaining() < least_attempt_time || !body_->replayable())
+        return false;
+    if (why.what.run == execution::not_run &&
+        why.what.why != reason::backend_server_failed)
+        return moves_ < max_moves;
+    bool repeatable = route_->kind != version::work_kind::once;
+    if (why.what.run != execution::not_run && !repeatable)
+        return false;
+    return arrivals_ < route_->max_attempts && node_.retries().spend(service_);
+}
+
+void entry_call::release_attempt(call_outcome how)
+{
+    if (!attempt_)
+        return;
+    attempt_->release();
+    attempt_.reset();
+    run_.reset();
+    node_.placement().ended(instance_, how, node_.loop().now() - sent_at_);
+}
+
+void entry_call::time_up()
+{
+    if (ended_)
+        return;
+    auto self = shared_from_this();
+    bool offered = arrivals_ > 0 || run_ != nullptr;
+    if (auto it = run_)
+        it->cancel();
+    release_attempt(call_outcome::abandoned);
+    if (streaming_) {
+        caller_->respond_abort();
+        finish(0, "cut");
+        return;
+    }
+    if (offered)
+        fail({{execution::may_have_run, reason::deadline}, std::nullopt});
+    else
+        fail(not_run(reason::deadline, default_retry_after));
+}
+
+void entry_call::on_left()
+{
+    if (ended_)
+        return;
+    auto self = shared_from_this();
+    if (auto it = run_)
+        it->cancel();
+    release_attempt(call_outcome::abandoned);
+    finish(0, "caller_left");
+}
+
+void entry_call::fail(const run_failure& why)
+{
+    auto head = node_.words().failure_response(why);
+    int status = head.status;
+    if (charged_ && why.what.run == execution::not_run)
+        node_.rates().refund(workspace_->name);
+    ended_ = true;
+    caller_->respond(std::move(head), {});
+    finish(status,
+           why.what.run == execution::not_run ? "refused" : "failed", &why);
+}
+
+void entry_call::finish(int status, std::string_view outcome,
+                        const run_failure* why)
+{
+    ended_ = true;
+    node_.loop().cancel(timer_);
+    body_->on_space({});
+    auto took = node_.loop().now() - arrived_;
+    node_.latency().add(took);
+    ++node_.counts().at("calls", "outcome=\"" + std::string(outcome) + '"');
+    auto kind = why == nullptr ? decision::served
+                : why->what.run == execution::not_run ? decision::refused
+                                                      : decision::failed;
+    if (process::telemetry::allow(kind)) {
+        auto& record = instance_;
+        SHALLOTWOOD_LOG(info)
+            << "event=call" << field("request", request_id_)
+            << field("route", route_ == nullptr ? "" : route_->name)
+            << field("service", service_)
+            << field("workspace",
+                     workspace_ == nullptr ? "" : workspace_->name)
+            << field("policy", policy_ ? policy_->revision() : 0)
+            << field("instance", record) << field("moves", moves_)
+            << field("arrivals", arrivals_) << field("outcome", outcome)
+            << field("status", status)
+            << field("verdict",
+                     why == nullptr ? "" : name_of(why->what.run))
+            << field("reason", why == nullptr ? "" : name_of(why->what.why))
+            << field("after_us", took.count());
+    }
+    node_.call_ended();
+}
+
+} // namespace shallotwood::request
--- /dev/null
+++ b/src/request/entry_call.hpp
@@ -0,0 +1,134 @@
+// One request of a caller at the node where it enters: from its head to the end
+// of its answer.
+//
+// Checks the route, the key and the rate; then sends the request to one
+// instance after another until it has a response, a refusal by all, or a
+// failure after which it must not be sent again. A response is held back until
+// it is whole, up to max_held_bytes, so that one that breaks off can still be
+// replaced.
+#pragma once
+
+#include "connection/http/server_connection.hpp"
+#include "process/counters.hpp"
+#include "process/latency_histogram.hpp"
+#include "process/rate/wallet.hpp"
+#include "process/retry/retry_budget.hpp"
+#include "process/routing/placement.hpp"
+#include "process/sidecar/dialect.hpp"
+#include "request/run.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace shallotwood::request
+{
+
+// What a call needs of its node.
+class entry_services
+{
+public:
+    virtual process::loop::reactor& loop() = 0;
+    virtual const process::sidecar::dialect& words() = 0;
+    virtual process::counters& counts() = 0;
+    virtual process::latency_histogram& latency() = 0;
+    // Null until the first policy is known.
+    virtual version::policy_ptr policy() = 0;
+    virtual process::rate::wallet& rates() = 0;
+    virtual process::routing::placement& placement() = 0;
+    virtual process::retry::retry_budget& retries() = 0;
+    // Service of the local backend server.
+    virtual const std::string& own_service() = 0;
+    virtual std::string new_attempt_id() = 0;
+    // Uniform in [0, 1); splits traffic between weighted services.
+    virtual const std::string&
+    choose_service(const version::route& route) = 0;
+    virtual std::shared_ptr<run>
+    start_run(const process::fleet::instance& at, const run_request& what,
+              const std::shared_ptr<run_receiver>& receiver) = 0;
+    virtual void call_ended() = 0;
+
+protected:
+    ~entry_services() = default;
+};
+
+class entry_call final : public connection::http::exchange,
+                         public std::enable_shared_from_this<entry_call>
+{
+public:
+    // A longer response streams to the caller.
+    static constexpr std::size_t max_held_bytes = std::size_t{64} * 1024;
+
+    entry_call(entry_services& node,
+               std::shared_ptr<connection::http::server_connection> caller);
+    ~entry_call() override;
+
+    void begin(connection::http::request_head&& head,
+               const connection::http::message_info& info);
+
+    void on_body(std::string_view bytes) override;
+    void on_body_end() override;
+    void on_left() override;
+    void on_drained() override;
+
+private:
+    class attempt;
+
+    bool admit(const connection::http::request_head& head);
+    void charge();
+    void charged(std::optional<process::duration> refused);
+    void try_next();
+    run_request make_run(const process::fleet::instance& at);
+    process::duration patience() const;
+    process::duration remaining() const;
+
+    // Events of the current attempt.
+    void attempt_responded(connection::http::response_head&& head,
+                           std::optional<std::uint64_t> length);
+    void attempt_body(std::string_view bytes);
+    void attempt_ended();
+    void attempt_failed(const run_failure& why);
+
+    bool may_send_again(const run_failure& why);
+    void release_attempt(process::routing::call_outcome how);
+    void time_up();
+    void start_streaming();
+    void fail(const run_failure& why);
+    void finish(int status, std::string_view outcome,
+                const run_failure* why = nullptr);
+
+    entry_services& node_;
+    std::shared_ptr<connection::http::server_connection> caller_;
+    process::time_point arrived_;
+    process::time_point deadline_;
+    process::timer_id timer_{};
+
+    version::policy_ptr policy_;
+    const version::route* route_ = nullptr;
+    const version::workspace* workspace_ = nullptr;
+    connection::http::request_head head_;
+    std::string request_id_;
+    std::string service_;
+    std::shared_ptr<upload> body_;
+
+    std::shared_ptr<attempt> attempt_;
+    std::shared_ptr<run> run_;
+    std::string instance_;
+    std::vector<std::string> tried_;
+    // Refusals by nodes, which cost nothing but time.
+    int moves_ = 0;
+    // Backend servers that may have got the request.
+    int arrivals_ = 0;
+    process::time_point sent_at_;
+
+    std::optional<connection::http::response_head> response_;
+    std::optional<std::uint64_t> length_;
+    std::string held_;
+    bool streaming_ = false;
+    bool charged_ = false;
+    bool started_ = false;
+    bool ended_ = false;
+};
+
+} // namespace shallotwood::request
