--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -32,9 +32,9 @@
     answered_ = false;
     ++calls_;
     body_chunked_ = body.how == framing::kind::chunked;
-    body_sent_ = body.how == framing::kind::none ||
-                 (body.how == framing::kind::length &&
-                  body.length == first_bytes.size());
+    body_sent_ =
+        body.how == framing::kind::none || (body.how == framing::kind::length &&
+                                            body.length == first_bytes.size());
     new_reader();
     auto text = serialize(head, body);
     if (body_chunked_ && !first_bytes.empty())
@@ -76,7 +76,10 @@
         std::make_unique<response_reader>(options_.message, to_head_, events);
 }
 
-void client_connection::on_connected() { was_connected_ = true; }
+void client_connection::on_connected()
+{
+    was_connected_ = true;
+}
 
 void client_connection::on_bytes(std::string_view bytes)
 {
@@ -148,7 +151,10 @@
         events_->on_response_body(bytes);
 }
 
-void client_connection::on_message_end() { message_ended_ = true; }
+void client_connection::on_message_end()
+{
+    message_ended_ = true;
+}
 
 void client_connection::on_drained()
 {
--- a/src/connection/http/client_pool.cpp
+++ b/src/connection/http/client_pool.cpp
@@ -11,7 +11,10 @@
 {
 }
 
-client_pool::~client_pool() { close_idle(); }
+client_pool::~client_pool()
+{
+    close_idle();
+}
 
 void client_pool::set_address(const process::peer_address& address)
 {
@@ -26,14 +29,12 @@
 {
     auto limit = std::min(newest, settings_.idle_limit);
     if (auto announced = it.announced_idle())
-        limit = std::min(limit,
-                         std::chrono::duration_cast<process::duration>(
-                             *announced * settings_.announced_share));
+        limit = std::min(limit, std::chrono::duration_cast<process::duration>(
+                                    *announced * settings_.announced_share));
     return it.reusable() && loop_.now() - it.idle_since() < limit;
 }
 
-std::shared_ptr<client_connection>
-client_pool::take(process::duration newest)
+std::shared_ptr<client_connection> client_pool::take(process::duration newest)
 {
     while (!idle_.empty()) {
         auto& last = idle_.back();
--- a/src/connection/http/message.cpp
+++ b/src/connection/http/message.cpp
@@ -16,11 +16,16 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 10> hop_by_hop = {
-    "Connection",          "Keep-Alive", "Proxy-Connection",
-    "Proxy-Authorization", "TE",         "Trailer",
-    "Transfer-Encoding",   "Upgrade",    "Content-Length",
-    "Expect"};
+constexpr std::array<std::string_view, 10> hop_by_hop = {"Connection",
+                                                         "Keep-Alive",
+                                                         "Proxy-Connection",
+                                                         "Proxy-Authorization",
+                                                         "TE",
+                                                         "Trailer",
+                                                         "Transfer-Encoding",
+                                                         "Upgrade",
+                                                         "Content-Length",
+                                                         "Expect"};
 
 std::string_view trim(std::string_view text)
 {
@@ -81,10 +86,9 @@
 
 void header_list::remove(std::string_view name)
 {
-    all_.erase(std::remove_if(all_.begin(), all_.end(),
-                              [&](const header& it) {
-                                  return same_name(it.name, name);
-                              }),
+    all_.erase(std::remove_if(
+                   all_.begin(), all_.end(),
+                   [&](const header& it) { return same_name(it.name, name); }),
                all_.end());
 }
 
@@ -157,8 +161,8 @@
 std::string chunk(std::string_view bytes)
 {
     std::array<char, 16> size{};
-    auto [end, ec] = std::to_chars(size.data(), size.data() + size.size(),
-                                   bytes.size(), 16);
+    auto [end, ec] =
+        std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
     std::string text(size.data(), end);
     text += "\r\n";
     text += bytes;
--- a/src/connection/http/reader.cpp
+++ b/src/connection/http/reader.cpp
@@ -12,7 +12,10 @@
 using beast_error = beast::error_code;
 using beast_view = beast::string_view;
 
-std::string_view view(beast_view from) { return {from.data(), from.size()}; }
+std::string_view view(beast_view from)
+{
+    return {from.data(), from.size()};
+}
 
 read_error translate(const beast_error& ec)
 {
@@ -42,9 +45,8 @@
     std::size_t put_bytes(std::string_view bytes, read_error& ec)
     {
         beast_error error;
-        auto n =
-            this->put(boost::asio::const_buffer(bytes.data(), bytes.size()),
-                      error);
+        auto n = this->put(
+            boost::asio::const_buffer(bytes.data(), bytes.size()), error);
         ec = translate(error);
         return n;
     }
@@ -150,11 +152,20 @@
     return parser_->put_bytes(bytes, ec);
 }
 
-bool request_reader::started() const { return parser_->got_some(); }
+bool request_reader::started() const
+{
+    return parser_->got_some();
+}
 
-bool request_reader::has_head() const { return parser_->is_header_done(); }
+bool request_reader::has_head() const
+{
+    return parser_->is_header_done();
+}
 
-request_head& request_reader::head() { return parser_->head(); }
+request_head& request_reader::head()
+{
+    return parser_->head();
+}
 
 class response_reader::parser final
     : public message_parser<false, response_head>
@@ -197,12 +208,24 @@
     return parser_->put_bytes(bytes, ec);
 }
 
-bool response_reader::put_end() { return parser_->put_end(); }
+bool response_reader::put_end()
+{
+    return parser_->put_end();
+}
 
-bool response_reader::started() const { return parser_->got_some(); }
+bool response_reader::started() const
+{
+    return parser_->got_some();
+}
 
-bool response_reader::has_head() const { return parser_->is_header_done(); }
+bool response_reader::has_head() const
+{
+    return parser_->is_header_done();
+}
 
-response_head& response_reader::head() { return parser_->head(); }
+response_head& response_reader::head()
+{
+    return parser_->head();
+}
 
 } // namespace shallotwood::connection::http
--- a/src/connection/net/byte_stream.cpp
+++ b/src/connection/net/byte_stream.cpp
@@ -63,7 +63,10 @@
     }
 }
 
-bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
+bool would_block(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK;
+}
 
 } // namespace
 
@@ -91,7 +94,10 @@
         connect_failed_ = true;
 }
 
-byte_stream::~byte_stream() { close(); }
+byte_stream::~byte_stream()
+{
+    close();
+}
 
 void byte_stream::start()
 {
@@ -282,7 +288,10 @@
 {
 }
 
-tcp_listener::~tcp_listener() { stop(); }
+tcp_listener::~tcp_listener()
+{
+    stop();
+}
 
 std::string tcp_listener::listen(const peer_address& address)
 {
@@ -318,8 +327,7 @@
 void tcp_listener::on_ready(std::uint32_t)
 {
     for (int n = 0; n < accept_batch && fd_ >= 0; ++n) {
-        int fd =
-            accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0)
             return;
         on_accepted_(fd);
--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -78,7 +78,10 @@
     make_session(false);
 }
 
-session::~session() { nghttp2_session_del(session_); }
+session::~session()
+{
+    nghttp2_session_del(session_);
+}
 
 void session::make_session(bool is_client)
 {
@@ -87,8 +90,7 @@
     nghttp2_session_callbacks_set_on_begin_headers_callback(calls,
                                                             header_begun);
     nghttp2_session_callbacks_set_on_header_callback(calls, header_received);
-    nghttp2_session_callbacks_set_on_frame_recv_callback(calls,
-                                                         frame_received);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(calls, frame_received);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(calls,
                                                               data_received);
     nghttp2_session_callbacks_set_on_stream_close_callback(calls,
@@ -130,9 +132,9 @@
     auto fields = to_fields(headers);
     nghttp2_data_provider body{};
     body.read_callback = read_output;
-    auto number = nghttp2_submit_request(session_, nullptr, fields.data(),
-                                         fields.size(),
-                                         has_body ? &body : nullptr, nullptr);
+    auto number =
+        nghttp2_submit_request(session_, nullptr, fields.data(), fields.size(),
+                               has_body ? &body : nullptr, nullptr);
     if (number < 0)
         return number;
     auto& it = streams_[number];
@@ -268,7 +270,10 @@
     flush_later();
 }
 
-void session::on_end(net::stream_end) { drop(); }
+void session::on_end(net::stream_end)
+{
+    drop();
+}
 
 void session::flush_later()
 {
@@ -340,10 +345,9 @@
         auto headers = std::move(it->headers);
         it->headers.clear();
         if (owner.on_request_) {
-            auto shared = std::static_pointer_cast<session>(
-                owner.shared_from_this());
-            auto events =
-                owner.on_request_(shared, number, std::move(headers));
+            auto shared =
+                std::static_pointer_cast<session>(owner.shared_from_this());
+            auto events = owner.on_request_(shared, number, std::move(headers));
             it = owner.find(number);
             if (it == nullptr)
                 return 0;
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -58,11 +58,11 @@
         http::header_list&& headers)>;
     using end_handler = std::function<void(const std::shared_ptr<session>&)>;
 
-    static std::shared_ptr<session>
-    connect(process::loop::reactor& loop, const process::peer_address& to,
-            end_handler on_lost);
-    static std::shared_ptr<session> accept(process::loop::reactor& loop,
-                                           int fd, request_handler on_request,
+    static std::shared_ptr<session> connect(process::loop::reactor& loop,
+                                            const process::peer_address& to,
+                                            end_handler on_lost);
+    static std::shared_ptr<session> accept(process::loop::reactor& loop, int fd,
+                                           request_handler on_request,
                                            end_handler on_lost);
 
     session(process::loop::reactor& loop, const process::peer_address& to,
--- a/src/process/fleet/fleet_view.cpp
+++ b/src/process/fleet/fleet_view.cpp
@@ -81,8 +81,8 @@
     for (const auto* it : all()) {
         std::uint64_t numbers[2] = {it->incarnation, it->sequence};
         auto name = it->name();
-        sum ^= XXH64(numbers, sizeof numbers,
-                     XXH64(name.data(), name.size(), 0));
+        sum ^=
+            XXH64(numbers, sizeof numbers, XXH64(name.data(), name.size(), 0));
     }
     return sum;
 }
--- a/src/process/load/gate.cpp
+++ b/src/process/load/gate.cpp
@@ -90,8 +90,8 @@
 {
     if (running_ < limit_ && waiting_.empty())
         return duration(0);
-    auto ahead = std::distance(waiting_.begin(),
-                               waiting_.lower_bound({rank + 1, 0}));
+    auto ahead =
+        std::distance(waiting_.begin(), waiting_.lower_bound({rank + 1, 0}));
     return service_time_ * (ahead + 1) / limit_;
 }
 
--- a/src/process/loop/reactor.cpp
+++ b/src/process/loop/reactor.cpp
@@ -89,8 +89,8 @@
     it.handler = &handler;
     epoll_event event{};
     event.events = events;
-    event.data.u64 = (std::uint64_t{it.generation} << 32) |
-                     static_cast<std::uint32_t>(fd);
+    event.data.u64 =
+        (std::uint64_t{it.generation} << 32) | static_cast<std::uint32_t>(fd);
     epoll_ctl(epoll_fd_, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, fd, &event);
 }
 
@@ -110,7 +110,10 @@
     g_main_loop_run(main_loop_);
 }
 
-void reactor::stop() { g_main_loop_quit(main_loop_); }
+void reactor::stop()
+{
+    g_main_loop_quit(main_loop_);
+}
 
 gboolean reactor::prepare(GSource*, gint* timeout)
 {
--- a/src/process/rate/token_bucket_home.cpp
+++ b/src/process/rate/token_bucket_home.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 token_bucket_home::bucket&
-token_bucket_home::refill(const std::string& workspace,
-                          const rate_limit& limit, double reserved)
+token_bucket_home::refill(const std::string& workspace, const rate_limit& limit,
+                          double reserved)
 {
     auto now = clock_.now();
     auto [it, inserted] = buckets_.try_emplace(workspace);
--- a/src/process/rate/wallet.cpp
+++ b/src/process/rate/wallet.cpp
@@ -110,8 +110,7 @@
     auto waiting = std::move(of.waiting);
     of.waiting.clear();
     for (auto& it : waiting)
-        it(spend(of) ? std::nullopt
-                     : std::optional<duration>(over_rate_wait));
+        it(spend(of) ? std::nullopt : std::optional<duration>(over_rate_wait));
 }
 
 void wallet::serve_from_own(purse& of, const rate_limit& limit)
--- a/src/process/routing/placement.cpp
+++ b/src/process/routing/placement.cpp
@@ -85,7 +85,10 @@
     return value;
 }
 
-void placement::sent(const std::string& name) { ++figures_[name].in_flight; }
+void placement::sent(const std::string& name)
+{
+    ++figures_[name].in_flight;
+}
 
 void placement::ended(const std::string& name, call_outcome how, duration)
 {
--- a/src/process/sidecar/local_runner.cpp
+++ b/src/process/sidecar/local_runner.cpp
@@ -77,9 +77,9 @@
     return it;
 }
 
-std::shared_ptr<local_run> local_runner::attach(
-    const std::string& attempt_id,
-    const std::shared_ptr<request::run_receiver>& receiver)
+std::shared_ptr<local_run>
+local_runner::attach(const std::string& attempt_id,
+                     const std::shared_ptr<request::run_receiver>& receiver)
 {
     auto it = runs_.find(attempt_id);
     if (it != runs_.end() && it->second->join(receiver))
@@ -130,7 +130,10 @@
 {
 }
 
-duration local_run::remaining() const { return deadline_ - owner_.loop_.now(); }
+duration local_run::remaining() const
+{
+    return deadline_ - owner_.loop_.now();
+}
 
 void local_run::begin()
 {
@@ -174,8 +177,7 @@
     started_ = owner_.loop_.now();
     auto newest = what_.repeatable ? owner_.settings_.idle_limit
                                    : owner_.settings_.once_idle_limit;
-    connection_ =
-        owner_.pool_.take(sent_again_ ? duration(0) : newest);
+    connection_ = owner_.pool_.take(sent_again_ ? duration(0) : newest);
     auto head = what_.head;
     owner_.words_.dress_for_backend(head, what_, owner_.backend_.id(),
                                     remaining());
@@ -208,8 +210,7 @@
         return;
     auto bytes = what_.body->from(body_sent_);
     body_sent_ += bytes.size();
-    bool last =
-        what_.body->complete() && body_sent_ == what_.body->received();
+    bool last = what_.body->complete() && body_sent_ == what_.body->received();
     connection_->send_body(bytes, last);
     what_.body->release(body_sent_);
 }
@@ -297,8 +298,8 @@
         refuse(reason::connection_failed);
         return;
     }
-    fail(execution::may_have_run, why.malformed ? reason::malformed
-                                                : reason::connection_failed);
+    fail(execution::may_have_run,
+         why.malformed ? reason::malformed : reason::connection_failed);
 }
 
 void local_run::backend_done()
@@ -324,14 +325,12 @@
     if (telemetry::allow(decision::refused))
         SHALLOTWOOD_LOG(info)
             << "event=run_refused" << field("request", what_.request_id)
-            << field("attempt", what_.attempt_id)
-            << field("route", what_.route) << field("reason", name_of(why))
-            << field("rank", what_.rank)
+            << field("attempt", what_.attempt_id) << field("route", what_.route)
+            << field("reason", name_of(why)) << field("rank", what_.rank)
             << field("running", owner_.gate_.running())
             << field("waiting", owner_.gate_.waiting())
             << field("limit", owner_.gate_.limit())
-            << field("backend_state",
-                     fleet::name_of(owner_.backend_.state()));
+            << field("backend_state", fleet::name_of(owner_.backend_.state()));
     failure_ = request::run_failure{{execution::not_run, why}, retry_after};
     auto to = receiver_;
     end();
@@ -348,9 +347,8 @@
     if (telemetry::allow(decision::failed))
         SHALLOTWOOD_LOG(warning)
             << "event=run_failed" << field("request", what_.request_id)
-            << field("attempt", what_.attempt_id)
-            << field("route", what_.route) << field("verdict", name_of(known))
-            << field("reason", name_of(why))
+            << field("attempt", what_.attempt_id) << field("route", what_.route)
+            << field("verdict", name_of(known)) << field("reason", name_of(why))
             << field("backend", owner_.backend_.id())
             << field("after_us", (owner_.loop_.now() - started_).count());
     failure_ = request::run_failure{{known, why}, std::nullopt};
--- a/src/process/sidecar/node_settings.cpp
+++ b/src/process/sidecar/node_settings.cpp
@@ -42,8 +42,7 @@
         std::vector<peer_address> all;
         if (const auto* list = table_[name].as_array())
             for (const auto& it : *list)
-                all.push_back(
-                    to_address(name, it.value_or(std::string())));
+                all.push_back(to_address(name, it.value_or(std::string())));
         return all;
     }
 
@@ -80,8 +79,8 @@
     {
         std::ostringstream out;
         const auto* node = table_.get(name);
-        out << (node == nullptr ? 0 : node->source().begin.line) << ": "
-            << name << ": " << message;
+        out << (node == nullptr ? 0 : node->source().begin.line) << ": " << name
+            << ": " << message;
         faults_.push_back(out.str());
     }
 
@@ -119,9 +118,8 @@
     to.shutdown_limit = from.seconds("shutdown_limit", 0.1, 3600);
     auto descriptors = static_cast<std::int64_t>(
         from.number("max_descriptors", 300, 10'000'000));
-    to.max_connections = static_cast<std::size_t>(
-        std::max<std::int64_t>(descriptors - reserved_descriptors,
-                               descriptors / 4));
+    to.max_connections = static_cast<std::size_t>(std::max<std::int64_t>(
+        descriptors - reserved_descriptors, descriptors / 4));
     if (auto faults = from.take_faults(); !faults.empty())
         return settings_error{std::move(faults)};
     return to;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -14,7 +14,10 @@
 // response's own.
 constexpr std::string_view own_prefix = "sw-";
 
-std::string to_text(duration it) { return std::to_string(it.count()); }
+std::string to_text(duration it)
+{
+    return std::to_string(it.count());
+}
 
 // HTTP/2 carries names in lower case; backend servers and callers get the
 // usual capitals again.
@@ -202,8 +205,7 @@
             return std::nullopt;
         request::parse_reason(text_in(headers, "sw-reason"), failure.what.why);
         if (auto after = number_in(headers, "sw-retry-after"))
-            failure.retry_after =
-                duration(static_cast<duration::rep>(*after));
+            failure.retry_after = duration(static_cast<duration::rep>(*after));
         reply.failure = failure;
         return reply;
     }
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -65,8 +65,8 @@
         auto& of = owner_.link_to(to_);
         session_ = owner_.session_of(of);
         bool has_body = !body_->empty() || body_->length();
-        stream_ = session_->request(to_headers(what), has_body,
-                                    shared_from_this());
+        stream_ =
+            session_->request(to_headers(what), has_body, shared_from_this());
         if (stream_ < 0) {
             fail(execution::not_run, reason::connection_failed);
             return;
@@ -256,9 +256,8 @@
 };
 
 // A message and its reply.
-class peer_links::message final
-    : public connection::peer::stream_events,
-      public std::enable_shared_from_this<message>
+class peer_links::message final : public connection::peer::stream_events,
+                                  public std::enable_shared_from_this<message>
 {
 public:
     message(loop::reactor& loop, reply_handler done)
@@ -280,9 +279,8 @@
         }
         over->send_data(stream_, body);
         over->end_data(stream_);
-        timer_ = loop_.call_after(limit, [self = shared_from_this()] {
-            self->timed_out();
-        });
+        timer_ = loop_.call_after(
+            limit, [self = shared_from_this()] { self->timed_out(); });
         waiting_ = true;
     }
 
--- a/src/process/sidecar/peer_server.cpp
+++ b/src/process/sidecar/peer_server.cpp
@@ -187,14 +187,12 @@
 };
 
 // A message of another node.
-class peer_server::served_message final
-    : public connection::peer::stream_events
+class peer_server::served_message final : public connection::peer::stream_events
 {
 public:
     served_message(peer_server& owner, const session_ptr& from,
                    stream_number stream, std::string path)
-        : owner_(owner), session_(from), stream_(stream),
-          path_(std::move(path))
+        : owner_(owner), session_(from), stream_(stream), path_(std::move(path))
     {
     }
 
@@ -271,9 +269,9 @@
     auto it = std::make_shared<served_run>(*this, from, stream);
     auto what = run_from_headers(std::move(headers));
     if (!what) {
-        it->on_failure({{request::execution::not_run,
-                         request::reason::malformed},
-                        std::nullopt});
+        it->on_failure(
+            {{request::execution::not_run, request::reason::malformed},
+             std::nullopt});
         return it;
     }
     on_revision_(what->policy_revision);
--- a/src/process/sidecar/peer_server.hpp
+++ b/src/process/sidecar/peer_server.hpp
@@ -16,8 +16,8 @@
 {
 public:
     // Gets the path and body of a message, returns the body of the reply.
-    using message_handler = std::function<std::string(
-        std::string_view path, const std::string& body)>;
+    using message_handler = std::function<std::string(std::string_view path,
+                                                      const std::string& body)>;
     // What this node says of itself with each reply.
     struct identity {
         std::uint64_t incarnation = 0;
@@ -27,9 +27,8 @@
     // Another node has a policy of this revision.
     using revision_handler = std::function<void(std::uint64_t revision)>;
 
-    peer_server(loop::reactor& loop, local_runner& runner,
-                identity_source self, message_handler on_message,
-                revision_handler on_revision);
+    peer_server(loop::reactor& loop, local_runner& runner, identity_source self,
+                message_handler on_message, revision_handler on_revision);
     ~peer_server();
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
--- a/src/process/sidecar/policy_feed.cpp
+++ b/src/process/sidecar/policy_feed.cpp
@@ -37,7 +37,10 @@
 {
 }
 
-policy_feed::~policy_feed() { set_watching(false); }
+policy_feed::~policy_feed()
+{
+    set_watching(false);
+}
 
 void policy_feed::set_watching(bool watching)
 {
@@ -48,9 +51,9 @@
         watch_.reset();
         return;
     }
-    watch_ = store_.watch(
-        object_name_, object_version_,
-        [this](const get_result& result) { changed(result); });
+    watch_ =
+        store_.watch(object_name_, object_version_,
+                     [this](const get_result& result) { changed(result); });
 }
 
 void policy_feed::changed(const get_result& result)
@@ -60,8 +63,8 @@
             return;
         store_lost_ = true;
         if (telemetry::allow(telemetry::decision::state))
-            SHALLOTWOOD_LOG(warning) << "event=store_lost"
-                                     << field("error", name_of(*why));
+            SHALLOTWOOD_LOG(warning)
+                << "event=store_lost" << field("error", name_of(*why));
         return;
     }
     if (store_lost_ && telemetry::allow(telemetry::decision::state))
@@ -90,9 +93,9 @@
     if (const auto* why = std::get_if<parse_failure>(&parsed)) {
         ++counts_.at("policies_unreadable");
         if (telemetry::allow(telemetry::decision::state))
-            SHALLOTWOOD_LOG(error) << "event=policy_unreadable"
-                                   << field("source", source)
-                                   << field("error", why->message);
+            SHALLOTWOOD_LOG(error)
+                << "event=policy_unreadable" << field("source", source)
+                << field("error", why->message);
         return false;
     }
     auto policy = std::get<version::policy_ptr>(std::move(parsed));
--- a/src/process/sidecar/policy_feed.hpp
+++ b/src/process/sidecar/policy_feed.hpp
@@ -27,9 +27,9 @@
         std::function<void(std::optional<std::string>)> done)>;
     using listener = std::function<void(const version::policy&)>;
 
-    policy_feed(loop::reactor& loop, object_store& store,
-                const dialect& words, counters& counts,
-                std::string object_name, puller pull, listener adopted);
+    policy_feed(loop::reactor& loop, object_store& store, const dialect& words,
+                counters& counts, std::string object_name, puller pull,
+                listener adopted);
     ~policy_feed();
     policy_feed(const policy_feed&) = delete;
     policy_feed& operator=(const policy_feed&) = delete;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -99,8 +99,8 @@
           loop, store, words, counts_, names_.policy,
           [this](const std::string& name, auto done) {
               if (const auto* it = fleet_.find(name))
-                  links_.call(it->peer, peer_path::policy, "{}",
-                              message_limit, std::move(done));
+                  links_.call(it->peer, peer_path::policy, "{}", message_limit,
+                              std::move(done));
               else
                   done(std::nullopt);
           },
@@ -131,7 +131,10 @@
     runner_.on_backend_lost([this] { backend_changed("unreachable"); });
 }
 
-sidecar_node::~sidecar_node() { loop_.cancel(compare_timer_); }
+sidecar_node::~sidecar_node()
+{
+    loop_.cancel(compare_timer_);
+}
 
 std::string sidecar_node::start()
 {
@@ -271,8 +274,8 @@
         parse(take_message(peer_path::tokens, write_json(message)));
         return;
     }
-    links_.call(fleet_.find(home)->peer, peer_path::tokens,
-                write_json(message), token_limit, std::move(parse));
+    links_.call(fleet_.find(home)->peer, peer_path::tokens, write_json(message),
+                token_limit, std::move(parse));
 }
 
 double sidecar_node::own_part() const
@@ -387,16 +390,15 @@
     }
     entry_writing_ = true;
     entry_changed_ = false;
-    store_.put(names_.instance_prefix + fleet_.self().name(),
-               write_json(to_json(fleet_.self())), any_version,
-               [this](const put_result& result) {
-                   entry_writing_ = false;
-                   entry_written_ =
-                       std::holds_alternative<std::uint64_t>(result);
-                   if (!entry_written_ || entry_changed_)
-                       loop_.call_after(read_again_period,
-                                        [this] { write_entry(); });
-               });
+    store_.put(
+        names_.instance_prefix + fleet_.self().name(),
+        write_json(to_json(fleet_.self())), any_version,
+        [this](const put_result& result) {
+            entry_writing_ = false;
+            entry_written_ = std::holds_alternative<std::uint64_t>(result);
+            if (!entry_written_ || entry_changed_)
+                loop_.call_after(read_again_period, [this] { write_entry(); });
+        });
 }
 
 void sidecar_node::read_entries()
@@ -406,8 +408,8 @@
             Json::Value message = fleet_message({fleet_.self().name()});
             for (const auto& object : *all) {
                 auto json = parse_json(object.value);
-                auto entry = json ? fleet::instance_from_json(*json)
-                                  : std::nullopt;
+                auto entry =
+                    json ? fleet::instance_from_json(*json) : std::nullopt;
                 if (!entry)
                     continue;
                 // A node at that address says more than its old entry.
@@ -562,7 +564,10 @@
         loop_.call_after(compare_period, [this] { compare_views(); });
 }
 
-void sidecar_node::set_node_count() { retries_.set_nodes(fleet_.size()); }
+void sidecar_node::set_node_count()
+{
+    retries_.set_nodes(fleet_.size());
+}
 
 // ---- policy, readiness, metrics, shutdown -----------------------------------
 
@@ -578,7 +583,10 @@
         exchange_with(node->peer, message);
 }
 
-bool sidecar_node::ready() const { return feed_.current() && !leaving_; }
+bool sidecar_node::ready() const
+{
+    return feed_.current() && !leaving_;
+}
 
 sidecar_node::exchange_ptr
 sidecar_node::readiness_request(const connection_ptr& from,
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -34,10 +34,9 @@
                            private rate::token_source
 {
 public:
-    sidecar_node(loop::reactor& loop, const dialect& words,
-                 object_store& store, object_names names,
-                 const node_settings& settings, std::uint64_t incarnation,
-                 std::uint64_t seed);
+    sidecar_node(loop::reactor& loop, const dialect& words, object_store& store,
+                 object_names names, const node_settings& settings,
+                 std::uint64_t incarnation, std::uint64_t seed);
     ~sidecar_node();
     sidecar_node(const sidecar_node&) = delete;
     sidecar_node& operator=(const sidecar_node&) = delete;
@@ -50,8 +49,7 @@
     void shut_down(std::function<void()> done);
 
 private:
-    using connection_ptr =
-        std::shared_ptr<connection::http::server_connection>;
+    using connection_ptr = std::shared_ptr<connection::http::server_connection>;
     using exchange_ptr = std::shared_ptr<connection::http::exchange>;
     class backend_message_exchange;
 
--- a/src/process/telemetry/decision_log.cpp
+++ b/src/process/telemetry/decision_log.cpp
@@ -129,22 +129,24 @@
 {
     namespace expr = boost::log::expressions;
     using sink = boost::log::sinks::synchronous_sink<line_backend>;
-    fcntl(STDOUT_FILENO, F_SETFL,
-          fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     standard_output().set_loop(&loop);
     boost::log::add_common_attributes();
     auto it = boost::make_shared<sink>();
-    it->set_formatter(
-        expr::stream << expr::format_date_time<boost::posix_time::ptime>(
-                            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                     << " level=" << boost::log::trivial::severity << ' '
-                     << expr::smessage);
+    it->set_formatter(expr::stream
+                      << expr::format_date_time<boost::posix_time::ptime>(
+                             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                      << " level=" << boost::log::trivial::severity << ' '
+                      << expr::smessage);
     boost::log::core::get()->add_sink(it);
     boost::log::core::get()->set_filter(boost::log::trivial::severity >=
                                         boost::log::trivial::info);
     report(loop);
 }
 
-void reset_limits() { current() = limits{}; }
+void reset_limits()
+{
+    current() = limits{};
+}
 
 } // namespace shallotwood::process::telemetry
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -39,14 +39,13 @@
 // Ranks of one workspace priority; routes have fewer priorities than this.
 constexpr std::uint32_t ranks_per_workspace = 16;
 
-std::uint32_t rank_of(const version::route& route,
-                      const version::workspace* of)
+std::uint32_t rank_of(const version::route& route, const version::workspace* of)
 {
     if (of == nullptr)
         return inner_rank;
     auto priority = [](int it) {
-        return static_cast<std::uint32_t>(std::clamp(
-            it, 0, static_cast<int>(ranks_per_workspace) - 1));
+        return static_cast<std::uint32_t>(
+            std::clamp(it, 0, static_cast<int>(ranks_per_workspace) - 1));
     };
     return 1 + priority(of->priority) * ranks_per_workspace +
            priority(route.priority);
@@ -125,11 +124,10 @@
         return;
     head_ = std::move(head);
     head_.headers.remove_hop_by_hop();
-    timer_ = node_.loop().call_after(
-        remaining(), [weak = weak_from_this()] {
-            if (auto it = weak.lock())
-                it->time_up();
-        });
+    timer_ = node_.loop().call_after(remaining(), [weak = weak_from_this()] {
+        if (auto it = weak.lock())
+            it->time_up();
+    });
     body_->on_space([weak = weak_from_this()] {
         if (auto it = weak.lock(); it && !it->ended_)
             it->caller_->resume_body();
@@ -195,11 +193,9 @@
         charged(std::nullopt);
         return;
     }
-    node_.rates().charge(workspace_->name,
-                         {workspace_->rate, workspace_->burst},
-                         [self = shared_from_this()](auto refused) {
-                             self->charged(refused);
-                         });
+    node_.rates().charge(
+        workspace_->name, {workspace_->rate, workspace_->burst},
+        [self = shared_from_this()](auto refused) { self->charged(refused); });
 }
 
 void entry_call::charged(std::optional<duration> refused)
@@ -230,8 +226,7 @@
         return std::chrono::duration_cast<duration>(remaining() *
                                                     inner_patience);
     auto spent = node_.loop().now() - arrived_;
-    return std::max(duration(0),
-                    route_->objective / patience_divisor - spent);
+    return std::max(duration(0), route_->objective / patience_divisor - spent);
 }
 
 void entry_call::try_next()
@@ -295,8 +290,8 @@
         return;
     }
     caller_->respond_body(bytes);
-    if (run_ &&
-        caller_->unsent() > connection::http::server_connection::max_unsent_bytes)
+    if (run_ && caller_->unsent() >
+                    connection::http::server_connection::max_unsent_bytes)
         run_->pause();
 }
 
@@ -423,8 +418,8 @@
         node_.rates().refund(workspace_->name);
     ended_ = true;
     caller_->respond(std::move(head), {});
-    finish(status,
-           why.what.run == execution::not_run ? "refused" : "failed", &why);
+    finish(status, why.what.run == execution::not_run ? "refused" : "failed",
+           &why);
 }
 
 void entry_call::finish(int status, std::string_view outcome,
@@ -436,7 +431,7 @@
     auto took = node_.loop().now() - arrived_;
     node_.latency().add(took);
     ++node_.counts().at("calls", "outcome=\"" + std::string(outcome) + '"');
-    auto kind = why == nullptr ? decision::served
+    auto kind = why == nullptr                        ? decision::served
                 : why->what.run == execution::not_run ? decision::refused
                                                       : decision::failed;
     if (process::telemetry::allow(kind)) {
@@ -445,14 +440,12 @@
             << "event=call" << field("request", request_id_)
             << field("route", route_ == nullptr ? "" : route_->name)
             << field("service", service_)
-            << field("workspace",
-                     workspace_ == nullptr ? "" : workspace_->name)
+            << field("workspace", workspace_ == nullptr ? "" : workspace_->name)
             << field("policy", policy_ ? policy_->revision() : 0)
             << field("instance", record) << field("moves", moves_)
             << field("arrivals", arrivals_) << field("outcome", outcome)
             << field("status", status)
-            << field("verdict",
-                     why == nullptr ? "" : name_of(why->what.run))
+            << field("verdict", why == nullptr ? "" : name_of(why->what.run))
             << field("reason", why == nullptr ? "" : name_of(why->what.why))
             << field("after_us", took.count());
     }
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -42,8 +42,7 @@
     virtual const std::string& own_service() = 0;
     virtual std::string new_attempt_id() = 0;
     // Uniform in [0, 1); splits traffic between weighted services.
-    virtual const std::string&
-    choose_service(const version::route& route) = 0;
+    virtual const std::string& choose_service(const version::route& route) = 0;
     virtual std::shared_ptr<run>
     start_run(const process::fleet::instance& at, const run_request& what,
               const std::shared_ptr<run_receiver>& receiver) = 0;
--- a/src/request/run.hpp
+++ b/src/request/run.hpp
@@ -59,10 +59,7 @@
 public:
     virtual ~run_receiver() = default;
     // Before the other events, if the instance said how loaded it is.
-    virtual void on_load(const process::routing::load_report& it)
-    {
-        (void)it;
-    }
+    virtual void on_load(const process::routing::load_report& it) { (void)it; }
     virtual void on_response(connection::http::response_head&& head,
                              std::optional<std::uint64_t> length) = 0;
     virtual void on_response_body(std::string_view bytes) = 0;
