Refuse at the entry what would be shed deeper

Ruled out: placement (both servers left were full) and retries (none were spent).

Each request gets a shed key where it enters; the calls made for it carry it. A gate with calls waiting for a whole period finds the key from which on new requests should not start, and the cut comes back with the responses to where requests enter.

--- /dev/null
+++ b/src/process/load/cut_board.cpp
@@ -0,0 +1,64 @@
+#include "process/load/cut_board.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process::load
+{
+
+namespace
+{
+
+// Weight of the newest response in a cut. Responses come from several backend
+// servers, whose cuts differ; their mean matches what they serve together.
+constexpr double newest_weight = 0.3;
+
+// A cut holds this long without a response, and then fades within as much.
+constexpr duration hold_time = std::chrono::milliseconds(400);
+
+// A route that has not been called for this time leads there no more.
+constexpr duration link_time = std::chrono::seconds(10);
+
+} // namespace
+
+void cut_board::heard(const std::string& route, shed_key cut)
+{
+    auto& it = cuts_[route];
+    auto current = static_cast<double>(cut_of(route));
+    // One response from an idle backend server must not open all classes.
+    auto heard = std::min(static_cast<double>(cut), current + class_range);
+    it.cut = std::min(current + newest_weight * (heard - current),
+                      static_cast<double>(no_cut));
+    it.at = clock_.now();
+}
+
+void cut_board::called(const std::string& route, const std::string& inner)
+{
+    inner_[route][inner] = clock_.now();
+}
+
+shed_key cut_board::cut_of(const std::string& route) const
+{
+    auto it = cuts_.find(route);
+    if (it == cuts_.end())
+        return no_cut;
+    auto age = clock_.now() - it->second.at;
+    double fading = static_cast<double>((age - hold_time).count()) /
+                    static_cast<double>(hold_time.count());
+    double cut = it->second.cut +
+                 std::clamp(fading, 0.0, 1.0) * (no_cut - it->second.cut);
+    return static_cast<shed_key>(std::min<double>(cut, no_cut));
+}
+
+shed_key cut_board::below(const std::string& route) const
+{
+    auto it = inner_.find(route);
+    if (it == inner_.end())
+        return no_cut;
+    shed_key strictest = no_cut;
+    for (const auto& [inner, at] : it->second)
+        if (clock_.now() - at < link_time)
+            strictest = std::min(strictest, cut_of(inner));
+    return strictest;
+}
+
+} // namespace shallotwood::process::load
--- /dev/null
+++ b/src/process/load/cut_controller.cpp
@@ -0,0 +1,98 @@
+#include "process/load/cut_controller.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process::load
+{
+
+namespace
+{
+
+// Part of the arrivals that one period keeps at least.
+constexpr double least_kept = 0.4;
+
+// A full queue takes this part off what is kept, so that it empties.
+constexpr double drain_share = 0.15;
+
+// First step of a rise, as a part of one class of importance, and its growth
+// in each further period.
+constexpr double first_step = 0.02;
+constexpr double step_growth = 1.5;
+
+// The cut rises while less than this part of the slots is in use.
+constexpr double used_target = 0.9;
+
+} // namespace
+
+void cut_controller::arrived(shed_key key)
+{
+    ++arrived_;
+    if (sample_.size() < max_sample)
+        sample_.push_back(key);
+}
+
+void cut_controller::observe(time_point now, int running, int limit,
+                             std::size_t waiting)
+{
+    busy_ += static_cast<double>((now - busy_until_).count()) * running_;
+    busy_until_ = now;
+    running_ = running;
+    limit_ = std::max(limit, 1);
+    waiting_ = waiting;
+    fewest_waiting_ = std::min(fewest_waiting_, waiting);
+}
+
+void cut_controller::end_period(time_point now)
+{
+    observe(now, running_, limit_, waiting_);
+    auto elapsed = static_cast<double>((now - period_start_).count());
+    double used = elapsed > 0 ? busy_ / elapsed / limit_ : 0;
+    bool standing = fewest_waiting_ > 0 || refused_;
+    if (standing && arrived_ > 0) {
+        double kept =
+            static_cast<double>(ended_) / static_cast<double>(arrived_);
+        double queue = std::min(1.0, static_cast<double>(waiting_) /
+                                         static_cast<double>(limit_));
+        lower(std::clamp(kept, least_kept, 1.0) * (1 - drain_share * queue));
+    } else if (cut_ != no_cut) {
+        raise(used);
+    }
+    sample_.clear();
+    arrived_ = 0;
+    ended_ = 0;
+    refused_ = false;
+    fewest_waiting_ = waiting_;
+    busy_ = 0;
+    period_start_ = now;
+}
+
+void cut_controller::lower(double kept)
+{
+    step_ = 0;
+    // Calls whose request is not known tell nothing about the order.
+    sample_.erase(std::remove(sample_.begin(), sample_.end(), shed_key{0}),
+                  sample_.end());
+    if (sample_.empty()) {
+        cut_ = static_cast<shed_key>(cut_ * kept);
+        return;
+    }
+    auto at = std::min(
+        static_cast<std::size_t>(kept * static_cast<double>(sample_.size())),
+        sample_.size() - 1);
+    std::nth_element(sample_.begin(),
+                     sample_.begin() + static_cast<std::ptrdiff_t>(at),
+                     sample_.end());
+    cut_ = std::min(cut_, sample_[at]);
+}
+
+void cut_controller::raise(double used)
+{
+    if (used >= used_target)
+        return;
+    step_ = step_ <= 0 ? first_step : step_ * step_growth;
+    double next = cut_ + step_ * class_range * (1 - used);
+    cut_ = next >= static_cast<double>(no_cut) ? no_cut
+                                               : static_cast<shed_key>(next);
+}
+
+} // namespace shallotwood::process::load
--- /dev/null
+++ b/src/process/load/cut_controller.hpp
@@ -0,0 +1,61 @@
+// Finds the cut of one gate: the shed key from which on new requests should
+// not be started, so that what arrives here is what can be served.
+//
+// Answers an overload that lasts longer than a queue can hold. When calls have
+// been waiting for a whole period, the cut is set to the key below which as
+// many calls arrived as ended, less what it takes to empty the queue. Without
+// waiting calls it rises in growing steps while slots are free. It follows the
+// arrivals of both admitted and refused calls, so it does not fall further
+// while requests from before the cut are still under way.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/load/shed_key.hpp"
+
+#include <vector>
+
+namespace shallotwood::process::load
+{
+
+class cut_controller
+{
+public:
+    // A period of control.
+    static constexpr duration period = std::chrono::milliseconds(100);
+    // Arrivals kept to find the cut; enough for a quantile within 5%.
+    static constexpr std::size_t max_sample = 512;
+
+    void arrived(shed_key key);
+    void ended() { ++ended_; }
+    // A call was refused for lack of room.
+    void refused() { refused_ = true; }
+    // After each change of the number of running or waiting calls.
+    void observe(time_point now, int running, int limit, std::size_t waiting);
+    // Once each period.
+    void end_period(time_point now);
+
+    shed_key cut() const { return cut_; }
+    bool idle() const { return cut_ == no_cut && sample_.empty(); }
+
+private:
+    void lower(double kept);
+    void raise(double used);
+
+    shed_key cut_ = no_cut;
+    std::vector<shed_key> sample_;
+    std::size_t arrived_ = 0;
+    std::size_t ended_ = 0;
+    bool refused_ = false;
+    // Fewest calls that waited at any time of the period.
+    std::size_t fewest_waiting_ = 0;
+    std::size_t waiting_ = 0;
+    int running_ = 0;
+    int limit_ = 1;
+    // Integral of running calls over the period, in microseconds.
+    double busy_ = 0;
+    time_point busy_until_{};
+    time_point period_start_{};
+    double step_ = 0;
+};
+
+} // namespace shallotwood::process::load
--- a/src/process/load/gate.cpp
+++ b/src/process/load/gate.cpp
@@ -30,6 +30,18 @@
 {
     if (timer_set_)
         timers_.cancel(timer_);
+    if (period_timer_set_)
+        timers_.cancel(period_timer_);
+}
+
+gate::place gate::place_of(const arrival& it)
+{
+    return {!it.inner, it.key, it.id};
+}
+
+void gate::observe()
+{
+    controller_.observe(clock_.now(), running_, limit_, waiting_.size());
 }
 
 void gate::set_slots(int slots)
@@ -42,35 +54,42 @@
 
 void gate::arrive(const arrival& it, decision done)
 {
+    controller_.arrived(it.key);
+    set_period_timer();
     if (running_ < limit_ && waiting_.empty()) {
         ++running_;
+        observe();
         done(turn::run);
         return;
     }
-    auto start = clock_.now() + expected_wait(it.rank);
+    auto start = clock_.now() + expected_wait(it);
     auto most = static_cast<std::size_t>(slots_ * settings_.queue_per_slot);
-    if (start > it.latest_start || waiting_.size() >= most) {
+    bool shed = !it.inner && it.key >= controller_.cut();
+    if (shed || start > it.latest_start || waiting_.size() >= most) {
+        controller_.refused();
         done(turn::refused);
         return;
     }
-    waiting_.emplace(place{it.rank, it.id},
-                     entry{it.latest_start, std::move(done)});
-    ranks_.emplace(it.id, it.rank);
+    waiting_.emplace(place_of(it), entry{it.latest_start, std::move(done)});
+    places_.emplace(it.id, place_of(it));
+    observe();
     set_timer();
 }
 
 void gate::leave(std::uint64_t id)
 {
-    auto it = ranks_.find(id);
-    if (it == ranks_.end())
+    auto it = places_.find(id);
+    if (it == places_.end())
         return;
-    waiting_.erase({it->second, id});
-    ranks_.erase(it);
+    waiting_.erase(it->second);
+    places_.erase(it);
+    observe();
 }
 
 void gate::finished(duration elapsed)
 {
     --running_;
+    controller_.ended();
     auto mean = static_cast<double>(service_time_.count());
     mean += mean_weight * (static_cast<double>(elapsed.count()) - mean);
     service_time_ = duration(static_cast<duration::rep>(mean));
@@ -81,17 +100,17 @@
 {
     auto all = std::move(waiting_);
     waiting_.clear();
-    ranks_.clear();
+    places_.clear();
     for (auto& [at, it] : all)
         it.done(turn::refused);
 }
 
-duration gate::expected_wait(std::uint32_t rank) const
+duration gate::expected_wait(const arrival& it) const
 {
     if (running_ < limit_ && waiting_.empty())
         return duration(0);
     auto ahead =
-        std::distance(waiting_.begin(), waiting_.lower_bound({rank + 1, 0}));
+        std::distance(waiting_.begin(), waiting_.lower_bound(place_of(it)));
     return service_time_ * (ahead + 1) / limit_;
 }
 
@@ -100,7 +119,7 @@
     while (running_ < limit_ && !waiting_.empty()) {
         auto first = waiting_.begin();
         auto it = std::move(first->second);
-        ranks_.erase(first->first.second);
+        places_.erase(std::get<2>(first->first));
         waiting_.erase(first);
         if (it.latest_start < clock_.now()) {
             it.done(turn::refused);
@@ -109,6 +128,7 @@
         ++running_;
         it.done(turn::run);
     }
+    observe();
 }
 
 void gate::set_timer()
@@ -123,6 +143,19 @@
     });
 }
 
+void gate::set_period_timer()
+{
+    if (period_timer_set_)
+        return;
+    period_timer_set_ = true;
+    period_timer_ = timers_.call_after(cut_controller::period, [this] {
+        period_timer_set_ = false;
+        controller_.end_period(clock_.now());
+        if (!controller_.idle() || running_ > 0)
+            set_period_timer();
+    });
+}
+
 void gate::expire()
 {
     auto now = clock_.now();
@@ -133,9 +166,12 @@
             continue;
         }
         late.push_back(std::move(it->second.done));
-        ranks_.erase(it->first.second);
+        places_.erase(std::get<2>(it->first));
         it = waiting_.erase(it);
     }
+    if (!late.empty())
+        controller_.refused();
+    observe();
     for (auto& it : late)
         it(turn::refused);
 }
--- a/src/process/load/gate.hpp
+++ b/src/process/load/gate.hpp
@@ -11,12 +11,13 @@
 #pragma once
 
 #include "process/event_loop.hpp"
+#include "process/load/cut_controller.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace shallotwood::process::load
@@ -32,8 +33,10 @@
 
 struct arrival {
     std::uint64_t id = 0;
+    // Work for a request under way goes before new work.
+    bool inner = false;
     // Lower ones run first.
-    std::uint32_t rank = 0;
+    shed_key key = 0;
     // Latest start that is still of use.
     time_point latest_start;
 };
@@ -67,8 +70,10 @@
     int running() const { return running_; }
     int limit() const { return limit_; }
     std::size_t waiting() const { return waiting_.size(); }
-    // Time until a call of this rank would start if it arrived now.
-    duration expected_wait(std::uint32_t rank) const;
+    // Time until such a call would start if it arrived now.
+    duration expected_wait(const arrival& it) const;
+    // New requests with this key or a higher one should not be started.
+    shed_key cut() const { return controller_.cut(); }
     // Mean time of a call on the backend server.
     duration service_time() const { return service_time_; }
 
@@ -77,12 +82,15 @@
         time_point latest_start;
         decision done;
     };
-    // By rank, then arrival.
-    using place = std::pair<std::uint32_t, std::uint64_t>;
+    // Inner calls first; then by key, then by arrival.
+    using place = std::tuple<bool, shed_key, std::uint64_t>;
+    static place place_of(const arrival& it);
 
+    void observe();
     void run_waiting();
     void expire();
     void set_timer();
+    void set_period_timer();
 
     const clock& clock_;
     scheduler& timers_;
@@ -91,10 +99,13 @@
     int limit_ = 1;
     int running_ = 0;
     std::map<place, entry> waiting_;
-    std::unordered_map<std::uint64_t, std::uint32_t> ranks_;
+    std::unordered_map<std::uint64_t, place> places_;
     duration service_time_{};
+    cut_controller controller_;
     timer_id timer_{};
     bool timer_set_ = false;
+    timer_id period_timer_{};
+    bool period_timer_set_ = false;
 };
 
 } // namespace shallotwood::process::load
--- a/src/process/routing/placement.hpp
+++ b/src/process/routing/placement.hpp
@@ -11,6 +11,7 @@
 
 #include "process/event_loop.hpp"
 #include "process/fleet/fleet_view.hpp"
+#include "process/load/shed_key.hpp"
 #include "process/random_source.hpp"
 
 #include <string>
@@ -26,6 +27,8 @@
     int waiting = 0;
     int limit = 0;
     duration service_time{};
+    // From this key on, requests of the call's route are shed here or below.
+    load::shed_key cut = load::no_cut;
 };
 
 enum class call_outcome {
--- a/src/process/sidecar/dialect.hpp
+++ b/src/process/sidecar/dialect.hpp
@@ -68,6 +68,10 @@
     virtual caller_fields
     read_caller(const connection::http::request_head& from) const = 0;
 
+    // Id of the request for which a backend server makes the call with this
+    // id; empty if the id doesn't tell.
+    virtual std::string parent_request(const std::string& request_id) const = 0;
+
     // Header by which an answer of a backend server names its request.
     virtual std::string echo_header() const = 0;
     // Turns the head of a caller's request into that for a backend server.
--- a/src/process/sidecar/local_runner.cpp
+++ b/src/process/sidecar/local_runner.cpp
@@ -54,9 +54,10 @@
 } // namespace
 
 local_runner::local_runner(loop::reactor& loop, const dialect& words,
-                           counters& counts, local_backend& backend)
+                           counters& counts, local_backend& backend,
+                           const load::cut_board& cuts)
     : loop_(loop), words_(words), counts_(counts), backend_(backend),
-      gate_(loop, loop), pool_(loop, backend_options(words))
+      cuts_(cuts), gate_(loop, loop), pool_(loop, backend_options(words))
 {
     pool_.set_address(backend.address());
 }
@@ -101,10 +102,17 @@
         gate_.refuse_all();
 }
 
-routing::load_report local_runner::load() const
+routing::load_report local_runner::load(const std::string& route) const
 {
     return {gate_.running(), static_cast<int>(gate_.waiting()), gate_.limit(),
-            gate_.service_time()};
+            gate_.service_time(), std::min(gate_.cut(), cuts_.below(route))};
+}
+
+const local_runner::running_request*
+local_runner::find_running(const std::string& request_id) const
+{
+    auto it = running_requests_.find(request_id);
+    return it == running_requests_.end() ? nullptr : &it->second;
 }
 
 std::optional<reason> local_runner::refusal() const
@@ -147,7 +155,7 @@
         return;
     }
     arrival_ = ++owner_.last_arrival_;
-    load::arrival it{arrival_, what_.rank,
+    load::arrival it{arrival_, what_.inner, what_.key,
                      arrived_ + std::min(what_.patience, what_.remaining)};
     owner_.gate_.arrive(it, [self](load::turn turn) { self->take_turn(turn); });
 }
@@ -156,7 +164,7 @@
 {
     if (it == load::turn::refused) {
         auto why = owner_.refusal().value_or(reason::overload);
-        refuse(why, owner_.gate_.expected_wait(what_.rank));
+        refuse(why, owner_.gate_.service_time());
         return;
     }
     if (remaining() < least_run_time) {
@@ -166,6 +174,7 @@
     }
     state_ = state::running;
     ++owner_.running_;
+    owner_.running_requests_[what_.request_id] = {what_.route, what_.key};
     timer_ = owner_.loop_.call_after(
         remaining() + deadline_grace,
         [self = shared_from_this()] { self->expire(); });
@@ -238,7 +247,7 @@
     if (!what_.repeatable)
         head_ = head;
     if (receiver_) {
-        receiver_->on_load(owner_.load());
+        receiver_->on_load(owner_.load(what_.route));
         receiver_->on_response(std::move(head), info.length);
     } else {
         head_ = std::move(head);
@@ -308,6 +317,7 @@
         return;
     state_ = state::ended;
     --owner_.running_;
+    owner_.running_requests_.erase(what_.request_id);
     owner_.loop_.cancel(timer_);
     what_.body->on_more({});
     auto took = owner_.loop_.now() - started_;
@@ -326,7 +336,8 @@
         SHALLOTWOOD_LOG(info)
             << "event=run_refused" << field("request", what_.request_id)
             << field("attempt", what_.attempt_id) << field("route", what_.route)
-            << field("reason", name_of(why)) << field("rank", what_.rank)
+            << field("reason", name_of(why)) << field("key", what_.key)
+            << field("cut", owner_.gate_.cut())
             << field("running", owner_.gate_.running())
             << field("waiting", owner_.gate_.waiting())
             << field("limit", owner_.gate_.limit())
@@ -335,7 +346,7 @@
     auto to = receiver_;
     end();
     if (to) {
-        to->on_load(owner_.load());
+        to->on_load(owner_.load(what_.route));
         to->on_failure(*failure_);
     }
 }
@@ -355,7 +366,7 @@
     auto to = receiver_;
     end();
     if (to) {
-        to->on_load(owner_.load());
+        to->on_load(owner_.load(what_.route));
         to->on_failure(*failure_);
     }
 }
@@ -380,7 +391,7 @@
     if (auto to = std::move(receiver_)) {
         failure_ = request::run_failure{
             {execution::may_have_run, reason::deadline}, std::nullopt};
-        to->on_load(owner_.load());
+        to->on_load(owner_.load(what_.route));
         to->on_failure(*failure_);
     }
     if (what_.repeatable) {
@@ -451,7 +462,7 @@
         receiver_ = std::move(receiver);
         return true;
     }
-    receiver->on_load(owner_.load());
+    receiver->on_load(owner_.load(what_.route));
     if (failure_) {
         receiver->on_failure(*failure_);
         return true;
--- a/src/process/sidecar/local_runner.hpp
+++ b/src/process/sidecar/local_runner.hpp
@@ -7,6 +7,7 @@
 
 #include "connection/http/client_pool.hpp"
 #include "process/counters.hpp"
+#include "process/load/cut_board.hpp"
 #include "process/load/gate.hpp"
 #include "process/sidecar/dialect.hpp"
 #include "process/sidecar/local_backend.hpp"
@@ -34,7 +35,7 @@
     };
 
     local_runner(loop::reactor& loop, const dialect& words, counters& counts,
-                 local_backend& backend);
+                 local_backend& backend, const load::cut_board& cuts);
     ~local_runner() override;
 
     std::shared_ptr<request::run>
@@ -52,7 +53,15 @@
     // Refuses what comes from now on.
     void set_leaving() { leaving_ = true; }
 
-    routing::load_report load() const;
+    // The load as calls on the route meet it.
+    routing::load_report load(const std::string& route) const;
+
+    // A request that runs on the backend server now.
+    struct running_request {
+        std::string route;
+        load::shed_key key = 0;
+    };
+    const running_request* find_running(const std::string& request_id) const;
     std::size_t runs() const { return running_; }
     std::uint64_t connections_opened() const { return pool_.opened(); }
 
@@ -71,6 +80,7 @@
     const dialect& words_;
     counters& counts_;
     local_backend& backend_;
+    const load::cut_board& cuts_;
     settings settings_;
     load::gate gate_;
     connection::http::client_pool pool_;
@@ -78,6 +88,7 @@
     bool leaving_ = false;
     std::size_t running_ = 0;
     std::uint64_t last_arrival_ = 0;
+    std::unordered_map<std::string, running_request> running_requests_;
     std::unordered_map<std::string, std::shared_ptr<local_run>> runs_;
     // Attempts that must not start any more, with the end of their entry.
     std::unordered_map<std::string, time_point> fenced_;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -103,7 +103,8 @@
         to.add("sw-workspace", what.workspace);
     to.add("sw-caller", what.caller_service);
     to.add("sw-repeatable", what.repeatable ? "1" : "0");
-    to.add("sw-rank", std::to_string(what.rank));
+    to.add("sw-inner", what.inner ? "1" : "0");
+    to.add("sw-key", std::to_string(what.key));
     to.add("sw-number", std::to_string(what.attempt));
     to.add("sw-remaining", to_text(what.remaining));
     to.add("sw-patience", to_text(what.patience));
@@ -126,12 +127,13 @@
     what.workspace = text_in(headers, "sw-workspace");
     what.caller_service = text_in(headers, "sw-caller");
     what.repeatable = text_in(headers, "sw-repeatable") == "1";
-    auto rank = number_in(headers, "sw-rank");
+    auto key = number_in(headers, "sw-key");
     auto attempt = number_in(headers, "sw-number");
     if (what.head.method.empty() || what.head.target.empty() ||
-        what.attempt_id.empty() || what.service.empty() || !rank || !attempt)
+        what.attempt_id.empty() || what.service.empty() || !key || !attempt)
         return std::nullopt;
-    what.rank = static_cast<std::uint32_t>(*rank);
+    what.inner = text_in(headers, "sw-inner") == "1";
+    what.key = static_cast<load::shed_key>(*key);
     what.attempt = static_cast<int>(*attempt);
     what.remaining = time_in(headers, "sw-remaining");
     what.patience = time_in(headers, "sw-patience");
@@ -150,7 +152,8 @@
     to.add("sw-load", std::to_string(reply.load.running) + ' ' +
                           std::to_string(reply.load.waiting) + ' ' +
                           std::to_string(reply.load.limit) + ' ' +
-                          std::to_string(reply.load.service_time.count()));
+                          std::to_string(reply.load.service_time.count()) +
+                          ' ' + std::to_string(reply.load.cut));
     to.add("sw-incarnation", std::to_string(reply.incarnation));
     to.add("sw-policy", std::to_string(reply.policy_revision));
     if (reply.failure) {
@@ -174,7 +177,7 @@
 process::routing::load_report load_from(const std::string& text)
 {
     process::routing::load_report it;
-    std::uint64_t numbers[4] = {};
+    std::uint64_t numbers[5] = {};
     std::string_view rest = text;
     for (auto& n : numbers) {
         auto space = std::min(rest.find(' '), rest.size());
@@ -185,6 +188,7 @@
     it.waiting = static_cast<int>(numbers[1]);
     it.limit = static_cast<int>(numbers[2]);
     it.service_time = duration(static_cast<duration::rep>(numbers[3]));
+    it.cut = static_cast<load::shed_key>(numbers[4]);
     return it;
 }
 
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -80,8 +80,8 @@
       fleet_(first_entry(settings, incarnation)),
       placement_(loop, random_, fleet_, settings.failure_domain),
       retries_(loop, budget_of(settings)), home_(loop), wallet_(loop, *this),
-      backend_(settings.service, settings.backend_address),
-      runner_(loop, words, counts_, backend_),
+      cuts_(loop), backend_(settings.service, settings.backend_address),
+      runner_(loop, words, counts_, backend_, cuts_),
       links_(loop, counts_, fleet_, placement_),
       peers_(
           loop, runner_,
@@ -189,6 +189,17 @@
     return call;
 }
 
+std::optional<load::shed_key>
+sidecar_node::key_of_caller(const std::string& request_id,
+                            const std::string& route)
+{
+    const auto* it = runner_.find_running(words_.parent_request(request_id));
+    if (it == nullptr)
+        return std::nullopt;
+    cuts_.called(it->route, route);
+    return it->key;
+}
+
 std::string sidecar_node::new_attempt_id()
 {
     return fleet_.self().name() + '/' +
@@ -605,7 +616,7 @@
         from->respond(plain(404), {});
         return nullptr;
     }
-    auto load = runner_.load();
+    auto load = runner_.load({});
     counts_.at("policy_revision") = feed_.revision();
     counts_.at("instances_known") = fleet_.size();
     counts_.at("peers_unreachable") = links_.unreachable();
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -63,6 +63,10 @@
     routing::placement& placement() override { return placement_; }
     retry::retry_budget& retries() override { return retries_; }
     const std::string& own_service() override { return settings_.service; }
+    load::cut_board& cuts() override { return cuts_; }
+    std::optional<load::shed_key>
+    key_of_caller(const std::string& request_id,
+                  const std::string& route) override;
     std::string new_attempt_id() override;
     const std::string& choose_service(const version::route& route) override;
     std::shared_ptr<request::run>
@@ -119,6 +123,7 @@
     retry::retry_budget retries_;
     rate::token_bucket_home home_;
     rate::wallet wallet_;
+    load::cut_board cuts_;
     local_backend backend_;
     local_runner runner_;
     peer_links links_;
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -36,21 +36,6 @@
 // When a caller may come back after a refusal without a better hint.
 constexpr duration default_retry_after = std::chrono::milliseconds(300);
 
-// Ranks of one workspace priority; routes have fewer priorities than this.
-constexpr std::uint32_t ranks_per_workspace = 16;
-
-std::uint32_t rank_of(const version::route& route, const version::workspace* of)
-{
-    if (of == nullptr)
-        return inner_rank;
-    auto priority = [](int it) {
-        return static_cast<std::uint32_t>(
-            std::clamp(it, 0, static_cast<int>(ranks_per_workspace) - 1));
-    };
-    return 1 + priority(of->priority) * ranks_per_workspace +
-           priority(route.priority);
-}
-
 run_failure not_run(reason why,
                     std::optional<duration> retry_after = std::nullopt)
 {
@@ -64,17 +49,14 @@
 class entry_call::attempt final : public run_receiver
 {
 public:
-    attempt(entry_call& of, std::string instance)
-        : call_(&of), instance_(std::move(instance))
-    {
-    }
+    explicit attempt(entry_call& of) : call_(&of) {}
 
     void release() { call_ = nullptr; }
 
     void on_load(const process::routing::load_report& it) override
     {
         if (call_ != nullptr)
-            call_->node_.placement().report(instance_, it);
+            call_->attempt_load(it);
     }
     void on_response(response_head&& head,
                      std::optional<std::uint64_t> length) override
@@ -100,7 +82,6 @@
 
 private:
     entry_call* call_;
-    std::string instance_;
 };
 
 entry_call::entry_call(
@@ -160,13 +141,33 @@
             return false;
         }
     }
+    if (workspace_ != nullptr)
+        key_ = process::load::make_shed_key(workspace_->priority,
+                                            route_->priority, request_id_);
+    else
+        key_ = node_.key_of_caller(request_id_, route_->name).value_or(0);
     auto timeout = route_->timeout;
     if (fields.timeout)
         timeout = std::min(timeout, *fields.timeout);
     deadline_ = arrived_ + timeout;
+    return !is_shed();
+}
+
+bool entry_call::is_shed()
+{
+    if (workspace_ == nullptr || key_ < node_.cuts().cut_of(route_->name))
+        return false;
+    ++node_.counts().at("calls_shed");
+    fail(not_run(reason::overload, default_retry_after));
     return true;
 }
 
+void entry_call::attempt_load(const process::routing::load_report& it)
+{
+    node_.placement().report(instance_, it);
+    node_.cuts().heard(route_->name, it.cut);
+}
+
 void entry_call::on_body(std::string_view bytes)
 {
     body_->append(bytes);
@@ -242,7 +243,7 @@
     instance_ = at->name();
     sent_at_ = node_.loop().now();
     node_.placement().sent(instance_);
-    attempt_ = std::make_shared<attempt>(*this, instance_);
+    attempt_ = std::make_shared<attempt>(*this);
     auto current = attempt_;
     auto started = node_.start_run(*at, make_run(*at), current);
     // The attempt may have ended, and another one begun, before it returned.
@@ -261,7 +262,8 @@
         what.workspace = workspace_->name;
     what.caller_service = node_.own_service();
     what.repeatable = route_->kind != version::work_kind::once;
-    what.rank = rank_of(*route_, workspace_);
+    what.inner = workspace_ == nullptr;
+    what.key = key_;
     what.attempt = arrivals_ + 1;
     what.remaining = remaining();
     what.patience = patience();
@@ -439,7 +441,7 @@
         SHALLOTWOOD_LOG(info)
             << "event=call" << field("request", request_id_)
             << field("route", route_ == nullptr ? "" : route_->name)
-            << field("service", service_)
+            << field("service", service_) << field("key", key_)
             << field("workspace", workspace_ == nullptr ? "" : workspace_->name)
             << field("policy", policy_ ? policy_->revision() : 0)
             << field("instance", record) << field("moves", moves_)
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -11,6 +11,7 @@
 #include "connection/http/server_connection.hpp"
 #include "process/counters.hpp"
 #include "process/latency_histogram.hpp"
+#include "process/load/cut_board.hpp"
 #include "process/rate/wallet.hpp"
 #include "process/retry/retry_budget.hpp"
 #include "process/routing/placement.hpp"
@@ -40,6 +41,11 @@
     virtual process::retry::retry_budget& retries() = 0;
     // Service of the local backend server.
     virtual const std::string& own_service() = 0;
+    virtual process::load::cut_board& cuts() = 0;
+    // Key of the request that runs on the local backend server under this id;
+    // nothing if there is none. Notes that it calls `route`.
+    virtual std::optional<process::load::shed_key>
+    key_of_caller(const std::string& request_id, const std::string& route) = 0;
     virtual std::string new_attempt_id() = 0;
     // Uniform in [0, 1); splits traffic between weighted services.
     virtual const std::string& choose_service(const version::route& route) = 0;
@@ -75,6 +81,7 @@
     class attempt;
 
     bool admit(const connection::http::request_head& head);
+    bool is_shed();
     void charge();
     void charged(std::optional<process::duration> refused);
     void try_next();
@@ -83,6 +90,7 @@
     process::duration remaining() const;
 
     // Events of the current attempt.
+    void attempt_load(const process::routing::load_report& it);
     void attempt_responded(connection::http::response_head&& head,
                            std::optional<std::uint64_t> length);
     void attempt_body(std::string_view bytes);
@@ -108,6 +116,7 @@
     const version::workspace* workspace_ = nullptr;
     connection::http::request_head head_;
     std::string request_id_;
+    process::load::shed_key key_ = 0;
     std::string service_;
     std::shared_ptr<upload> body_;
 
--- a/src/request/run.hpp
+++ b/src/request/run.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/http/message.hpp"
+#include "process/load/shed_key.hpp"
 #include "process/routing/placement.hpp"
 #include "request/upload.hpp"
 #include "request/verdict.hpp"
@@ -14,10 +15,6 @@
 namespace shallotwood::request
 {
 
-// Rank of calls that backend servers make for requests under way. They are
-// served before new work, which would waste what has been done for them.
-constexpr std::uint32_t inner_rank = 0;
-
 struct run_request {
     // As the caller sent it.
     std::string request_id;
@@ -31,8 +28,11 @@
     std::string caller_service;
     // False if it must not run twice.
     bool repeatable = true;
-    // Lower ones are served first.
-    std::uint32_t rank = 0;
+    // Made by a backend server for a request under way. Such calls are served
+    // before new work, which would waste what has been done for them.
+    bool inner = false;
+    // Of the request at the root of the call tree.
+    process::load::shed_key key = 0;
     // 1 for the first backend server that it is sent to.
     int attempt = 1;
     // Until the caller or the operator's timeout gives it up.
