Fetch no tokens ahead for sparse demand, and start with full buckets

Cause: a workspace with a request every few seconds at a node took a second token with each one, which lapsed unused: half of its rate was lost. Buckets were nearly empty when the whole fleet started. Ruled out: homes that changed.

--- a/src/process/rate/token_bucket_home.cpp
+++ b/src/process/rate/token_bucket_home.cpp
@@ -13,6 +13,10 @@
 // within a window of 5 s then exceed the limit by less than a tenth.
 constexpr double first_level_seconds = 0.25;
 
+// How long after the start of the whole fleet a bucket is the first one of its
+// workspace. Later ones may follow a home that has ended.
+constexpr duration first_buckets_time = std::chrono::seconds(12);
+
 // Shortest time after which a refused caller may come back.
 constexpr duration shortest_wait = std::chrono::milliseconds(50);
 
@@ -26,7 +30,10 @@
     auto [it, inserted] = buckets_.try_emplace(workspace);
     auto& of = it->second;
     if (inserted) {
-        of.level = std::max(1.0, limit.rate * first_level_seconds);
+        bool is_first =
+            fleet_is_new_ && now - started_ < first_buckets_time;
+        of.level = is_first ? std::max(1.0, limit.burst)
+                            : std::max(1.0, limit.rate * first_level_seconds);
         of.at = now;
     }
     double seconds = std::chrono::duration<double>(now - of.at).count();
--- a/src/process/rate/token_bucket_home.hpp
+++ b/src/process/rate/token_bucket_home.hpp
@@ -32,7 +32,12 @@
 class token_bucket_home
 {
 public:
-    explicit token_bucket_home(const clock& time) : clock_(time) {}
+    // `fleet_is_new` says that no node can have granted anything before this
+    // one started: then the first buckets are full.
+    token_bucket_home(const clock& time, bool fleet_is_new)
+        : clock_(time), fleet_is_new_(fleet_is_new), started_(time.now())
+    {
+    }
 
     // `reserved` is the part of the rate kept for nodes that can't reach the
     // home and use their own part of it.
@@ -52,6 +57,8 @@
                    double reserved);
 
     const clock& clock_;
+    bool fleet_is_new_;
+    time_point started_;
     std::unordered_map<std::string, bucket> buckets_;
 };
 
--- a/src/process/rate/wallet.cpp
+++ b/src/process/rate/wallet.cpp
@@ -57,7 +57,7 @@
     if (of.waiting.empty() && spend(of)) {
         done(std::nullopt);
         auto& after = purses_[workspace];
-        if (after.tokens < after.demand * ahead_seconds / 2)
+        if (after.tokens < std::floor(after.demand * ahead_seconds) / 2)
             ask(workspace, limit);
         return;
     }
@@ -84,7 +84,7 @@
         return;
     of.asking = true;
     int wanted = static_cast<int>(of.waiting.size()) +
-                 static_cast<int>(std::ceil(of.demand * ahead_seconds));
+                 static_cast<int>(of.demand * ahead_seconds);
     source_.ask(workspace, wanted,
                 [this, workspace, limit](std::optional<grant> given) {
                     answered(workspace, limit, given);
--- a/src/process/sidecar/node_settings.hpp
+++ b/src/process/sidecar/node_settings.hpp
@@ -40,6 +40,8 @@
     // Between SIGTERM and SIGKILL.
     duration shutdown_limit = std::chrono::seconds(6);
     std::size_t max_connections = 1024;
+    // The whole fleet starts for the first time.
+    bool fleet_is_new = false;
 };
 
 struct settings_error {
