Take an unreadable run of another node as not available

A run that can't be read is now refused as not available and moves on, and unknown fields have defaults.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -121,7 +121,7 @@
         close();
     auto* events = events_;
     events_ = nullptr;
-    idle_since_ = loop_.now();
+    idle_since_ = loop().now();
     if (events != nullptr)
         events->on_response_end();
 }
--- a/src/connection/http/fetch.cpp
+++ b/src/connection/http/fetch.cpp
@@ -17,7 +17,7 @@
 }
 
 fetch_ptr fetch::start(process::loop::reactor& loop, client_pool& pool,
-                       request_head head, const std::string& body,
+                       const request_head& head, const std::string& body,
                        process::duration limit, handler done)
 {
     auto it = std::make_shared<fetch>(loop, pool, std::move(done));
--- a/src/connection/http/fetch.hpp
+++ b/src/connection/http/fetch.hpp
@@ -37,7 +37,7 @@
     using handler = std::function<void(fetch_result)>;
 
     static fetch_ptr start(process::loop::reactor& loop, client_pool& pool,
-                           request_head head, const std::string& body,
+                           const request_head& head, const std::string& body,
                            process::duration limit, handler done);
     void cancel();
 
--- a/src/connection/http/reader.cpp
+++ b/src/connection/http/reader.cpp
@@ -30,8 +30,8 @@
 }
 
 // What requests and responses have in common.
-template <bool isRequest, typename Head>
-class message_parser : public beast::http::basic_parser<isRequest>
+template <bool IsRequest, typename Head>
+class message_parser : public beast::http::basic_parser<IsRequest>
 {
 public:
     message_parser(const read_limits& limits, reader_events& events)
@@ -52,6 +52,7 @@
     }
 
     Head& head() { return head_; }
+    const Head& head() const { return head_; }
 
 protected:
     // True if the head must not be passed on.
@@ -111,7 +112,6 @@
 
     reader_events& events_;
 
-protected:
     Head head_;
 };
 
@@ -126,8 +126,8 @@
     void on_request_impl(beast::http::verb, beast_view method,
                          beast_view target, int, beast_error&) override
     {
-        head_.method = view(method);
-        head_.target = view(target);
+        head().method = view(method);
+        head().target = view(target);
     }
 
     void on_response_impl(int, beast_view, int, beast_error&) override {}
@@ -135,8 +135,8 @@
     // A transfer coding other than chunked has no end that all agree on.
     bool is_ambiguous() const override
     {
-        return head_.headers.count("Host") > 1 ||
-               (head_.headers.count("Transfer-Encoding") > 0 && !chunked());
+        return head().headers.count("Host") > 1 ||
+               (head().headers.count("Transfer-Encoding") > 0 && !chunked());
     }
 };
 
@@ -190,7 +190,7 @@
 
     void on_response_impl(int status, beast_view, int, beast_error&) override
     {
-        head_.status = status;
+        head().status = status;
     }
 };
 
--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -57,7 +57,7 @@
            state_ != state::waiting) {
         if (state_ == state::idle) {
             state_ = state::head;
-            since_ = loop_.now();
+            since_ = loop().now();
             reader_events& events = *this;
             reader_ = std::make_unique<request_reader>(owner_.limits_.message,
                                                        events);
@@ -97,7 +97,7 @@
 
 void server_connection::on_body(std::string_view bytes)
 {
-    since_ = loop_.now();
+    since_ = loop().now();
     if (auto it = exchange_)
         it->on_body(bytes);
 }
@@ -207,7 +207,7 @@
 void server_connection::request_done()
 {
     state_ = state::idle;
-    since_ = loop_.now();
+    since_ = loop().now();
     if (closing_)
         return;
     resume_reading();
@@ -215,7 +215,7 @@
         return;
     // Not from here: the response of the next request may end at once, too.
     auto self = std::static_pointer_cast<server_connection>(shared_from_this());
-    loop_.defer([self] {
+    loop().defer([self] {
         if (!self->is_open() || self->state_ != state::idle)
             return;
         auto all = std::move(self->waiting_);
--- a/src/connection/net/byte_stream.hpp
+++ b/src/connection/net/byte_stream.hpp
@@ -76,7 +76,7 @@
     // The connection has ended and is closed; nothing more is called.
     virtual void on_end(stream_end how) = 0;
 
-    process::loop::reactor& loop_;
+    process::loop::reactor& loop() const { return loop_; }
 
 private:
     void on_ready(std::uint32_t events) final;
@@ -86,6 +86,7 @@
     void end(stream_end how);
     void connected();
 
+    process::loop::reactor& loop_;
     int fd_ = -1;
     bool connecting_ = false;
     bool connect_failed_ = false;
--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -253,12 +253,12 @@
 void session::on_connected()
 {
     was_connected_ = true;
-    heard_ = loop_.now();
+    heard_ = loop().now();
 }
 
 void session::on_bytes(std::string_view bytes)
 {
-    heard_ = loop_.now();
+    heard_ = loop().now();
     established_ = true;
     auto n = nghttp2_session_mem_recv(
         session_, reinterpret_cast<const std::uint8_t*>(bytes.data()),
@@ -280,7 +280,7 @@
     if (flush_planned_ || lost_)
         return;
     flush_planned_ = true;
-    loop_.defer([weak = weak_from_this()] {
+    loop().defer([weak = weak_from_this()] {
         if (auto it = weak.lock())
             static_cast<session&>(*it).flush();
     });
@@ -426,7 +426,7 @@
     if (it->drain_wanted && it->output.size() - it->sent <= max_unsent_bytes) {
         it->drain_wanted = false;
         // Not from inside libnghttp2's send, which must not be entered again.
-        owner.loop_.defer([events = it->events] {
+        owner.loop().defer([events = it->events] {
             if (events)
                 events->on_drained();
         });
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -130,11 +130,11 @@
     auto key = number_in(headers, "sw-key");
     auto attempt = number_in(headers, "sw-number");
     if (what.head.method.empty() || what.head.target.empty() ||
-        what.attempt_id.empty() || what.service.empty() || !key || !attempt)
+        what.attempt_id.empty() || what.service.empty())
         return std::nullopt;
     what.inner = text_in(headers, "sw-inner") == "1";
-    what.key = static_cast<load::shed_key>(*key);
-    what.attempt = static_cast<int>(*attempt);
+    what.key = static_cast<load::shed_key>(key.value_or(0));
+    what.attempt = static_cast<int>(attempt.value_or(1));
     what.remaining = time_in(headers, "sw-remaining");
     what.patience = time_in(headers, "sw-patience");
     what.policy_revision = number_in(headers, "sw-policy").value_or(0);
--- a/src/process/sidecar/peer_server.cpp
+++ b/src/process/sidecar/peer_server.cpp
@@ -270,7 +270,7 @@
     auto what = run_from_headers(std::move(headers));
     if (!what) {
         it->on_failure(
-            {{request::execution::not_run, request::reason::malformed},
+            {{request::execution::not_run, request::reason::no_backend_server},
              std::nullopt});
         return it;
     }
--- a/src/process/sidecar/policy_feed.cpp
+++ b/src/process/sidecar/policy_feed.cpp
@@ -28,10 +28,10 @@
 
 } // namespace
 
-policy_feed::policy_feed(loop::reactor& loop, object_store& store,
-                         const dialect& words, counters& counts,
-                         std::string object_name, puller pull, listener adopted)
-    : loop_(loop), store_(store), words_(words), counts_(counts),
+policy_feed::policy_feed(object_store& store, const dialect& words,
+                         counters& counts, std::string object_name, puller pull,
+                         listener adopted)
+    : store_(store), words_(words), counts_(counts),
       object_name_(std::move(object_name)), pull_(std::move(pull)),
       adopted_(std::move(adopted))
 {
--- a/src/process/sidecar/policy_feed.hpp
+++ b/src/process/sidecar/policy_feed.hpp
@@ -7,7 +7,6 @@
 #pragma once
 
 #include "process/counters.hpp"
-#include "process/loop/reactor.hpp"
 #include "process/object_store.hpp"
 #include "process/sidecar/dialect.hpp"
 
@@ -27,9 +26,8 @@
         std::function<void(std::optional<std::string>)> done)>;
     using listener = std::function<void(const version::policy&)>;
 
-    policy_feed(loop::reactor& loop, object_store& store, const dialect& words,
-                counters& counts, std::string object_name, puller pull,
-                listener adopted);
+    policy_feed(object_store& store, const dialect& words, counters& counts,
+                std::string object_name, puller pull, listener adopted);
     ~policy_feed();
     policy_feed(const policy_feed&) = delete;
     policy_feed& operator=(const policy_feed&) = delete;
@@ -53,7 +51,6 @@
     bool adopt(const std::string& text, std::string_view source);
     void changed(const get_result& result);
 
-    loop::reactor& loop_;
     object_store& store_;
     const dialect& words_;
     counters& counts_;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -79,8 +79,9 @@
       settings_(settings), random_(seed),
       fleet_(first_entry(settings, incarnation)),
       placement_(loop, random_, fleet_, settings.failure_domain),
-      retries_(loop, budget_of(settings)), home_(loop, settings.fleet_is_new), wallet_(loop, *this),
-      cuts_(loop), backend_(settings.service, settings.backend_address),
+      retries_(loop, budget_of(settings)), home_(loop, settings.fleet_is_new),
+      wallet_(loop, *this), cuts_(loop),
+      backend_(settings.service, settings.backend_address),
       runner_(loop, words, counts_, backend_, cuts_),
       links_(loop, counts_, fleet_, placement_),
       peers_(
@@ -96,7 +97,7 @@
           // of views, which names the node to ask.
           [](std::uint64_t) {}),
       feed_(
-          loop, store, words, counts_, names_.policy,
+          store, words, counts_, names_.policy,
           [this](const std::string& name, auto done) {
               if (const auto* it = fleet_.find(name))
                   links_.call(it->peer, peer_path::policy, "{}", message_limit,
