--- a/src/process/routing/placement.cpp
+++ b/src/process/routing/placement.cpp
@@ -1,7 +1,6 @@
 #include "process/routing/placement.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace shallotwood::process::routing
 {
@@ -12,12 +11,18 @@
 // A report says little about the load after this time.
 constexpr duration report_validity = std::chrono::milliseconds(500);
 
-// Service time assumed for an instance that has not answered yet.
-constexpr duration first_service_time = std::chrono::milliseconds(50);
+// Another failure domain is used once its backend servers have this much less
+// of their slots in use: trips take time, and the platform charges for bytes.
+constexpr double domain_cost = 0.2;
 
-// Cost of a call to another failure domain: the trip, and the bytes that the
-// platform charges for.
-constexpr duration domain_cost = std::chrono::milliseconds(6);
+// Slower than the fastest by more than this factor costs slow_cost for each
+// further multiple.
+constexpr double tolerated_slowness = 1.6;
+constexpr double slow_cost = 0.4;
+
+// Weight of the newest answer in a mean time, and how long it is believed.
+constexpr double newest_weight = 0.2;
+constexpr duration time_validity = std::chrono::seconds(2);
 
 // First time of avoidance after a failure, and the longest.
 constexpr duration first_avoidance = std::chrono::milliseconds(200);
@@ -36,26 +41,41 @@
 }
 
 const fleet::instance* placement::choose(const std::string& service,
+                                         const std::string& route,
                                          const std::vector<std::string>& tried)
 {
     auto now = clock_.now();
-    const fleet::instance* best = nullptr;
-    double best_cost = 0;
+    struct candidate {
+        const fleet::instance* it;
+        const figures* of;
+    };
+    std::vector<candidate> candidates;
+    double fastest = 0;
     for (const auto* it : fleet_.of_service(service)) {
-        if (!it->takes_calls())
-            continue;
         auto name = it->name();
-        if (std::find(tried.begin(), tried.end(), name) != tried.end())
+        if (!it->takes_calls() ||
+            std::find(tried.begin(), tried.end(), name) != tried.end())
             continue;
         const auto& of = figures_[name];
-        double value = cost(*it, of);
+        candidates.push_back({it, &of});
+        double time = fresh_time(of, route);
+        if (time > 0 && (fastest <= 0 || time < fastest))
+            fastest = time;
+    }
+    const fleet::instance* best = nullptr;
+    double best_cost = 0;
+    for (const auto& [it, of] : candidates) {
+        double value = cost(*it, *of);
+        if (double time = fresh_time(*of, route); time > 0)
+            value +=
+                slow_cost * std::max(0.0, time / fastest - tolerated_slowness);
         // Left for now, but better than nothing.
-        if (!of.reachable)
-            value += 1e12;
-        else if (now < of.avoided_until)
-            value += 1e9;
+        if (!of->reachable)
+            value += 1e6;
+        else if (now < of->avoided_until)
+            value += 1e3;
         // Breaks ties, and keeps nodes from acting alike.
-        value *= 1 + 0.05 * random_.unit();
+        value += 0.05 * random_.unit();
         if (best == nullptr || value < best_cost) {
             best = it;
             best_cost = value;
@@ -64,24 +84,24 @@
     return best;
 }
 
+double placement::fresh_time(const figures& of, const std::string& route) const
+{
+    auto it = of.times.find(route);
+    if (it == of.times.end() || clock_.now() - it->second.at > time_validity)
+        return 0;
+    return it->second.mean;
+}
+
 double placement::cost(const fleet::instance& it, const figures& of) const
 {
-    auto service_time = of.last.service_time > duration(0)
-                            ? of.last.service_time
-                            : first_service_time;
     double limit = std::max(of.last.limit > 0 ? of.last.limit : it.slots, 1);
     double load = of.in_flight;
     if (clock_.now() - of.reported_at < report_validity)
         load = std::max(0, of.last.running + of.last.waiting + of.in_flight -
                                of.in_flight_then);
-    double used = (load + 1) / limit;
-    // Flat while slots are free, and the time in the queue beyond.
-    double factor = 1 + 0.5 * used * used;
-    if (used > 1)
-        factor += 2 * (used - 1);
-    double value = static_cast<double>(service_time.count()) * factor;
+    double value = (load + 1) / limit;
     if (it.failure_domain != own_domain_)
-        value += static_cast<double>(domain_cost.count());
+        value += domain_cost;
     return value;
 }
 
@@ -90,7 +110,8 @@
     ++figures_[name].in_flight;
 }
 
-void placement::ended(const std::string& name, call_outcome how, duration)
+void placement::ended(const std::string& name, const std::string& route,
+                      call_outcome how, duration elapsed)
 {
     auto& of = figures_[name];
     of.in_flight = std::max(0, of.in_flight - 1);
@@ -99,6 +120,7 @@
     case call_outcome::served:
         of.failures = 0;
         of.avoided_until = time_point{};
+        note_time(of.times[route], elapsed);
         break;
     case call_outcome::refused_busy:
         of.avoided_until = now + busy_avoidance;
@@ -117,6 +139,14 @@
     }
 }
 
+void placement::note_time(answer_time& of, duration elapsed) const
+{
+    auto value = static_cast<double>(elapsed.count());
+    bool fresh = of.mean > 0 && clock_.now() - of.at < time_validity;
+    of.mean = fresh ? of.mean + newest_weight * (value - of.mean) : value;
+    of.at = clock_.now();
+}
+
 void placement::report(const std::string& name, const load_report& it)
 {
     auto& of = figures_[name];
--- a/src/process/routing/placement.hpp
+++ b/src/process/routing/placement.hpp
@@ -2,11 +2,14 @@
 //
 // Answers uneven speed and load of backend servers, without herding: figures
 // are this node's own calls in flight and what came back with its own answers,
-// so no two nodes act on the same stale figure. The cost of a candidate is the
-// time that a call is expected to take there: its mean service time, times the
-// share of its slots in use, plus the trip to its failure domain. A candidate
-// that refuses, fails or can't be reached is left for a time that doubles with
-// each repetition, and then tried by single calls.
+// so no two nodes act on the same stale figure. A call goes where the smallest
+// part of the slots is in use; a slow backend server holds its calls longer and
+// so gets fewer. Calls stay in the own failure domain until another one is
+// clearly less used. One that answers this route much slower than the others do
+// is left, and tried again when that figure has become old: comparing times of
+// different routes would take a backend server with long work for a slow one.
+// A candidate that refuses, fails or can't be reached is left for a time that
+// doubles with each repetition.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -52,17 +55,23 @@
     // An instance of the service that takes calls and is not in `tried`; null
     // if there is none.
     const fleet::instance* choose(const std::string& service,
+                                  const std::string& route,
                                   const std::vector<std::string>& tried);
 
     // Brackets each call.
     void sent(const std::string& name);
-    void ended(const std::string& name, call_outcome how, duration elapsed);
+    void ended(const std::string& name, const std::string& route,
+               call_outcome how, duration elapsed);
     void report(const std::string& name, const load_report& it);
 
     // The node of the instance does not answer, or does again.
     void set_reachable(const std::string& name, bool reachable);
 
 private:
+    struct answer_time {
+        double mean = 0;
+        time_point at{};
+    };
     struct figures {
         int in_flight = 0;
         load_report last;
@@ -72,9 +81,13 @@
         bool reachable = true;
         int failures = 0;
         time_point avoided_until{};
+        // Mean time of served calls, by route.
+        std::unordered_map<std::string, answer_time> times;
     };
 
     double cost(const fleet::instance& it, const figures& of) const;
+    void note_time(answer_time& of, duration elapsed) const;
+    double fresh_time(const figures& of, const std::string& route) const;
 
     const clock& clock_;
     random_source& random_;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -137,6 +137,7 @@
 sidecar_node::~sidecar_node()
 {
     loop_.cancel(compare_timer_);
+    loop_.cancel(load_timer_);
 }
 
 std::string sidecar_node::start()
@@ -597,8 +598,7 @@
     }
     refused_before_ = refused;
     shed_before_ = shed;
-    load_timer_ =
-        loop_.call_after(load_log_period, [this] { log_load(); });
+    load_timer_ = loop_.call_after(load_log_period, [this] { log_load(); });
 }
 
 void sidecar_node::set_node_count()
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -233,7 +233,7 @@
 void entry_call::try_next()
 {
     auto self = shared_from_this();
-    const auto* at = node_.placement().choose(service_, tried_);
+    const auto* at = node_.placement().choose(service_, route_->name, tried_);
     if (at == nullptr) {
         fail(not_run(tried_.empty() ? reason::no_backend_server
                                     : reason::overload,
@@ -378,7 +378,8 @@
     attempt_->release();
     attempt_.reset();
     run_.reset();
-    node_.placement().ended(instance_, how, node_.loop().now() - sent_at_);
+    node_.placement().ended(instance_, route_->name, how,
+                            node_.loop().now() - sent_at_);
 }
 
 void entry_call::time_up()
