Spend three quarters of the retry ratio, and save up less

Tried and dropped (trial): the budget to the requests with the lowest keys first. Kept: a larger part of the ratio; less is saved up, so that the sum over all nodes stays below the allowance at 76 nodes.

--- a/src/process/retry/retry_budget.cpp
+++ b/src/process/retry/retry_budget.cpp
@@ -8,12 +8,12 @@
 namespace
 {
 
-// Part of the settings' bounds that is spent; the rest covers repeats that this
-// node can't see, such as the calls of a run that was itself a retry.
-constexpr double spent_share = 0.5;
+// Part of the ratio that is spent; the rest covers repeats that this node can't
+// see, such as the calls of a run that was itself a retry.
+constexpr double ratio_share = 0.75;
 
-// Most retries saved up from the ratio.
-constexpr double most_saved = 10;
+// Part of the allowance that flows in over a window, and that may be saved up.
+constexpr double allowance_share = 0.3;
 
 } // namespace
 
@@ -22,10 +22,15 @@
 {
 }
 
-double retry_budget::fixed_limit() const
+double retry_budget::own_allowance() const
 {
-    return settings_.allowance * spent_share /
-           static_cast<double>(std::max<std::size_t>(nodes_, 1)) / 2;
+    return settings_.allowance * allowance_share /
+           static_cast<double>(std::max<std::size_t>(nodes_, 1));
+}
+
+double retry_budget::most_saved() const
+{
+    return std::max(1.0, own_allowance());
 }
 
 retry_budget::account& retry_budget::refill(const std::string& service)
@@ -34,14 +39,12 @@
     auto [it, inserted] = accounts_.try_emplace(service);
     auto& of = it->second;
     if (inserted) {
-        of.fixed_part = fixed_limit();
+        of.level = most_saved();
         of.at = now;
     }
-    // Half of the allowance may be saved up, the other half flows in.
     double part = std::chrono::duration<double>(now - of.at) /
                   std::chrono::duration<double>(settings_.window);
-    of.fixed_part =
-        std::min(fixed_limit(), of.fixed_part + part * fixed_limit());
+    of.level = std::min(most_saved(), of.level + part * own_allowance());
     of.at = now;
     return of;
 }
@@ -49,17 +52,16 @@
 void retry_budget::called(const std::string& service)
 {
     auto& of = refill(service);
-    of.ratio_part =
-        std::min(most_saved, of.ratio_part + settings_.ratio * spent_share);
+    of.level =
+        std::min(most_saved(), of.level + settings_.ratio * ratio_share);
 }
 
 bool retry_budget::spend(const std::string& service)
 {
     auto& of = refill(service);
-    auto& part = of.ratio_part >= 1 ? of.ratio_part : of.fixed_part;
-    if (part < 1)
+    if (of.level < 1)
         return false;
-    part -= 1;
+    of.level -= 1;
     return true;
 }
 
--- a/src/process/retry/retry_budget.hpp
+++ b/src/process/retry/retry_budget.hpp
@@ -38,13 +38,12 @@
 
 private:
     struct account {
-        // At most one window's worth, so that a window is never exceeded twice.
-        double ratio_part = 0;
-        double fixed_part = 0;
+        double level = 0;
         time_point at{};
     };
     account& refill(const std::string& service);
-    double fixed_limit() const;
+    double own_allowance() const;
+    double most_saved() const;
 
     const clock& clock_;
     budget_settings settings_;
