Let a few nodes watch the store for all

Now five nodes, or one for each 200, chosen by rendezvous hashing, watch; one that the store does not answer says so and is passed over for 5 s.

--- a/src/process/sidecar/policy_feed.cpp
+++ b/src/process/sidecar/policy_feed.cpp
@@ -49,6 +49,7 @@
     if (!watching) {
         store_.cancel(*watch_);
         watch_.reset();
+        store_lost_ = false;
         return;
     }
     watch_ =
@@ -56,23 +57,32 @@
                      [this](const get_result& result) { changed(result); });
 }
 
+void policy_feed::set_store_lost(bool lost)
+{
+    if (lost == store_lost_)
+        return;
+    store_lost_ = lost;
+    if (store_state_)
+        store_state_(lost);
+}
+
 void policy_feed::changed(const get_result& result)
 {
     if (const auto* why = std::get_if<store_error>(&result)) {
         if (*why == store_error::not_found || store_lost_)
             return;
-        store_lost_ = true;
         if (telemetry::allow(telemetry::decision::state))
             SHALLOTWOOD_LOG(warning)
                 << "event=store_lost" << field("error", name_of(*why));
+        set_store_lost(true);
         return;
     }
     if (store_lost_ && telemetry::allow(telemetry::decision::state))
         SHALLOTWOOD_LOG(info) << "event=store_regained";
-    store_lost_ = false;
+    set_store_lost(false);
     const auto& object = std::get<stored_object>(result);
     object_version_ = object.version;
-    adopt(object.value, "store");
+    adopt(object.value, origin::store, "store");
 }
 
 void policy_feed::heard(const std::string& name, std::uint64_t revision)
@@ -83,18 +93,19 @@
     pull_(name, [this, name](const std::optional<std::string>& text) {
         pulling_ = false;
         if (text && !text->empty())
-            adopt(*text, name);
+            adopt(*text, origin::node, name);
     });
 }
 
-bool policy_feed::adopt(const std::string& text, std::string_view source)
+bool policy_feed::adopt(const std::string& text, origin from,
+                        std::string_view name)
 {
     auto parsed = words_.parse_policy(text);
     if (const auto* why = std::get_if<parse_failure>(&parsed)) {
         ++counts_.at("policies_unreadable");
         if (telemetry::allow(telemetry::decision::state))
             SHALLOTWOOD_LOG(error)
-                << "event=policy_unreadable" << field("source", source)
+                << "event=policy_unreadable" << field("source", name)
                 << field("error", why->message);
         return false;
     }
@@ -105,12 +116,12 @@
     if (telemetry::allow(telemetry::decision::state))
         SHALLOTWOOD_LOG(info)
             << "event=policy_adopted" << field("revision", policy->revision())
-            << field("before", revision()) << field("source", source)
+            << field("before", revision()) << field("source", name)
             << field("routes", policy->routes().size())
             << field("workspaces", policy->workspaces().size());
     current_ = std::move(policy);
     text_ = text;
-    adopted_(*current_);
+    adopted_(*current_, from);
     return true;
 }
 
--- a/src/process/sidecar/policy_feed.hpp
+++ b/src/process/sidecar/policy_feed.hpp
@@ -24,7 +24,11 @@
     using puller = std::function<void(
         const std::string& name,
         std::function<void(std::optional<std::string>)> done)>;
-    using listener = std::function<void(const version::policy&)>;
+    enum class origin { store, node };
+    using listener =
+        std::function<void(const version::policy&, origin from)>;
+    // The store does not answer this node, or does again.
+    using store_listener = std::function<void(bool lost)>;
 
     policy_feed(object_store& store, const dialect& words, counters& counts,
                 std::string object_name, puller pull, listener adopted);
@@ -36,6 +40,11 @@
     void set_watching(bool watching);
     bool watching() const { return watch_.has_value(); }
 
+    void on_store_state(store_listener tell)
+    {
+        store_state_ = std::move(tell);
+    }
+
     // Another node has a policy of this revision.
     void heard(const std::string& name, std::uint64_t revision);
 
@@ -48,7 +57,8 @@
     const std::string& text() const { return text_; }
 
 private:
-    bool adopt(const std::string& text, std::string_view source);
+    bool adopt(const std::string& text, origin from, std::string_view name);
+    void set_store_lost(bool lost);
     void changed(const get_result& result);
 
     object_store& store_;
@@ -57,6 +67,7 @@
     std::string object_name_;
     puller pull_;
     listener adopted_;
+    store_listener store_state_;
     std::optional<watch_id> watch_;
     std::uint64_t object_version_ = 0;
     version::policy_ptr current_;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -28,6 +28,14 @@
 // Views are compared with one other node at a time, to repair what was lost.
 constexpr duration compare_period = std::chrono::seconds(1);
 
+// Nodes that watch the store: enough that a store that turns a third of the
+// nodes away still tells somebody, and one more for each so many nodes.
+constexpr std::size_t least_watchers = 5;
+constexpr std::size_t nodes_per_watcher = 200;
+
+// For how long a node that the store did not answer is passed over.
+constexpr duration store_lost_time = std::chrono::seconds(5);
+
 // For a reply of another node.
 constexpr duration message_limit = std::chrono::milliseconds(500);
 
@@ -107,7 +115,9 @@
               else
                   done(std::nullopt);
           },
-          [this](const version::policy& it) { policy_adopted(it); }),
+          [this](const version::policy& it, policy_feed::origin from) {
+              policy_adopted(it, from);
+          }),
       callers_(loop,
                [this](const connection_ptr& from, request_head&& head,
                       const connection::http::message_info& info) {
@@ -131,6 +141,15 @@
     links_.on_revision([this](const std::string& name, std::uint64_t revision) {
         feed_.heard(name, revision);
     });
+    feed_.on_store_state([this](bool lost) {
+        auto self = fleet_.self().name();
+        if (!lost) {
+            store_lost_.erase(self);
+            return;
+        }
+        store_lost_[self] = loop_.now() + store_lost_time;
+        tell_some(origin_fan_out, fleet_message({}));
+    });
     runner_.on_backend_lost([this] { backend_changed("unreachable"); });
 }
 
@@ -470,12 +489,7 @@
     auto names = std::move(news_);
     news_.clear();
     bool origin = names.count(fleet_.self().name()) != 0;
-    auto to = other_nodes();
-    std::shuffle(to.begin(), to.end(), random_.engine());
-    to.resize(std::min(to.size(), origin ? origin_fan_out : fan_out));
-    auto message = fleet_message(names);
-    for (const auto* it : to)
-        exchange_with(it->peer, message);
+    tell_some(origin ? origin_fan_out : fan_out, fleet_message(names));
 }
 
 Json::Value
@@ -485,6 +499,9 @@
     message["from"] = to_json(fleet_.self());
     message["policy"] = Json::UInt64(feed_.revision());
     message["digest"] = Json::UInt64(fleet_.digest());
+    auto lost = store_lost_.find(fleet_.self().name());
+    message["store_lost"] =
+        lost != store_lost_.end() && lost->second > loop_.now();
     message["entries"] = Json::Value(Json::arrayValue);
     for (const auto& name : names)
         if (const auto* it = fleet_.find(name))
@@ -526,6 +543,9 @@
         learn(it);
     set_node_count();
     auto from = fleet::instance_from_json(message["from"]);
+    if (from && message["store_lost"].isBool() &&
+        message["store_lost"].asBool())
+        store_lost_[from->name()] = loop_.now() + store_lost_time;
     if (from && message["policy"].isUInt64())
         feed_.heard(from->name(), message["policy"].asUInt64());
     bool differs = message["digest"].isUInt64() &&
@@ -571,6 +591,7 @@
 
 void sidecar_node::compare_views()
 {
+    choose_watchers();
     auto others = other_nodes();
     if (!others.empty()) {
         const auto* it = others[random_.below(others.size())];
@@ -608,16 +629,59 @@
 
 // ---- policy, readiness, metrics, shutdown -----------------------------------
 
-void sidecar_node::policy_adopted(const version::policy& it)
+void sidecar_node::policy_adopted(const version::policy& it,
+                                  policy_feed::origin from)
 {
     auto limits = callers_.limits();
     limits.message = {it.limits().header_bytes, it.limits().body_bytes};
     limits.head_time = it.limits().header_time;
     limits.idle_time = it.limits().idle_time;
     callers_.set_limits(limits);
-    auto message = fleet_message({});
-    for (const auto* node : other_nodes())
-        exchange_with(node->peer, message);
+    tell_some(from == policy_feed::origin::store ? origin_fan_out : fan_out,
+              fleet_message({}));
+}
+
+void sidecar_node::tell_some(std::size_t count, const Json::Value& message)
+{
+    auto to = other_nodes();
+    std::shuffle(to.begin(), to.end(), random_.engine());
+    to.resize(std::min(to.size(), count));
+    for (const auto* it : to)
+        exchange_with(it->peer, message);
+}
+
+// A few nodes watch the store for all. Which ones follows from what each node
+// knows; that two nodes disagree for a moment only costs calls.
+void sidecar_node::choose_watchers()
+{
+    if (!feed_.current()) {
+        feed_.set_watching(true);
+        return;
+    }
+    auto now = loop_.now();
+    auto self = fleet_.self().name();
+    auto own = fleet::rendezvous_weight(names_.policy, self);
+    auto answered = [&](const std::string& name) {
+        auto it = store_lost_.find(name);
+        return it == store_lost_.end() || it->second < now;
+    };
+    std::size_t able = 0;
+    std::size_t before = 0;
+    std::size_t before_any = 0;
+    for (const auto* it : fleet_.all()) {
+        auto name = it->name();
+        if (it->leaving || (name != self && !links_.reachable(name)))
+            continue;
+        bool first = fleet::rendezvous_weight(names_.policy, name) > own;
+        before_any += first;
+        able += answered(name);
+        before += first && answered(name);
+    }
+    auto wanted = std::max(least_watchers, fleet_.size() / nodes_per_watcher);
+    // While the store answers nobody, the first ones go on asking.
+    bool on_duty = able == 0 ? before_any < wanted
+                             : answered(self) && before < wanted;
+    feed_.set_watching(on_duty);
 }
 
 bool sidecar_node::ready() const
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -106,7 +106,9 @@
     std::vector<const fleet::instance*> other_nodes() const;
     std::string home_of(const std::string& workspace) const;
 
-    void policy_adopted(const version::policy& it);
+    void policy_adopted(const version::policy& it, policy_feed::origin from);
+    void tell_some(std::size_t count, const Json::Value& message);
+    void choose_watchers();
     void set_node_count();
     void end_if_idle();
     bool ready() const;
@@ -142,6 +144,10 @@
     };
     std::map<std::string, split> splits_;
 
+    // Nodes that said that the store does not answer them, and until when that
+    // is believed.
+    std::map<std::string, time_point> store_lost_;
+
     std::set<std::string> news_;
     bool news_planned_ = false;
     bool entry_written_ = false;
