Leave backend servers that fail part of their calls or answer too late

A candidate was left only after three failures in a row, and an attempt that ran out of time told nothing. Now each gate says which part of its calls failed, and an attempt that ran out of time counts as that slow.

Also: a test let a connection outlive its loop, seen by the sanitizer.

--- a/src/process/routing/placement.cpp
+++ b/src/process/routing/placement.cpp
@@ -20,6 +20,12 @@
 constexpr double tolerated_slowness = 1.6;
 constexpr double slow_cost = 0.4;
 
+// Cost of a candidate that fails every call, and how long a failing part is
+// believed: it fades over this time, so that the candidate is tried again.
+constexpr double failing_cost = 4;
+constexpr double failing_weight = 0.1;
+constexpr duration failing_validity = std::chrono::seconds(3);
+
 // Weight of the newest answer in a mean time, and how long it is believed.
 constexpr double newest_weight = 0.2;
 constexpr duration time_validity = std::chrono::seconds(2);
@@ -102,7 +108,14 @@
     double value = (load + 1) / limit;
     if (it.failure_domain != own_domain_)
         value += domain_cost;
-    return value;
+    return value + failing_cost * failing_part(of);
+}
+
+double placement::failing_part(const figures& of) const
+{
+    auto age = std::chrono::duration<double>(clock_.now() - of.failing_at) /
+               std::chrono::duration<double>(failing_validity);
+    return of.failing * std::max(0.0, 1 - age);
 }
 
 void placement::sent(const std::string& name)
@@ -116,6 +129,12 @@
     auto& of = figures_[name];
     of.in_flight = std::max(0, of.in_flight - 1);
     auto now = clock_.now();
+    if (how == call_outcome::served || how == call_outcome::failed) {
+        double value = how == call_outcome::failed ? 1 : 0;
+        of.failing = failing_part(of);
+        of.failing += failing_weight * (value - of.failing);
+        of.failing_at = now;
+    }
     switch (how) {
     case call_outcome::served:
         of.failures = 0;
@@ -134,6 +153,9 @@
             now + std::min(first_avoidance * (1 << factor), longest_avoidance);
         break;
     }
+    case call_outcome::too_slow:
+        note_time(of.times[route], elapsed);
+        break;
     case call_outcome::abandoned:
         break;
     }
@@ -151,6 +173,10 @@
 {
     auto& of = figures_[name];
     of.last = it;
+    if (it.failing > failing_part(of)) {
+        of.failing = it.failing;
+        of.failing_at = clock_.now();
+    }
     of.reported_at = clock_.now();
     of.in_flight_then = of.in_flight;
 }
--- a/src/process/routing/placement.hpp
+++ b/src/process/routing/placement.hpp
@@ -8,8 +8,9 @@
 // clearly less used. One that answers this route much slower than the others do
 // is left, and tried again when that figure has become old: comparing times of
 // different routes would take a backend server with long work for a slow one.
-// A candidate that refuses, fails or can't be reached is left for a time that
-// doubles with each repetition.
+// One that fails part of its calls is left in proportion to that part. A
+// candidate that refuses, or fails every call, is left for a time that doubles
+// with each repetition.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -30,6 +31,8 @@
     int waiting = 0;
     int limit = 0;
     duration service_time{};
+    // Part of the last calls on the backend server that failed.
+    double failing = 0;
     // From this key on, requests of the call's route are shed here or below.
     load::shed_key cut = load::no_cut;
 };
@@ -42,7 +45,9 @@
     refused_away,
     // The backend server or the connection to the node failed.
     failed,
-    // The caller left or the time was up.
+    // No answer before the time was up.
+    too_slow,
+    // The caller left.
     abandoned,
 };
 
@@ -80,6 +85,11 @@
         int in_flight_then = 0;
         bool reachable = true;
         int failures = 0;
+        // Mean of the last calls: 1 for a failure, 0 for a response. The
+        // instance itself sees the calls of all nodes; this node also sees
+        // those that did not reach it.
+        double failing = 0;
+        time_point failing_at{};
         time_point avoided_until{};
         // Mean time of served calls, by route.
         std::unordered_map<std::string, answer_time> times;
@@ -87,6 +97,7 @@
 
     double cost(const fleet::instance& it, const figures& of) const;
     void note_time(answer_time& of, duration elapsed) const;
+    double failing_part(const figures& of) const;
     double fresh_time(const figures& of, const std::string& route) const;
 
     const clock& clock_;
--- a/src/process/sidecar/local_runner.cpp
+++ b/src/process/sidecar/local_runner.cpp
@@ -33,6 +33,9 @@
 // A reused connection that breaks within this time was closed while idle.
 constexpr duration idle_close_limit = std::chrono::milliseconds(50);
 
+// Weight of the newest call in the part that fails.
+constexpr double failing_weight = 0.04;
+
 // Shortest time that is worth starting a run.
 constexpr duration least_run_time = std::chrono::milliseconds(5);
 
@@ -104,8 +107,14 @@
 
 routing::load_report local_runner::load(const std::string& route) const
 {
-    return {gate_.running(), static_cast<int>(gate_.waiting()), gate_.limit(),
-            gate_.service_time(), std::min(gate_.cut(), cuts_.below(route))};
+    return {gate_.running(), static_cast<int>(gate_.waiting()),
+            gate_.limit(),   gate_.service_time(),
+            failing_,        std::min(gate_.cut(), cuts_.below(route))};
+}
+
+void local_runner::note_outcome(bool failed)
+{
+    failing_ += failing_weight * ((failed ? 1 : 0) - failing_);
 }
 
 const local_runner::running_request*
@@ -274,6 +283,7 @@
 {
     auto self = shared_from_this();
     backend_done();
+    owner_.note_outcome(refused_below_);
     if (refused_below_) {
         if (misdirected_)
             owner_.backend_.unreachable();
@@ -301,6 +311,7 @@
         return;
     }
     backend_done();
+    owner_.note_outcome(true);
     if (why.unsent) {
         owner_.backend_.unreachable();
         if (owner_.backend_lost_)
--- a/src/process/sidecar/local_runner.hpp
+++ b/src/process/sidecar/local_runner.hpp
@@ -75,6 +75,7 @@
     friend class local_run;
     std::optional<request::reason> refusal() const;
     void forget(const std::string& attempt_id);
+    void note_outcome(bool failed);
 
     loop::reactor& loop_;
     const dialect& words_;
@@ -87,6 +88,8 @@
     std::function<void()> backend_lost_;
     bool leaving_ = false;
     std::size_t running_ = 0;
+    // Mean of the last calls: 1 for a failure of the backend server.
+    double failing_ = 0;
     std::uint64_t last_arrival_ = 0;
     std::unordered_map<std::string, running_request> running_requests_;
     std::unordered_map<std::string, std::shared_ptr<local_run>> runs_;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -1,6 +1,7 @@
 #include "process/sidecar/peer_codec.hpp"
 
 #include <cctype>
+#include <cmath>
 
 namespace shallotwood::process::sidecar
 {
@@ -14,6 +15,9 @@
 // response's own.
 constexpr std::string_view own_prefix = "sw-";
 
+// The failing part of calls travels in thousandths.
+constexpr double failing_scale = 1000;
+
 std::string to_text(duration it)
 {
     return std::to_string(it.count());
@@ -149,11 +153,13 @@
     header_list to;
     int status = reply.response ? reply.response->status : 503;
     to.add(":status", std::to_string(status));
-    to.add("sw-load", std::to_string(reply.load.running) + ' ' +
-                          std::to_string(reply.load.waiting) + ' ' +
-                          std::to_string(reply.load.limit) + ' ' +
-                          std::to_string(reply.load.service_time.count()) +
-                          ' ' + std::to_string(reply.load.cut));
+    to.add("sw-load",
+           std::to_string(reply.load.running) + ' ' +
+               std::to_string(reply.load.waiting) + ' ' +
+               std::to_string(reply.load.limit) + ' ' +
+               std::to_string(reply.load.service_time.count()) + ' ' +
+               std::to_string(reply.load.cut) + ' ' +
+               std::to_string(std::lround(reply.load.failing * failing_scale)));
     to.add("sw-incarnation", std::to_string(reply.incarnation));
     to.add("sw-policy", std::to_string(reply.policy_revision));
     if (reply.failure) {
@@ -177,7 +183,7 @@
 process::routing::load_report load_from(const std::string& text)
 {
     process::routing::load_report it;
-    std::uint64_t numbers[5] = {};
+    std::uint64_t numbers[6] = {};
     std::string_view rest = text;
     for (auto& n : numbers) {
         auto space = std::min(rest.find(' '), rest.size());
@@ -189,6 +195,7 @@
     it.limit = static_cast<int>(numbers[2]);
     it.service_time = duration(static_cast<duration::rep>(numbers[3]));
     it.cut = static_cast<load::shed_key>(numbers[4]);
+    it.failing = static_cast<double>(numbers[5]) / failing_scale;
     return it;
 }
 
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -340,7 +340,7 @@
         how = why.what.why == reason::overload ? call_outcome::refused_busy
                                                : call_outcome::refused_away;
     else if (why.what.why == reason::deadline)
-        how = call_outcome::abandoned;
+        how = call_outcome::too_slow;
     release_attempt(how);
     if (ended_)
         return;
@@ -390,7 +390,7 @@
     bool offered = arrivals_ > 0 || run_ != nullptr;
     if (auto it = run_)
         it->cancel();
-    release_attempt(call_outcome::abandoned);
+    release_attempt(call_outcome::too_slow);
     if (streaming_) {
         caller_->respond_abort();
         finish(0, "cut");
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -26,10 +26,7 @@
     }
     void on_response_body(std::string_view bytes) override { body += bytes; }
     void on_response_end() override { ended = true; }
-    void on_failure(const request::run_failure& why) override
-    {
-        failure = why;
-    }
+    void on_failure(const request::run_failure& why) override { failure = why; }
     bool done() const { return ended || failure.has_value(); }
 
     int status = 0;
@@ -109,6 +106,8 @@
     CHECK(third->ended);
     CHECK(third->body == "kept");
     CHECK(it.server.heads.size() == 1);
+    // It must not outlive the loop.
+    waiting.reset();
 }
 
 TEST_CASE("an attempt that was asked for before it came never starts")
@@ -140,10 +139,10 @@
 
 TEST_CASE("a success that names no request is nobody's")
 {
-    fixture it([](scripted_connection& from, const std::string&,
-                  const std::string&) {
-        from.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-    });
+    fixture it(
+        [](scripted_connection& from, const std::string&, const std::string&) {
+            from.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
     auto got = std::make_shared<run_recorder>();
     it.runner.start(it.once("a"), got);
     REQUIRE(run_until(it.loop, [&] { return got->done(); }));
@@ -153,8 +152,8 @@
 
 TEST_CASE("work under way counts until the backend server has ended it")
 {
-    fixture it([](scripted_connection&, const std::string&,
-                  const std::string&) {});
+    fixture it(
+        [](scripted_connection&, const std::string&, const std::string&) {});
     auto got = std::make_shared<run_recorder>();
     auto run = it.runner.start(it.once("a"), got);
     CHECK(it.runner.runs() == 1);
--- a/tests/sidecar/test_placement.cpp
+++ b/tests/sidecar/test_placement.cpp
@@ -119,6 +119,18 @@
     CHECK(chosen.size() == 2);
 }
 
+TEST_CASE("a backend server that does not answer in time is slow")
+{
+    fixture it;
+    it.add("a", "near");
+    it.add("b", "far");
+    it.placement.sent("b:1");
+    it.placement.ended("b:1", "r", call_outcome::served, milliseconds(20));
+    it.placement.sent("a:1");
+    it.placement.ended("a:1", "r", call_outcome::too_slow, milliseconds(300));
+    CHECK(it.choose() == "b");
+}
+
 // Two of four backend servers stayed idle in an overload, because the others
 // had shorter work and so seemed faster.
 TEST_CASE("long work of another route does not make a backend server slow")
@@ -148,6 +160,28 @@
     CHECK(it.choose() == "a");
 }
 
+// Its health looks good, and no three calls in a row fail.
+TEST_CASE("a backend server that fails a third of its calls gets few")
+{
+    fixture it;
+    it.add("good", "far");
+    it.add("grey", "near");
+    int to_grey = 0;
+    for (int n = 0; n < 300; ++n) {
+        auto host = it.choose();
+        auto name = host + ":1";
+        to_grey += host == "grey";
+        it.placement.sent(name);
+        bool fails = host == "grey" && to_grey % 3 == 0;
+        it.placement.ended(name, "r",
+                           fails ? call_outcome::failed : call_outcome::served,
+                           milliseconds(10));
+        it.loop.advance(milliseconds(10));
+    }
+    CHECK(to_grey < 60);
+    CHECK(to_grey > 0);
+}
+
 TEST_CASE("an instance that keeps failing is left for a time")
 {
     fixture it;
--- a/tests/sidecar/test_policy.cpp
+++ b/tests/sidecar/test_policy.cpp
@@ -8,7 +8,6 @@
 
 using namespace process::sidecar;
 using connection::http::request_head;
-using connection::http::response_head;
 using request::execution;
 using request::reason;
 using std::chrono::milliseconds;
