--- a/include/shallotwood/shallotwood.hpp
+++ b/include/shallotwood/shallotwood.hpp
@@ -12,7 +12,7 @@
 //   Shallotwood-Verdict: not-run       the work did not start and will not
 //                        may-have-run  it may have run, in whole or in part
 //                        ran           it ran; the response was lost
-//   Shallotwood-Reason:  see docs/operations.md
+//   Shallotwood-Reason:  see docs/OPERATIONS.md
 //   Retry-After:         seconds, for overload and for requests over the rate
 //
 // A response that is cut short on its way is never ended cleanly: its
