Test the store's client against a stand-in, and callers' connections

The stand-in speaks the store's contract: conditions, pages, watches, 410, and the faults down, too many calls, reset, answer lost. Not covered: a store that is slow or carries out a lost write late.

All sources are formatted now.

--- a/src/process/rate/token_bucket_home.cpp
+++ b/src/process/rate/token_bucket_home.cpp
@@ -30,8 +30,7 @@
     auto [it, inserted] = buckets_.try_emplace(workspace);
     auto& of = it->second;
     if (inserted) {
-        bool is_first =
-            fleet_is_new_ && now - started_ < first_buckets_time;
+        bool is_first = fleet_is_new_ && now - started_ < first_buckets_time;
         of.level = is_first ? std::max(1.0, limit.burst)
                             : std::max(1.0, limit.rate * first_level_seconds);
         of.at = now;
--- a/src/process/retry/retry_budget.cpp
+++ b/src/process/retry/retry_budget.cpp
@@ -52,8 +52,7 @@
 void retry_budget::called(const std::string& service)
 {
     auto& of = refill(service);
-    of.level =
-        std::min(most_saved(), of.level + settings_.ratio * ratio_share);
+    of.level = std::min(most_saved(), of.level + settings_.ratio * ratio_share);
 }
 
 bool retry_budget::spend(const std::string& service)
--- a/src/process/sidecar/policy_feed.hpp
+++ b/src/process/sidecar/policy_feed.hpp
@@ -25,8 +25,7 @@
         const std::string& name,
         std::function<void(std::optional<std::string>)> done)>;
     enum class origin { store, node };
-    using listener =
-        std::function<void(const version::policy&, origin from)>;
+    using listener = std::function<void(const version::policy&, origin from)>;
     // The store does not answer this node, or does again.
     using store_listener = std::function<void(bool lost)>;
 
@@ -40,10 +39,7 @@
     void set_watching(bool watching);
     bool watching() const { return watch_.has_value(); }
 
-    void on_store_state(store_listener tell)
-    {
-        store_state_ = std::move(tell);
-    }
+    void on_store_state(store_listener tell) { store_state_ = std::move(tell); }
 
     // Another node has a policy of this revision.
     void heard(const std::string& name, std::uint64_t revision);
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -679,8 +679,8 @@
     }
     auto wanted = std::max(least_watchers, fleet_.size() / nodes_per_watcher);
     // While the store answers nobody, the first ones go on asking.
-    bool on_duty = able == 0 ? before_any < wanted
-                             : answered(self) && before < wanted;
+    bool on_duty =
+        able == 0 ? before_any < wanted : answered(self) && before < wanted;
     feed_.set_watching(on_duty);
 }
 
--- a/tests/sidecar/support/scripted_server.cpp
+++ b/tests/sidecar/support/scripted_server.cpp
@@ -29,8 +29,7 @@
     : listener_(loop, [this, &loop, handle = std::move(handle)](int fd) {
           auto it = std::make_shared<scripted_connection>(
               loop, fd,
-              [this, handle](scripted_connection& from,
-                             const std::string& head,
+              [this, handle](scripted_connection& from, const std::string& head,
                              const std::string& body) {
                   heads.push_back(head);
                   bodies.push_back(body);
--- a/tests/sidecar/support/scripted_server.hpp
+++ b/tests/sidecar/support/scripted_server.hpp
@@ -17,9 +17,9 @@
 {
 public:
     // Gets each whole request: its head, without the empty line, and body.
-    using handler = std::function<void(scripted_connection&,
-                                       const std::string& head,
-                                       const std::string& body)>;
+    using handler =
+        std::function<void(scripted_connection&, const std::string& head,
+                           const std::string& body)>;
 
     scripted_connection(process::loop::reactor& loop, int fd, handler handle)
         : byte_stream(loop, fd), handle_(std::move(handle))
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -130,8 +130,7 @@
 void small_fleet::settle(int revision)
 {
     auto wanted = "shallotwood_policy_revision " + std::to_string(revision);
-    auto known =
-        "shallotwood_instances_known " + std::to_string(all.size());
+    auto known = "shallotwood_instances_known " + std::to_string(all.size());
     for (auto& it : all) {
         std::string text;
         for (int n = 0; n < 1000; ++n) {
--- a/tests/sidecar/test_client_connection.cpp
+++ b/tests/sidecar/test_client_connection.cpp
@@ -104,11 +104,11 @@
 
 TEST_CASE("an answer without a length is whole at the end of its connection")
 {
-    fixture it([](scripted_connection& from, const std::string&,
-                  const std::string&) {
-        from.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nto the end");
-        from.finish(std::chrono::seconds(1));
-    });
+    fixture it(
+        [](scripted_connection& from, const std::string&, const std::string&) {
+            from.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nto the end");
+            from.finish(std::chrono::seconds(1));
+        });
     auto got = it.call("1");
     CHECK(got.ended);
     CHECK(got.body == "to the end");
@@ -122,11 +122,11 @@
         "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
         "3\r\ncut\r\n",
         "HTTP/1.1 200 OK\r\nId:");
-    fixture it([&](scripted_connection& from, const std::string&,
-                   const std::string&) {
-        from.send(text);
-        from.finish(std::chrono::seconds(1));
-    });
+    fixture it(
+        [&](scripted_connection& from, const std::string&, const std::string&) {
+            from.send(text);
+            from.finish(std::chrono::seconds(1));
+        });
     auto got = it.call("1");
     CHECK_FALSE(got.ended);
     REQUIRE(got.failure);
@@ -135,11 +135,11 @@
 
 TEST_CASE("an unframed answer that is reset is not whole")
 {
-    fixture it([](scripted_connection& from, const std::string&,
-                  const std::string&) {
-        from.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf");
-        from.abort();
-    });
+    fixture it(
+        [](scripted_connection& from, const std::string&, const std::string&) {
+            from.send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf");
+            from.abort();
+        });
     CHECK_FALSE(it.call("1").ended);
 }
 
@@ -154,8 +154,8 @@
 
 TEST_CASE("nothing was sent to an address where nothing listens")
 {
-    fixture it([](scripted_connection&, const std::string&,
-                  const std::string&) {});
+    fixture it(
+        [](scripted_connection&, const std::string&, const std::string&) {});
     it.pool.set_address({"127.0.0.1", 1});
     auto got = it.call("1");
     REQUIRE(got.failure);
--- a/tests/sidecar/test_gate.cpp
+++ b/tests/sidecar/test_gate.cpp
@@ -47,9 +47,9 @@
     gate.set_slots(1);
     std::vector<int> order;
     auto arrive = [&](int id, load::shed_key key, bool inner) {
-        gate.arrive(call(static_cast<std::uint64_t>(id), loop, seconds(5), key,
-                         inner),
-                    [&order, id](turn) { order.push_back(id); });
+        gate.arrive(
+            call(static_cast<std::uint64_t>(id), loop, seconds(5), key, inner),
+            [&order, id](turn) { order.push_back(id); });
     };
     arrive(0, 0, false);
     arrive(1, 9, false);
--- a/tests/sidecar/test_rates_and_retries.cpp
+++ b/tests/sidecar/test_rates_and_retries.cpp
@@ -29,9 +29,8 @@
     struct member final : rate::token_source {
         explicit member(rate_world& of) : world(of), wallet(of.loop, *this) {}
 
-        void
-        ask(const std::string& workspace, int wanted,
-            std::function<void(std::optional<rate::grant>)> reply) override
+        void ask(const std::string& workspace, int wanted,
+                 std::function<void(std::optional<rate::grant>)> reply) override
         {
             world.loop.call_after(milliseconds(2), [=] {
                 if (cut)
--- /dev/null
+++ b/tests/sidecar/test_server_connection.cpp
@@ -0,0 +1,155 @@
+#include "connection/http/server_connection.hpp"
+#include "sidecar/support/live_loop.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+using namespace connection::http;
+
+namespace
+{
+
+// Sends raw bytes and collects what comes back.
+class raw_caller final : public connection::net::byte_stream
+{
+public:
+    raw_caller(process::loop::reactor& loop, const process::peer_address& to)
+        : byte_stream(loop, to, {})
+    {
+    }
+    void open() { start(); }
+
+    std::string got;
+    bool ended = false;
+
+private:
+    void on_bytes(std::string_view bytes) override { got += bytes; }
+    void on_end(connection::net::stream_end) override { ended = true; }
+};
+
+class echo final : public exchange
+{
+public:
+    echo(std::shared_ptr<server_connection> to, std::string target)
+        : to_(std::move(to)), target_(std::move(target))
+    {
+    }
+    void on_body(std::string_view bytes) override { body_ += bytes; }
+    void on_body_end() override
+    {
+        response_head head;
+        head.status = 200;
+        to_->respond(std::move(head), target_ + ' ' + body_);
+    }
+    void on_left() override {}
+
+private:
+    std::shared_ptr<server_connection> to_;
+    std::string target_;
+    std::string body_;
+};
+
+class fixture
+{
+public:
+    fixture()
+        : listener(loop,
+                   [this](const std::shared_ptr<server_connection>& from,
+                          request_head&& head,
+                          const message_info&) -> std::shared_ptr<exchange> {
+                       ++requests;
+                       if (head.target == "/early") {
+                           response_head answer;
+                           answer.status = 413;
+                           from->respond(std::move(answer), {});
+                           return nullptr;
+                       }
+                       return std::make_shared<echo>(from, head.target);
+                   })
+    {
+        REQUIRE(listener.listen({"127.0.0.1", 0}).empty());
+        caller = std::make_shared<raw_caller>(
+            loop, process::peer_address{"127.0.0.1", listener.port()});
+        caller->open();
+    }
+
+    bool gets(const std::string& text)
+    {
+        return run_until(loop,
+                         [&] {
+                             return caller->got.find(text) !=
+                                        std::string::npos ||
+                                    caller->ended;
+                         }) &&
+               caller->got.find(text) != std::string::npos;
+    }
+
+    process::loop::reactor loop;
+    server listener;
+    std::shared_ptr<raw_caller> caller;
+    int requests = 0;
+};
+
+} // namespace
+
+TEST_CASE("requests that come together are answered in order")
+{
+    fixture it;
+    it.caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+                    "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+                    "abcGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(it.gets("/3 "));
+    CHECK(it.caller->got.find("/1 ") < it.caller->got.find("/2 abc"));
+    CHECK(it.caller->got.find("/2 abc") < it.caller->got.find("/3 "));
+    CHECK(it.requests == 3);
+}
+
+TEST_CASE("the rest of a body that was answered early is no request")
+{
+    fixture it;
+    const std::string rest = "GET /inside HTTP/1.1\r\nHost: h\r\n\r\n";
+    it.caller->send("POST /early HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                    std::to_string(rest.size()) + "\r\n\r\n");
+    REQUIRE(it.gets("413"));
+    it.caller->send(rest + "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(it.gets("/next "));
+    CHECK(it.caller->got.find("/inside") == std::string::npos);
+    CHECK(it.requests == 2);
+}
+
+TEST_CASE("a broken request ends its connection, not the listener")
+{
+    fixture it;
+    it.caller->send("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+    CHECK(it.gets("400"));
+    CHECK(run_until(it.loop, [&] { return it.caller->ended; }));
+    it.caller = std::make_shared<raw_caller>(
+        it.loop, process::peer_address{"127.0.0.1", it.listener.port()});
+    it.caller->open();
+    it.caller->send("GET /again HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(it.gets("/again "));
+    CHECK(it.requests == 1);
+}
+
+TEST_CASE("a caller is told to go on before it sends a body that it announced")
+{
+    fixture it;
+    it.caller->send("POST /e HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                    "Expect: 100-continue\r\n\r\n");
+    REQUIRE(it.gets("100 Continue"));
+    it.caller->send("ok");
+    CHECK(it.gets("/e ok"));
+}
+
+TEST_CASE("a draining listener ends idle connections")
+{
+    fixture it;
+    it.caller->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(it.gets("/1 "));
+    it.listener.drain();
+    CHECK(run_until(it.loop, [&] { return it.caller->ended; }));
+}
+
+} // namespace shallotwood::test
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -62,8 +62,7 @@
     CHECK(beside.backend->bodies.front() == "body");
     CHECK(header_of(head, "X-Tenant") == "w");
     CHECK(header_of(head, "X-Caller-Service") == "front");
-    CHECK(header_of(head, "X-Expect-Instance") ==
-          "i-" + beside.settings.name);
+    CHECK(header_of(head, "X-Expect-Instance") == "i-" + beside.settings.name);
     CHECK(header_of(head, "Authorization").empty());
     CHECK(entry.backend->heads.empty());
 }
@@ -176,9 +175,9 @@
     small_fleet fleet;
     std::shared_ptr<scripted_connection> waiting;
     std::string waiting_head;
-    auto& entry = fleet.add(
-        "s", [&](scripted_connection& from, const std::string& head,
-                 const std::string&) {
+    auto& entry =
+        fleet.add("s", [&](scripted_connection& from, const std::string& head,
+                           const std::string&) {
             waiting = std::static_pointer_cast<scripted_connection>(
                 from.shared_from_this());
             waiting_head = head;
--- /dev/null
+++ b/tests/sidecar/test_store.cpp
@@ -0,0 +1,189 @@
+#include "platform/store.hpp"
+#include "process/json_text.hpp"
+#include "sidecar/support/live_loop.hpp"
+#include "sidecar/support/object_api.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+using namespace process;
+
+namespace
+{
+
+Json::Value value(int n)
+{
+    Json::Value it;
+    it["n"] = n;
+    return it;
+}
+
+class fixture
+{
+public:
+    fixture() : api(loop), store(loop, counts, api.address()) {}
+
+    put_result put(const std::string& name, int n, std::uint64_t expected)
+    {
+        std::optional<put_result> got;
+        store.put(name, write_json(value(n)), expected,
+                  [&](const put_result& it) { got = it; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+
+    get_result get(const std::string& name)
+    {
+        std::optional<get_result> got;
+        store.get(name, [&](const get_result& it) { got = it; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+
+    std::vector<stored_object> list(const std::string& kind)
+    {
+        std::optional<list_result> got;
+        store.list(kind, [&](const list_result& it) { got = it; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return std::get<std::vector<stored_object>>(*got);
+    }
+
+    loop::reactor loop;
+    counters counts;
+    object_api api;
+    platform::store store;
+};
+
+// Follows one object.
+class follower
+{
+public:
+    explicit follower(fixture& of) : of_(of)
+    {
+        of.store.watch("config/main", 0, [this](const get_result& it) {
+            if (const auto* object = std::get_if<stored_object>(&it))
+                seen.push_back(object->value);
+            else
+                ++errors;
+        });
+    }
+
+    bool sees(int n)
+    {
+        auto text = write_json(value(n));
+        return run_until(of_.loop,
+                         [&] { return !seen.empty() && seen.back() == text; });
+    }
+
+    std::vector<std::string> seen;
+    int errors = 0;
+
+private:
+    fixture& of_;
+};
+
+} // namespace
+
+TEST_CASE("objects of the platform's store are written under a condition")
+{
+    fixture it;
+    auto first = it.put("k/a", 1, 0);
+    REQUIRE(std::holds_alternative<std::uint64_t>(first));
+    auto version = std::get<std::uint64_t>(first);
+    CHECK(std::get<store_error>(it.put("k/a", 2, 0)) == store_error::conflict);
+    CHECK(std::get<store_error>(it.put("k/a", 2, version + 9)) ==
+          store_error::conflict);
+    CHECK(std::get<std::uint64_t>(it.put("k/a", 2, version)) > version);
+    CHECK(std::holds_alternative<std::uint64_t>(it.put("k/a", 3, any_version)));
+    CHECK(std::get<stored_object>(it.get("k/a")).value == write_json(value(3)));
+    CHECK(std::get<store_error>(it.get("k/b")) == store_error::not_found);
+}
+
+TEST_CASE("what the store did not do is told from what it may have done")
+{
+    fixture it;
+    it.api.now = object_api::fault::busy;
+    CHECK(std::get<store_error>(it.put("k/a", 1, 0)) ==
+          store_error::unavailable);
+    it.api.now = object_api::fault::many;
+    CHECK(std::get<store_error>(it.put("k/a", 1, 0)) ==
+          store_error::rate_limited);
+    it.api.now = object_api::fault::reset;
+    CHECK(std::get<store_error>(it.put("k/a", 1, 0)) ==
+          store_error::unknown_outcome);
+    it.api.now = object_api::fault::answer_lost;
+    CHECK(std::get<store_error>(it.put("k/a", 1, 0)) ==
+          store_error::unknown_outcome);
+    it.api.now = object_api::fault::none;
+    CHECK(std::holds_alternative<stored_object>(it.get("k/a")));
+    it.store.set_address({"127.0.0.1", 1});
+    CHECK(std::get<store_error>(it.put("k/a", 1, 0)) ==
+          store_error::unavailable);
+}
+
+TEST_CASE("a list is read page by page, and foreign entries are left out")
+{
+    fixture it;
+    it.api.page = 2;
+    for (int n = 0; n < 5; ++n)
+        it.api.put("k", "a" + std::to_string(n), value(n));
+    it.api.put("k", "b", Json::Value("no object"));
+    CHECK(it.list("k/").size() == 5);
+    CHECK(it.list("empty/").empty());
+}
+
+TEST_CASE("a watch sees an object that comes later, and each change")
+{
+    fixture it;
+    follower watch(it);
+    it.api.put("other", "main", value(9));
+    it.api.put("config", "main", value(1));
+    CHECK(watch.sees(1));
+    it.api.put("config", "main", value(2));
+    CHECK(watch.sees(2));
+    CHECK(watch.seen.size() == 2);
+}
+
+TEST_CASE("a watch goes on after its history was dropped")
+{
+    fixture it;
+    it.api.put("config", "main", value(1));
+    follower watch(it);
+    CHECK(watch.sees(1));
+    it.api.drop_history();
+    it.api.put("config", "main", value(2));
+    CHECK(watch.sees(2));
+    it.api.drop_history();
+    it.api.put("config", "main", value(3));
+    CHECK(watch.sees(3));
+}
+
+TEST_CASE("a watch reports that the store is away, and goes on after it")
+{
+    fixture it;
+    it.api.put("config", "main", value(1));
+    follower watch(it);
+    CHECK(watch.sees(1));
+    it.api.now = GENERATE(object_api::fault::busy, object_api::fault::reset);
+    it.api.drop_history();
+    it.api.put("config", "main", value(2));
+    CHECK(run_until(it.loop, [&] { return watch.errors > 0; }));
+    it.api.now = object_api::fault::none;
+    CHECK(watch.sees(2));
+}
+
+TEST_CASE("a cancelled watch is quiet")
+{
+    fixture it;
+    int calls = 0;
+    auto id =
+        it.store.watch("config/main", 0, [&](const get_result&) { ++calls; });
+    it.store.cancel(id);
+    it.api.put("config", "main", value(1));
+    it.get("config/main");
+    CHECK(calls == 0);
+}
+
+} // namespace shallotwood::test
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -38,8 +38,7 @@
 {
     auto it = objects_.find(name);
     auto current = it == objects_.end() ? 0 : it->second.version;
-    if (expected_version != process::any_version &&
-        current != expected_version)
+    if (expected_version != process::any_version && current != expected_version)
         return store_error::conflict;
     objects_[name] = {name, current + 1, value};
     for (const auto& [id, it_watcher] : watchers_) {
