--- a/tests/sidecar/support/object_api.cpp
+++ b/tests/sidecar/support/object_api.cpp
@@ -49,8 +49,7 @@
 };
 
 object_api::object_api(process::loop::reactor& loop)
-    : loop_(loop),
-      server_(loop, [this](const connection_ptr& from, request_head&& head,
+    : server_(loop, [this](const connection_ptr& from, request_head&& head,
                            const message_info&) {
           return std::make_shared<call>(*this, from, std::move(head));
       })
--- a/tests/sidecar/support/object_api.hpp
+++ b/tests/sidecar/support/object_api.hpp
@@ -69,7 +69,6 @@
     Json::Value events_since(const std::string& kind, std::uint64_t from) const;
     void wake();
 
-    process::loop::reactor& loop_;
     connection::http::server server_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
