Take no success without the backend server's mark; remove what nothing uses

The mark of a backend server on its own answers was translated but not asked for; a success without it is now a failure, as one without its request's name was.

--- a/src/connection/net/byte_stream.hpp
+++ b/src/connection/net/byte_stream.hpp
@@ -49,7 +49,6 @@
     void resume_reading();
 
     bool is_open() const { return fd_ >= 0; }
-    bool is_connected() const { return fd_ >= 0 && !connecting_; }
 
     // Closes without further callbacks. Unsent output is lost.
     void close();
--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -218,16 +218,6 @@
     flush_later();
 }
 
-void session::drain()
-{
-    if (lost_)
-        return;
-    nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE,
-                          nghttp2_session_get_last_proc_stream_id(session_),
-                          NGHTTP2_NO_ERROR, nullptr, 0);
-    flush_later();
-}
-
 void session::drop()
 {
     if (lost_)
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -87,8 +87,6 @@
     // The receiver has passed on that many bytes of the stream.
     void consumed(stream_number stream, std::size_t bytes);
 
-    // Refuses further streams and closes once the open ones have ended.
-    void drain();
     // Ends the connection; every open stream gets on_closed(lost).
     void drop();
 
--- a/src/process/sidecar/dialect.hpp
+++ b/src/process/sidecar/dialect.hpp
@@ -39,8 +39,6 @@
     peer_address address;
     int slots = 0;
     bool draining = false;
-    // How much longer it is slow after its start.
-    duration warm_up_left{};
 };
 
 // It ends after this.
@@ -100,10 +98,6 @@
     // True for the platform's question whether this node takes callers.
     virtual bool
     asks_readiness(const connection::http::request_head& head) const = 0;
-    // Id of the backend server that answered a health check; empty if it
-    // doesn't say.
-    virtual std::string
-    backend_id_of(const connection::http::response_head& head) const = 0;
 
     virtual policy_result parse_policy(const std::string& text) const = 0;
 };
--- a/src/process/sidecar/local_backend.cpp
+++ b/src/process/sidecar/local_backend.cpp
@@ -41,18 +41,6 @@
     return effect::changed;
 }
 
-local_backend::effect local_backend::seen(const std::string& backend_id,
-                                          int slots)
-{
-    if (state_ != backend_state::unknown || backend_id.empty())
-        return effect::none;
-    id_ = backend_id;
-    slots_ = slots;
-    state_ = backend_state::ready;
-    down_ = false;
-    return effect::changed;
-}
-
 local_backend::effect local_backend::unreachable()
 {
     if (down_ || state_ != backend_state::ready)
--- a/src/process/sidecar/local_backend.hpp
+++ b/src/process/sidecar/local_backend.hpp
@@ -30,8 +30,6 @@
 
     effect announced(const announcement& it);
     effect departed(const departure& it);
-    // A health check or a response named the backend server at the address.
-    effect seen(const std::string& backend_id, int slots);
     // Nothing listens at the address.
     effect unreachable();
 
--- a/src/process/sidecar/local_runner.cpp
+++ b/src/process/sidecar/local_runner.cpp
@@ -244,9 +244,11 @@
         refused_below_ = true;
         return;
     }
-    // Without the name of its request, a success may be anybody's.
-    if (head.headers.find(words.echo_header()) == nullptr &&
-        head.status / 100 == 2) {
+    // Without the backend server's mark and the name of its request, a success
+    // may be anybody's.
+    bool known = words.is_from_backend(head) &&
+                 head.headers.find(words.echo_header()) != nullptr;
+    if (!known && head.status / 100 == 2) {
         connection_->close();
         backend_done();
         fail(execution::may_have_run, reason::malformed);
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -370,15 +370,6 @@
     return n;
 }
 
-std::size_t peer_links::size() const
-{
-    std::size_t n = 0;
-    for (const auto& [name, it] : links_)
-        if (it.session)
-            ++n;
-    return n;
-}
-
 peer_links::link& peer_links::link_to(const peer_address& to)
 {
     auto name = to.host + ':' + std::to_string(to.port);
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -53,8 +53,6 @@
     // False while the node does not answer.
     bool reachable(const std::string& name) const;
     std::size_t unreachable() const;
-    // Open connections.
-    std::size_t size() const;
 
 private:
     class remote_run;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -82,11 +82,11 @@
 } // namespace
 
 sidecar_node::sidecar_node(loop::reactor& loop, const dialect& words,
-                           object_store& store, object_names names,
-                           const node_settings& settings,
+                           object_store& store, counters& counts,
+                           object_names names, const node_settings& settings,
                            std::uint64_t incarnation, std::uint64_t seed)
     : loop_(loop), words_(words), store_(store), names_(std::move(names)),
-      settings_(settings), random_(seed),
+      settings_(settings), random_(seed), counts_(counts),
       fleet_(first_entry(settings, incarnation)),
       placement_(loop, random_, fleet_, settings.failure_domain),
       retries_(loop, budget_of(settings)), home_(loop, settings.fleet_is_new),
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -35,8 +35,9 @@
 {
 public:
     sidecar_node(loop::reactor& loop, const dialect& words, object_store& store,
-                 object_names names, const node_settings& settings,
-                 std::uint64_t incarnation, std::uint64_t seed);
+                 counters& counts, object_names names,
+                 const node_settings& settings, std::uint64_t incarnation,
+                 std::uint64_t seed);
     ~sidecar_node();
     sidecar_node(const sidecar_node&) = delete;
     sidecar_node& operator=(const sidecar_node&) = delete;
@@ -119,7 +120,7 @@
     object_names names_;
     node_settings settings_;
     random_source random_;
-    counters counts_;
+    counters& counts_;
     latency_histogram latency_;
     fleet::fleet_view fleet_;
     routing::placement placement_;
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -47,7 +47,7 @@
     virtual std::optional<process::load::shed_key>
     key_of_caller(const std::string& request_id, const std::string& route) = 0;
     virtual std::string new_attempt_id() = 0;
-    // Uniform in [0, 1); splits traffic between weighted services.
+    // Splits the route's traffic between its services by their weights.
     virtual const std::string& choose_service(const version::route& route) = 0;
     virtual std::shared_ptr<run>
     start_run(const process::fleet::instance& at, const run_request& what,
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -28,6 +28,7 @@
 public:
     struct instance {
         std::string service;
+        process::counters counts;
         std::unique_ptr<fake_object_store> store;
         std::unique_ptr<scripted_server> backend;
         std::unique_ptr<process::sidecar::sidecar_node> node;
