Resume a connection before it serves the next request

Cause: a response over 64 KB to a slow receiver pauses the backend server's connection; if the response ended while paused, the connection went back to the pool paused, and the next request on it got no answer until its deadline. Found by the new test of long bodies, which failed first: 504 after 15 s, no byte of the response read though the request had been sent whole. Ruled out: the upload (all bytes had gone out), the path between nodes (the first request passed).

--- a/src/connection/http/client_pool.cpp
+++ b/src/connection/http/client_pool.cpp
@@ -59,6 +59,8 @@
         it->close();
         return;
     }
+    // Its last response may have ended while its receiver had paused it.
+    it->resume_reading();
     // The front is the one that has been idle longest.
     auto old = std::find_if(idle_.begin(), idle_.end(), [&](const auto& one) {
         return is_fresh(*one, settings_.idle_limit);
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -183,10 +183,11 @@
 
 caller_answer small_fleet::request(instance& at, const std::string& service,
                                    const std::string& key,
-                                   const std::string& method)
+                                   const std::string& method,
+                                   const std::string& body)
 {
     return call(at.settings.caller_address, head_for(service, key, method),
-                method == "POST" ? "body" : "");
+                method == "POST" ? body : "");
 }
 
 std::shared_ptr<client_connection>
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -54,7 +54,8 @@
     void announce(instance& at, const std::string& state);
     caller_answer request(instance& at, const std::string& service,
                           const std::string& key = "key",
-                          const std::string& method = "GET");
+                          const std::string& method = "GET",
+                          const std::string& body = "body");
     // Starts a request; its connection closes with the returned object.
     std::shared_ptr<connection::http::client_connection>
     start_request(instance& at, const std::string& service,
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -209,4 +209,28 @@
     CHECK(entry.backend->heads.empty());
 }
 
+// Longer than what a node holds for one request or response.
+TEST_CASE("long bodies pass whole in both directions")
+{
+    small_fleet fleet;
+    const std::string response(1'000'000, 'r');
+    auto& entry = fleet.add("front", serve);
+    auto& beside =
+        fleet.add("s", [&](scripted_connection& from, const std::string& head,
+                           const std::string&) {
+            from.send(good_answer(head, response));
+        });
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    const std::string body(1'000'000, 'b');
+    for (auto* at : {&entry, &beside}) {
+        auto answer = fleet.request(*at, "s", "key", "POST", body);
+        CHECK(answer.status == 200);
+        CHECK(answer.whole);
+        CHECK(answer.body == response);
+        REQUIRE_FALSE(beside.backend->bodies.empty());
+        CHECK(beside.backend->bodies.back() == body);
+    }
+}
+
 } // namespace shallotwood::test
