Drop the exchanges of a listener that ends

Cause: a connection and the exchange it serves hold each other. A listener that was destroyed while a request was unanswered closed the socket but left the pair alone, so both leaked. Ruled out: the store's client (its watches are cancelled in its destructor) and the linger timer of a finished connection (it runs out with the loop).

--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -242,6 +242,15 @@
     owner_.connections_.erase(self);
 }
 
+void server_connection::drop()
+{
+    close();
+    state_ = state::closed;
+    // Connection and exchange hold each other.
+    if (auto it = std::move(exchange_))
+        it->on_left();
+}
+
 bool server_connection::must_close() const
 {
     return !keep_alive_ || closing_ || owner_.draining_;
@@ -294,8 +303,9 @@
 server::~server()
 {
     loop_.cancel(sweep_timer_);
-    for (const auto& it : connections_)
-        it->close();
+    auto all = std::move(connections_);
+    for (const auto& it : all)
+        it->drop();
 }
 
 std::string server::listen(const process::peer_address& address)
--- a/src/connection/http/server_connection.hpp
+++ b/src/connection/http/server_connection.hpp
@@ -85,6 +85,8 @@
     void request_done();
     void check_time(process::time_point now);
     void close_when_idle();
+    // Ends the connection because its server ends.
+    void drop();
     bool must_close() const;
 
     server& owner_;
--- a/tests/sidecar/test_server_connection.cpp
+++ b/tests/sidecar/test_server_connection.cpp
@@ -60,6 +60,7 @@
                           request_head&& head,
                           const message_info&) -> std::shared_ptr<exchange> {
                        ++requests;
+                       last = from;
                        if (head.target == "/early") {
                            response_head answer;
                            answer.status = 413;
@@ -89,6 +90,7 @@
     process::loop::reactor loop;
     server listener;
     std::shared_ptr<raw_caller> caller;
+    std::weak_ptr<server_connection> last;
     int requests = 0;
 };
 
@@ -152,4 +154,17 @@
     CHECK(run_until(it.loop, [&] { return it.caller->ended; }));
 }
 
+TEST_CASE("a listener that ends lets go of the requests that it was serving")
+{
+    std::weak_ptr<server_connection> serving;
+    {
+        fixture it;
+        it.caller->send("POST /e HTTP/1.1\r\nHost: h\r\n"
+                        "Content-Length: 2\r\n\r\n");
+        REQUIRE(run_until(it.loop, [&] { return it.requests == 1; }));
+        serving = it.last;
+    }
+    CHECK(serving.expired());
+}
+
 } // namespace shallotwood::test
