Tell the watcher of an object when the store is back

Cause: platform::store reported an error of a watch, but nothing when the store answered again and the object was unchanged. policy_feed therefore held the store for lost until the next configuration: event=store_regained was missing from the log, and a second outage was not told to the other nodes, which then kept a node on duty that the store did not answer. Ruled out: the expiry of "store lost" at other nodes (5 s, works); the fake store (its watches are quiet while it is down).

The first listing that succeeds after an error now reports the object again.

--- a/src/process/object_store.hpp
+++ b/src/process/object_store.hpp
@@ -79,8 +79,9 @@
     }
 
     // Calls `on_change` with each newer version of the object, beginning with
-    // the current one if it is above `after_version`. Versions may be skipped,
-    // never repeated. Reports errors and goes on by itself.
+    // the current one if it is above `after_version`. Versions may be skipped.
+    // Reports errors and goes on by itself; the first version reported after
+    // an error may be one that was reported before it.
     virtual watch_id watch(const std::string& name, std::uint64_t after_version,
                            std::function<void(get_result)> on_change) = 0;
 
--- a/tests/sidecar/test_store.cpp
+++ b/tests/sidecar/test_store.cpp
@@ -174,6 +174,25 @@
     CHECK(watch.sees(2));
 }
 
+// Otherwise a second outage would look like the rest of the first one.
+TEST_CASE("a watch tells that the store is back, though nothing has changed")
+{
+    fixture it;
+    it.api.put("config", "main", value(1));
+    follower watch(it);
+    REQUIRE(watch.sees(1));
+    for (std::size_t outage = 1; outage <= 2; ++outage) {
+        it.api.now = object_api::fault::busy;
+        it.api.put("config", "other", value(9));
+        auto before = watch.errors;
+        REQUIRE(run_until(it.loop, [&] { return watch.errors > before; }));
+        it.api.now = object_api::fault::none;
+        CHECK(run_until(it.loop,
+                        [&] { return watch.seen.size() == 1 + outage; }));
+        CHECK(watch.sees(1));
+    }
+}
+
 TEST_CASE("a cancelled watch is quiet")
 {
     fixture it;
