Refuse when cut off, when a request crashes backend servers, and repeats of repeats

Cause, found by reading the node against docs/design.md: - P3: a node that heard neither the store nor any other node went on serving on the keys that it had, for ever. fleet/isolation now measures the silence; after isolation_limit (the platform's revoke_s, 5 s) requests that need a key get 503 "isolated". A store that is down alone isolates nobody. - P1: a call made by a run that was itself a repeat could be repeated again, so repeats multiplied with each level. Runs now say whether they are in a repeated tree, and their calls are not sent to a further backend server. - Poison requests: nothing kept a request that crashes each backend server from the next one. load/crash_suspects counts the crashes that a request was in flight in; after three it is refused as not run. Reports go to the nodes of the same service; an answer clears a request.

Ruled out: the suspect table of shallotwoodd as it is (it moves suspects to one node of the service by messages of the first transport); refusing after two crashes (every request that was moved together with the culprit would be hit).

--- /dev/null
+++ b/src/process/load/crash_suspects.cpp
@@ -0,0 +1,69 @@
+#include "process/load/crash_suspects.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace shallotwood::process::load
+{
+
+fingerprint fingerprint_of(std::string_view workspace, std::string_view method,
+                           std::string_view target, std::string_view body)
+{
+    // Each part is the seed of the next, so that their borders count.
+    fingerprint it = 0;
+    for (auto part : {workspace, method, target, body})
+        it = XXH64(part.data(), part.size(), it + part.size());
+    return it;
+}
+
+void crash_suspects::crashed(const std::string& crash,
+                             const std::vector<fingerprint>& in_flight)
+{
+    auto now = clock_.now();
+    for (auto it : in_flight) {
+        if (suspects_.size() >= max_suspects)
+            make_room();
+        auto& of = suspects_[it];
+        if (now - of.last > kept)
+            of.crashes.clear();
+        if (of.crashes.size() < crashes_to_refuse)
+            of.crashes.insert(crash);
+        of.last = now;
+    }
+}
+
+void crash_suspects::cleared(fingerprint it)
+{
+    // What is refused can only be answered by a run from before.
+    if (!is_refused(it))
+        suspects_.erase(it);
+}
+
+bool crash_suspects::is_refused(fingerprint it) const
+{
+    auto found = suspects_.find(it);
+    return found != suspects_.end() &&
+           found->second.crashes.size() >= crashes_to_refuse &&
+           clock_.now() - found->second.last <= kept;
+}
+
+// Drops what has expired, or else the oldest entry.
+void crash_suspects::make_room()
+{
+    auto now = clock_.now();
+    auto oldest = suspects_.begin();
+    for (auto it = suspects_.begin(); it != suspects_.end();) {
+        if (now - it->second.last > kept) {
+            it = suspects_.erase(it);
+            oldest = suspects_.begin();
+            continue;
+        }
+        if (it->second.last < oldest->second.last)
+            oldest = it;
+        ++it;
+    }
+    if (suspects_.size() >= max_suspects)
+        suspects_.erase(oldest);
+}
+
+} // namespace shallotwood::process::load
--- /dev/null
+++ b/src/process/routing/service_split.cpp
@@ -0,0 +1,31 @@
+#include "process/routing/service_split.hpp"
+
+namespace shallotwood::process::routing
+{
+
+const std::string& service_split::choose(const version::route& route)
+{
+    if (route.services.size() == 1)
+        return route.services.front().service;
+    auto& of = progress_[route.name];
+    if (of.shares != route.services) {
+        of.shares = route.services;
+        of.credit.assign(route.services.size(), 0);
+        // Nodes must not start their rounds with the same service.
+        for (auto& credit : of.credit)
+            credit = random_.unit();
+    }
+    // Smooth weighted round robin: exact over any stretch of requests.
+    double total = 0;
+    std::size_t best = 0;
+    for (std::size_t n = 0; n < of.shares.size(); ++n) {
+        total += of.shares[n].weight;
+        of.credit[n] += of.shares[n].weight;
+        if (of.credit[n] > of.credit[best])
+            best = n;
+    }
+    of.credit[best] -= total;
+    return route.services[best].service;
+}
+
+} // namespace shallotwood::process::routing
--- /dev/null
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -0,0 +1,252 @@
+#include "process/sidecar/fleet_exchange.hpp"
+
+#include "process/json_text.hpp"
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+using telemetry::decision;
+
+// News gathered before it is sent on.
+constexpr duration news_delay = std::chrono::milliseconds(15);
+
+// Nodes that the origin of news tells at once, and those that each further
+// node tells. News reaches 29,000 nodes in about eight steps.
+constexpr std::size_t origin_fan_out = 16;
+constexpr std::size_t fan_out = 3;
+
+// Views are compared with one other node at a time, to repair what was lost.
+constexpr duration compare_period = std::chrono::seconds(1);
+
+// For a reply of another node.
+constexpr duration message_limit = std::chrono::milliseconds(500);
+
+// Pause before the store is asked again.
+constexpr duration store_pause = std::chrono::milliseconds(500);
+
+} // namespace
+
+fleet_exchange::fleet_exchange(const parts& with, std::string entry_prefix,
+                               std::function<void()> changed)
+    : with_(with), entry_prefix_(std::move(entry_prefix)),
+      changed_(std::move(changed))
+{
+}
+
+fleet_exchange::~fleet_exchange()
+{
+    with_.loop.cancel(compare_timer_);
+}
+
+void fleet_exchange::start(const std::vector<peer_address>& seeds)
+{
+    const auto& self = with_.fleet.self();
+    for (const auto& it : seeds)
+        exchange_with({it.host, self.peer.port}, message_with({self.name()}));
+    read_entries();
+    compare_views();
+}
+
+std::vector<const fleet::instance*> fleet_exchange::others() const
+{
+    auto all = with_.fleet.all();
+    auto self = with_.fleet.self().name();
+    all.erase(std::remove_if(all.begin(), all.end(),
+                             [&](const fleet::instance* it) {
+                                 return it->name() == self ||
+                                        !with_.links.reachable(it->name());
+                             }),
+              all.end());
+    return all;
+}
+
+// ---- entries in the store ---------------------------------------------------
+
+void fleet_exchange::write_entry()
+{
+    if (entry_written_)
+        return;
+    if (entry_writing_) {
+        entry_changed_ = true;
+        return;
+    }
+    entry_writing_ = true;
+    entry_changed_ = false;
+    const auto& self = with_.fleet.self();
+    with_.store.put(
+        entry_prefix_ + self.name(), write_json(to_json(self)), any_version,
+        [this](const put_result& result) {
+            entry_writing_ = false;
+            entry_written_ = std::holds_alternative<std::uint64_t>(result) &&
+                             !entry_changed_;
+            if (!entry_written_)
+                with_.loop.call_after(store_pause, [this] { write_entry(); });
+        });
+}
+
+void fleet_exchange::read_entries()
+{
+    with_.store.list_stale(entry_prefix_, [this](const list_result& result) {
+        entries_read(result);
+        if (with_.fleet.size() == 1)
+            with_.loop.call_after(store_pause, [this] { read_entries(); });
+    });
+}
+
+void fleet_exchange::entries_read(const list_result& result)
+{
+    const auto* all = std::get_if<std::vector<stored_object>>(&result);
+    if (all == nullptr)
+        return;
+    with_.contact.heard();
+    auto self = with_.fleet.self().name();
+    auto message = message_with({self});
+    for (const auto& object : *all) {
+        auto json = parse_json(object.value);
+        auto entry = json ? fleet::instance_from_json(*json) : std::nullopt;
+        // A node at that address says more than its old entry.
+        if (entry && with_.fleet.learn(*entry) && entry->name() != self)
+            exchange_with(entry->peer, message);
+    }
+    changed_();
+}
+
+// ---- messages ---------------------------------------------------------------
+
+void fleet_exchange::spread_self()
+{
+    spread(with_.fleet.self().name());
+}
+
+void fleet_exchange::spread(const std::string& name)
+{
+    news_.insert(name);
+    if (news_planned_)
+        return;
+    news_planned_ = true;
+    with_.loop.call_after(news_delay, [this] { send_news(); });
+}
+
+void fleet_exchange::send_news()
+{
+    news_planned_ = false;
+    auto names = std::move(news_);
+    news_.clear();
+    bool origin = names.count(with_.fleet.self().name()) != 0;
+    tell_some(origin ? origin_fan_out : fan_out, message_with(names));
+}
+
+void fleet_exchange::tell_policy(bool first_hand)
+{
+    tell_some(first_hand ? origin_fan_out : fan_out, message_with({}));
+}
+
+void fleet_exchange::tell_store_state(bool lost)
+{
+    auto self = with_.fleet.self().name();
+    if (!lost) {
+        with_.duty.store_regained(self);
+        return;
+    }
+    with_.duty.store_lost(self);
+    tell_some(origin_fan_out, message_with({}));
+}
+
+void fleet_exchange::tell_some(std::size_t count, const Json::Value& message)
+{
+    auto to = others();
+    std::shuffle(to.begin(), to.end(), with_.random.engine());
+    to.resize(std::min(to.size(), count));
+    for (const auto* it : to)
+        exchange_with(it->peer, message);
+}
+
+void fleet_exchange::exchange_with(const peer_address& to,
+                                   const Json::Value& message)
+{
+    with_.links.call(to, peer_path::fleet, write_json(message), message_limit,
+                     [this](const std::optional<std::string>& reply) {
+                         auto json = reply ? parse_json(*reply) : std::nullopt;
+                         if (json && json->isObject())
+                             take(*json);
+                     });
+}
+
+Json::Value
+fleet_exchange::message_with(const std::set<std::string>& names) const
+{
+    const auto& self = with_.fleet.self();
+    Json::Value message;
+    message["from"] = to_json(self);
+    message["policy"] = Json::UInt64(with_.feed.revision());
+    message["digest"] = Json::UInt64(with_.fleet.digest());
+    message["store_lost"] = with_.duty.has_lost_store(self.name());
+    message["entries"] = Json::Value(Json::arrayValue);
+    for (const auto& name : names)
+        if (const auto* it = with_.fleet.find(name))
+            message["entries"].append(to_json(*it));
+    return message;
+}
+
+std::string fleet_exchange::take_message(const Json::Value& message)
+{
+    return write_json(take(message));
+}
+
+void fleet_exchange::learn(const Json::Value& entry)
+{
+    auto it = fleet::instance_from_json(entry);
+    if (!it || !with_.fleet.learn(*it))
+        return;
+    if (telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=instance_learned" << field("instance", it->name())
+            << field("service", it->service) << field("backend", it->backend_id)
+            << field("state", fleet::name_of(it->state))
+            << field("leaving", it->leaving ? 1 : 0)
+            << field("incarnation", it->incarnation)
+            << field("sequence", it->sequence);
+    spread(it->name());
+}
+
+Json::Value fleet_exchange::take(const Json::Value& message)
+{
+    with_.contact.heard();
+    learn(message["from"]);
+    for (const auto& it : message["entries"])
+        learn(it);
+    changed_();
+    if (auto from = fleet::instance_from_json(message["from"])) {
+        const auto& lost = message["store_lost"];
+        if (lost.isBool() && lost.asBool())
+            with_.duty.store_lost(from->name());
+        if (message["policy"].isUInt64())
+            with_.feed.heard(from->name(), message["policy"].asUInt64());
+    }
+    std::set<std::string> names;
+    const auto& digest = message["digest"];
+    if (digest.isUInt64() && digest.asUInt64() != with_.fleet.digest())
+        for (const auto* it : with_.fleet.all())
+            names.insert(it->name());
+    return message_with(names);
+}
+
+void fleet_exchange::compare_views()
+{
+    auto to = others();
+    if (!to.empty()) {
+        const auto* it = to[with_.random.below(to.size())];
+        exchange_with(it->peer, message_with({}));
+    }
+    compare_timer_ =
+        with_.loop.call_after(compare_period, [this] { compare_views(); });
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -0,0 +1,93 @@
+// What nodes tell one another about the fleet.
+//
+// Each message carries the sender's own entry, the revision of its policy, a
+// digest of its view, and whether the store answers it; the reply carries the
+// same, and all entries if the digests differ. News is passed on once by each
+// node that had not heard it, and views are compared with one other node a
+// second to repair what was lost. The store holds one entry for each instance,
+// for nodes that know nobody yet.
+#pragma once
+
+#include "process/fleet/fleet_view.hpp"
+#include "process/fleet/isolation.hpp"
+#include "process/fleet/watch_duty.hpp"
+#include "process/object_store.hpp"
+#include "process/random_source.hpp"
+#include "process/sidecar/peer_links.hpp"
+#include "process/sidecar/policy_feed.hpp"
+
+#include <functional>
+#include <json/json.h>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotwood::process::sidecar
+{
+
+class fleet_exchange
+{
+public:
+    // What it works on; all outlive it.
+    struct parts {
+        loop::reactor& loop;
+        random_source& random;
+        object_store& store;
+        fleet::fleet_view& fleet;
+        fleet::watch_duty& duty;
+        fleet::isolation& contact;
+        peer_links& links;
+        policy_feed& feed;
+    };
+
+    // The names of entries in the store follow `entry_prefix`. `changed` is
+    // called when instances have come to be known.
+    fleet_exchange(const parts& with, std::string entry_prefix,
+                   std::function<void()> changed);
+    ~fleet_exchange();
+    fleet_exchange(const fleet_exchange&) = delete;
+    fleet_exchange& operator=(const fleet_exchange&) = delete;
+
+    // Makes this instance known to the nodes there, and to those that the
+    // store names.
+    void start(const std::vector<peer_address>& seeds);
+
+    // This instance's entry has changed.
+    void spread_self();
+    // Writes this instance's entry to the store, until that has succeeded.
+    void write_entry();
+    // This node has a new policy; from the store if `first_hand`.
+    void tell_policy(bool first_hand);
+    // Whether the store answers this node.
+    void tell_store_state(bool lost);
+
+    // The reply to another node's message.
+    std::string take_message(const Json::Value& message);
+
+    // Nodes that were not found to be unreachable.
+    std::vector<const fleet::instance*> others() const;
+
+private:
+    void spread(const std::string& name);
+    void send_news();
+    void tell_some(std::size_t count, const Json::Value& message);
+    void exchange_with(const peer_address& to, const Json::Value& message);
+    Json::Value message_with(const std::set<std::string>& names) const;
+    Json::Value take(const Json::Value& message);
+    void learn(const Json::Value& entry);
+    void compare_views();
+    void read_entries();
+    void entries_read(const list_result& result);
+
+    parts with_;
+    std::string entry_prefix_;
+    std::function<void()> changed_;
+    std::set<std::string> news_;
+    bool news_planned_ = false;
+    bool entry_writing_ = false;
+    bool entry_changed_ = false;
+    bool entry_written_ = false;
+    timer_id compare_timer_{};
+};
+
+} // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/local_backend.cpp
+++ b/src/process/sidecar/local_backend.cpp
@@ -30,6 +30,11 @@
     return changed ? effect::changed : effect::none;
 }
 
+bool local_backend::is_crash_of_former(const announcement& it) const
+{
+    return takes_calls() && it.born > born_;
+}
+
 local_backend::effect local_backend::departed(const departure& it)
 {
     if (!id_.empty() && it.backend_id != id_)
--- a/src/process/sidecar/local_backend.hpp
+++ b/src/process/sidecar/local_backend.hpp
@@ -32,6 +32,9 @@
     effect departed(const departure& it);
     // Nothing listens at the address.
     effect unreachable();
+    // True if the announcement is of a later start, though nothing said that
+    // the earlier one was about to end.
+    bool is_crash_of_former(const announcement& it) const;
 
     const std::string& id() const { return id_; }
     const std::string& service() const { return service_; }
--- a/src/process/sidecar/local_runner.cpp
+++ b/src/process/sidecar/local_runner.cpp
@@ -36,6 +36,16 @@
 // Weight of the newest call in the part that fails.
 constexpr double failing_weight = 0.04;
 
+// A crash of the backend server is noticed at most this long after its
+// connections broke: with the next call, or by its next announcement.
+constexpr duration crash_window = std::chrono::seconds(5);
+
+// Breaks kept to find the cause of a crash.
+constexpr std::size_t max_breaks = 1000;
+
+// When a caller may come back with a request that crashes backend servers.
+constexpr duration suspect_retry_after = std::chrono::seconds(60);
+
 // Shortest time that is worth starting a run.
 constexpr duration least_run_time = std::chrono::milliseconds(5);
 
@@ -58,9 +68,11 @@
 
 local_runner::local_runner(loop::reactor& loop, const dialect& words,
                            counters& counts, local_backend& backend,
-                           const load::cut_board& cuts)
+                           const load::cut_board& cuts,
+                           load::crash_suspects& suspects)
     : loop_(loop), words_(words), counts_(counts), backend_(backend),
-      cuts_(cuts), gate_(loop, loop), pool_(loop, backend_options(words))
+      cuts_(cuts), suspects_(suspects), gate_(loop, loop),
+      pool_(loop, backend_options(words))
 {
     pool_.set_address(backend.address());
 }
@@ -117,6 +129,28 @@
     failing_ += failing_weight * ((failed ? 1 : 0) - failing_);
 }
 
+void local_runner::note_break(load::fingerprint print)
+{
+    auto now = loop_.now();
+    while (!breaks_.empty() && (now - breaks_.front().at > crash_window ||
+                                breaks_.size() >= max_breaks))
+        breaks_.pop_front();
+    breaks_.push_back({now, print});
+}
+
+void local_runner::backend_died()
+{
+    std::vector<load::fingerprint> in_flight;
+    for (const auto& it : breaks_)
+        if (loop_.now() - it.at <= crash_window)
+            in_flight.push_back(it.print);
+    for (const auto& [id, it] : running_requests_)
+        in_flight.push_back(it.print);
+    breaks_.clear();
+    if (crashed_)
+        crashed_(in_flight);
+}
+
 const local_runner::running_request*
 local_runner::find_running(const std::string& request_id) const
 {
@@ -142,8 +176,12 @@
 
 local_run::local_run(local_runner& owner, const request::run_request& what,
                      std::shared_ptr<request::run_receiver> receiver)
-    : owner_(owner), what_(what), receiver_(std::move(receiver)),
-      arrived_(owner.loop_.now()), deadline_(arrived_ + what.remaining)
+    : owner_(owner), what_(what),
+      print_(load::fingerprint_of(
+          what.workspace, what.head.method, what.head.target,
+          what.body->complete() ? what.body->from(0) : std::string_view())),
+      receiver_(std::move(receiver)), arrived_(owner.loop_.now()),
+      deadline_(arrived_ + what.remaining)
 {
 }
 
@@ -163,6 +201,10 @@
         refuse(*why);
         return;
     }
+    if (owner_.suspects_.is_refused(print_)) {
+        refuse(reason::suspected_crash, suspect_retry_after);
+        return;
+    }
     arrival_ = ++owner_.last_arrival_;
     load::arrival it{arrival_, what_.inner, what_.key,
                      arrived_ + std::min(what_.patience, what_.remaining)};
@@ -184,7 +226,8 @@
     state_ = state::running;
     ++owner_.running_;
     ++owner_.counts_.at("runs_started");
-    owner_.running_requests_[what_.request_id] = {what_.route, what_.key};
+    owner_.running_requests_[what_.request_id] = {what_.route, what_.key,
+                                                  what_.repeat, print_};
     timer_ = owner_.loop_.call_after(
         remaining() + deadline_grace,
         [self = shared_from_this()] { self->expire(); });
@@ -254,6 +297,7 @@
         fail(execution::may_have_run, reason::malformed);
         return;
     }
+    owner_.suspects_.cleared(print_);
     head.headers.remove_hop_by_hop();
     length_ = info.length;
     if (!what_.repeatable)
@@ -315,12 +359,15 @@
     backend_done();
     owner_.note_outcome(true);
     if (why.unsent) {
-        owner_.backend_.unreachable();
+        if (owner_.backend_.unreachable() == local_backend::effect::changed)
+            owner_.backend_died();
         if (owner_.backend_lost_)
             owner_.backend_lost_();
         refuse(reason::connection_failed);
         return;
     }
+    if (!why.malformed)
+        owner_.note_break(print_);
     fail(execution::may_have_run,
          why.malformed ? reason::malformed : reason::connection_failed);
 }
--- a/src/process/sidecar/local_runner.hpp
+++ b/src/process/sidecar/local_runner.hpp
@@ -7,16 +7,19 @@
 
 #include "connection/http/client_pool.hpp"
 #include "process/counters.hpp"
+#include "process/load/crash_suspects.hpp"
 #include "process/load/cut_board.hpp"
 #include "process/load/gate.hpp"
 #include "process/sidecar/dialect.hpp"
 #include "process/sidecar/local_backend.hpp"
 #include "request/run.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace shallotwood::process::sidecar
 {
@@ -35,7 +38,8 @@
     };
 
     local_runner(loop::reactor& loop, const dialect& words, counters& counts,
-                 local_backend& backend, const load::cut_board& cuts);
+                 local_backend& backend, const load::cut_board& cuts,
+                 load::crash_suspects& suspects);
     ~local_runner() override;
 
     std::shared_ptr<request::run>
@@ -50,6 +54,8 @@
 
     // The backend server announced itself or is gone.
     void backend_changed();
+    // The backend server has crashed: what was in flight may be the cause.
+    void backend_died();
     // Refuses what comes from now on.
     void set_leaving() { leaving_ = true; }
 
@@ -60,6 +66,10 @@
     struct running_request {
         std::string route;
         load::shed_key key = 0;
+        // Of a call tree in which something was sent to a further backend
+        // server already.
+        bool repeat = false;
+        load::fingerprint print = 0;
     };
     const running_request* find_running(const std::string& request_id) const;
     std::size_t runs() const { return running_; }
@@ -71,21 +81,35 @@
         backend_lost_ = std::move(lost);
     }
 
+    // Called with what was in flight when the backend server crashed.
+    using crash_listener =
+        std::function<void(const std::vector<load::fingerprint>& in_flight)>;
+    void on_crash(crash_listener tell) { crashed_ = std::move(tell); }
+
 private:
     friend class local_run;
     std::optional<request::reason> refusal() const;
     void forget(const std::string& attempt_id);
     void note_outcome(bool failed);
+    void note_break(load::fingerprint print);
 
     loop::reactor& loop_;
     const dialect& words_;
     counters& counts_;
     local_backend& backend_;
     const load::cut_board& cuts_;
+    load::crash_suspects& suspects_;
     settings settings_;
     load::gate gate_;
     connection::http::client_pool pool_;
     std::function<void()> backend_lost_;
+    crash_listener crashed_;
+    // Runs whose connections broke a short while ago, oldest first.
+    struct broken_run {
+        time_point at;
+        load::fingerprint print;
+    };
+    std::deque<broken_run> breaks_;
     bool leaving_ = false;
     std::size_t running_ = 0;
     // Mean of the last calls: 1 for a failure of the backend server.
@@ -141,6 +165,7 @@
 
     local_runner& owner_;
     request::run_request what_;
+    load::fingerprint print_;
     std::shared_ptr<request::run_receiver> receiver_;
     state state_ = state::waiting;
     std::uint64_t arrival_ = 0;
--- a/src/process/sidecar/node_settings.cpp
+++ b/src/process/sidecar/node_settings.cpp
@@ -116,6 +116,7 @@
     to.retry_allowance = from.number("retry_allowance", 0, 1e9);
     to.retry_window = from.seconds("retry_window", 0.1, 3600);
     to.shutdown_limit = from.seconds("shutdown_limit", 0.1, 3600);
+    to.isolation_limit = from.seconds("isolation_limit", 0.1, 3600);
     auto descriptors = static_cast<std::int64_t>(
         from.number("max_descriptors", 300, 10'000'000));
     to.max_connections = static_cast<std::size_t>(std::max<std::int64_t>(
--- a/src/process/sidecar/node_settings.hpp
+++ b/src/process/sidecar/node_settings.hpp
@@ -39,6 +39,9 @@
     duration retry_window = std::chrono::seconds(10);
     // Between SIGTERM and SIGKILL.
     duration shutdown_limit = std::chrono::seconds(6);
+    // Without a word from the store or another node, requests that need a key
+    // are refused after this time.
+    duration isolation_limit = std::chrono::seconds(5);
     std::size_t max_connections = 1024;
     // The whole fleet starts for the first time.
     bool fleet_is_new = false;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -110,6 +110,7 @@
     to.add("sw-inner", what.inner ? "1" : "0");
     to.add("sw-key", std::to_string(what.key));
     to.add("sw-number", std::to_string(what.attempt));
+    to.add("sw-repeat", what.repeat ? "1" : "0");
     to.add("sw-remaining", to_text(what.remaining));
     to.add("sw-patience", to_text(what.patience));
     to.add("sw-policy", std::to_string(what.policy_revision));
@@ -137,6 +138,7 @@
         what.attempt_id.empty() || what.service.empty())
         return std::nullopt;
     what.inner = text_in(headers, "sw-inner") == "1";
+    what.repeat = text_in(headers, "sw-repeat") == "1";
     what.key = static_cast<load::shed_key>(key.value_or(0));
     what.attempt = static_cast<int>(attempt.value_or(1));
     what.remaining = time_in(headers, "sw-remaining");
--- a/src/process/sidecar/peer_codec.hpp
+++ b/src/process/sidecar/peer_codec.hpp
@@ -21,6 +21,8 @@
 constexpr std::string_view policy = "/policy";
 // Tokens of a workspace's rate.
 constexpr std::string_view tokens = "/tokens";
+// Requests that were in flight when a backend server died.
+constexpr std::string_view crash = "/crash";
 } // namespace peer_path
 
 constexpr const char* path_header = ":path";
--- a/src/process/sidecar/policy_feed.cpp
+++ b/src/process/sidecar/policy_feed.cpp
@@ -50,6 +50,7 @@
         store_.cancel(*watch_);
         watch_.reset();
         store_lost_ = false;
+        store_answers_ = false;
         return;
     }
     watch_ =
@@ -68,8 +69,10 @@
 
 void policy_feed::changed(const get_result& result)
 {
-    if (const auto* why = std::get_if<store_error>(&result)) {
-        if (*why == store_error::not_found || store_lost_)
+    const auto* why = std::get_if<store_error>(&result);
+    store_answers_ = why == nullptr || *why == store_error::not_found;
+    if (why != nullptr) {
+        if (store_answers_ || store_lost_)
             return;
         if (telemetry::allow(telemetry::decision::state))
             SHALLOTWOOD_LOG(warning)
--- a/src/process/sidecar/policy_feed.hpp
+++ b/src/process/sidecar/policy_feed.hpp
@@ -38,6 +38,8 @@
     // Watches the store, or leaves that to other nodes.
     void set_watching(bool watching);
     bool watching() const { return watch_.has_value(); }
+    // The store is watched, has answered, and no error came since.
+    bool store_answers() const { return store_answers_; }
 
     void on_store_state(store_listener tell) { store_state_ = std::move(tell); }
 
@@ -70,6 +72,7 @@
     std::string text_;
     bool pulling_ = false;
     bool store_lost_ = false;
+    bool store_answers_ = false;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -5,20 +5,25 @@
 // callers, backend servers and the platform call things is in the dialect.
 #pragma once
 
+#include "process/fleet/isolation.hpp"
+#include "process/fleet/watch_duty.hpp"
 #include "process/latency_histogram.hpp"
+#include "process/load/crash_suspects.hpp"
 #include "process/object_store.hpp"
 #include "process/random_source.hpp"
+#include "process/routing/service_split.hpp"
+#include "process/sidecar/fleet_exchange.hpp"
 #include "process/sidecar/local_runner.hpp"
 #include "process/sidecar/node_settings.hpp"
 #include "process/sidecar/peer_links.hpp"
 #include "process/sidecar/peer_server.hpp"
 #include "process/sidecar/policy_feed.hpp"
+#include "process/sidecar/token_exchange.hpp"
 #include "request/entry_call.hpp"
 
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace shallotwood::process::sidecar
 {
@@ -30,12 +35,11 @@
     std::string instance_prefix;
 };
 
-class sidecar_node final : private request::entry_services,
-                           private rate::token_source
+class sidecar_node final : private request::entry_services
 {
 public:
     sidecar_node(loop::reactor& loop, const dialect& words, object_store& store,
-                 counters& counts, object_names names,
+                 counters& counts, const object_names& names,
                  const node_settings& settings, std::uint64_t incarnation,
                  std::uint64_t seed);
     ~sidecar_node();
@@ -65,21 +69,19 @@
     retry::retry_budget& retries() override { return retries_; }
     const std::string& own_service() override { return settings_.service; }
     load::cut_board& cuts() override { return cuts_; }
-    std::optional<load::shed_key>
-    key_of_caller(const std::string& request_id,
-                  const std::string& route) override;
+    const fleet::isolation& contact() override { return contact_; }
+    std::optional<request::parent_call>
+    parent_of(const std::string& request_id, const std::string& route) override;
     std::string new_attempt_id() override;
-    const std::string& choose_service(const version::route& route) override;
+    const std::string& choose_service(const version::route& route) override
+    {
+        return split_.choose(route);
+    }
     std::shared_ptr<request::run>
     start_run(const fleet::instance& at, const request::run_request& what,
               const std::shared_ptr<request::run_receiver>& receiver) override;
     void call_ended() override { --calls_; }
 
-    // token_source
-    void ask(const std::string& workspace, int wanted,
-             std::function<void(std::optional<rate::grant>)> reply) override;
-    double own_part() const override;
-
     exchange_ptr caller_request(const connection_ptr& from,
                                 connection::http::request_head&& head,
                                 const connection::http::message_info& info);
@@ -92,75 +94,54 @@
 
     void take_backend_message(const backend_message& it);
     void backend_changed(std::string_view cause);
+    void backend_crashed(const std::vector<load::fingerprint>& in_flight);
     void publish();
-    void write_entry();
-    void read_entries();
-
-    void spread(const std::string& name);
-    void send_news();
-    void exchange_with(const peer_address& to, const Json::Value& message);
-    Json::Value fleet_message(const std::set<std::string>& names) const;
     std::string take_message(std::string_view path, const std::string& body);
-    Json::Value take_fleet(const Json::Value& message);
-    void compare_views();
-    void log_load();
-    std::vector<const fleet::instance*> other_nodes() const;
-    std::string home_of(const std::string& workspace) const;
+    void take_crash(const Json::Value& message);
 
     void policy_adopted(const version::policy& it, policy_feed::origin from);
-    void tell_some(std::size_t count, const Json::Value& message);
-    void choose_watchers();
+    void look_around();
+    void log_load();
     void set_node_count();
     void end_if_idle();
     bool ready() const;
 
     loop::reactor& loop_;
     const dialect& words_;
-    object_store& store_;
-    object_names names_;
     node_settings settings_;
     random_source random_;
     counters& counts_;
     latency_histogram latency_;
     fleet::fleet_view fleet_;
+    fleet::isolation contact_;
     routing::placement placement_;
+    routing::service_split split_;
     retry::retry_budget retries_;
-    rate::token_bucket_home home_;
-    rate::wallet wallet_;
     load::cut_board cuts_;
+    load::crash_suspects suspects_;
     local_backend backend_;
     local_runner runner_;
     peer_links links_;
     peer_server peers_;
     policy_feed feed_;
+    fleet::watch_duty duty_;
+    rate::token_bucket_home home_;
+    token_exchange tokens_;
+    rate::wallet wallet_;
+    fleet_exchange exchange_;
     connection::http::server callers_;
     connection::http::server announcements_;
     connection::http::server readiness_;
     connection::http::server metrics_;
 
-    // Progress of each split between weighted services.
-    struct split {
-        std::vector<version::service_share> shares;
-        std::vector<double> credit;
-    };
-    std::map<std::string, split> splits_;
-
-    // Nodes that said that the store does not answer them, and until when that
-    // is believed.
-    std::map<std::string, time_point> store_lost_;
-
-    std::set<std::string> news_;
-    bool news_planned_ = false;
-    bool entry_written_ = false;
-    bool entry_writing_ = false;
-    bool entry_changed_ = false;
     std::uint64_t last_attempt_ = 0;
+    std::uint64_t last_crash_ = 0;
     std::size_t calls_ = 0;
+    bool isolated_ = false;
     bool leaving_ = false;
     time_point leaving_since_{};
     std::function<void()> shut_down_;
-    timer_id compare_timer_{};
-    timer_id load_timer_{};
+    timer_id look_timer_{};
     std::uint64_t refused_before_ = 0;
     std::uint64_t shed_before_ = 0;
 };
--- /dev/null
+++ b/src/process/sidecar/token_exchange.cpp
@@ -0,0 +1,95 @@
+#include "process/sidecar/token_exchange.hpp"
+
+#include "process/json_text.hpp"
+
+namespace shallotwood::process::sidecar
+{
+
+namespace
+{
+
+// A request waits for its token this long.
+constexpr duration token_limit = std::chrono::milliseconds(150);
+
+std::optional<rate::grant> grant_in(const Json::Value& reply)
+{
+    if (!reply.isObject() || !reply["tokens"].isInt())
+        return std::nullopt;
+    rate::grant it;
+    it.tokens = reply["tokens"].asInt();
+    if (reply["retry_after_us"].isInt64())
+        it.retry_after = duration(reply["retry_after_us"].asInt64());
+    return it;
+}
+
+} // namespace
+
+token_exchange::token_exchange(const fleet::fleet_view& fleet,
+                               peer_links& links, const policy_feed& feed,
+                               rate::token_bucket_home& home)
+    : fleet_(fleet), links_(links), feed_(feed), home_(home)
+{
+}
+
+std::string token_exchange::home_of(const std::string& workspace) const
+{
+    std::string home;
+    std::uint64_t most = 0;
+    for (const auto* it : fleet_.all()) {
+        auto name = it->name();
+        if (it->leaving || !links_.reachable(name))
+            continue;
+        auto weight = fleet::rendezvous_weight(workspace, name);
+        if (home.empty() || weight > most) {
+            home = name;
+            most = weight;
+        }
+    }
+    return home;
+}
+
+void token_exchange::ask(const std::string& workspace, int wanted,
+                         std::function<void(std::optional<rate::grant>)> reply)
+{
+    auto home = home_of(workspace);
+    Json::Value message;
+    message["workspace"] = workspace;
+    message["wanted"] = wanted;
+    if (home.empty() || home == fleet_.self().name()) {
+        reply(grant_in(take_message(message)));
+        return;
+    }
+    links_.call(
+        fleet_.find(home)->peer, peer_path::tokens, write_json(message),
+        token_limit,
+        [reply = std::move(reply)](const std::optional<std::string>& text) {
+            auto json = text ? parse_json(*text) : std::nullopt;
+            reply(json ? grant_in(*json) : std::nullopt);
+        });
+}
+
+double token_exchange::own_part() const
+{
+    return 1.0 / static_cast<double>(fleet_.size());
+}
+
+Json::Value token_exchange::take_message(const Json::Value& message)
+{
+    Json::Value reply(Json::objectValue);
+    const auto& name = message["workspace"];
+    const auto& wanted = message["wanted"];
+    if (!feed_.current() || !name.isString() || !wanted.isInt())
+        return reply;
+    const auto* of = feed_.current()->find_workspace(name.asString());
+    if (of == nullptr)
+        return reply;
+    double reserved = static_cast<double>(links_.unreachable()) /
+                      static_cast<double>(fleet_.size());
+    auto given =
+        home_.take(of->name, {of->rate, of->burst}, reserved, wanted.asInt());
+    reply["tokens"] = given.tokens;
+    reply["retry_after_us"] = Json::Int64(given.retry_after.count());
+    return reply;
+}
+
+} // namespace shallotwood::process::sidecar
--- /dev/null
+++ b/src/process/sidecar/token_exchange.hpp
@@ -0,0 +1,42 @@
+// Tokens of the workspaces' rates between nodes.
+//
+// Finds the home of each workspace among the instances, asks it for this
+// node's wallet, and answers for the workspaces whose home this node is.
+#pragma once
+
+#include "process/fleet/fleet_view.hpp"
+#include "process/rate/token_bucket_home.hpp"
+#include "process/rate/wallet.hpp"
+#include "process/sidecar/peer_links.hpp"
+#include "process/sidecar/policy_feed.hpp"
+
+#include <json/json.h>
+#include <string>
+
+namespace shallotwood::process::sidecar
+{
+
+class token_exchange final : public rate::token_source
+{
+public:
+    // The references outlive it.
+    token_exchange(const fleet::fleet_view& fleet, peer_links& links,
+                   const policy_feed& feed, rate::token_bucket_home& home);
+
+    void ask(const std::string& workspace, int wanted,
+             std::function<void(std::optional<rate::grant>)> reply) override;
+    double own_part() const override;
+
+    // The reply to another node's question; empty if it can't be answered.
+    Json::Value take_message(const Json::Value& message);
+
+private:
+    std::string home_of(const std::string& workspace) const;
+
+    const fleet::fleet_view& fleet_;
+    peer_links& links_;
+    const policy_feed& feed_;
+    rate::token_bucket_home& home_;
+};
+
+} // namespace shallotwood::process::sidecar
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -36,6 +36,9 @@
 // When a caller may come back after a refusal without a better hint.
 constexpr duration default_retry_after = std::chrono::milliseconds(300);
 
+// A node that was cut off needs about this long to hear from others again.
+constexpr duration isolated_retry_after = std::chrono::seconds(1);
+
 run_failure not_run(reason why,
                     std::optional<duration> retry_after = std::nullopt)
 {
@@ -135,17 +138,23 @@
         return false;
     }
     if (!route_->open && policy_->needs_keys()) {
+        if (node_.contact().isolated()) {
+            fail(not_run(reason::isolated, isolated_retry_after));
+            return false;
+        }
         workspace_ = policy_->workspace_of_key(fields.key);
         if (workspace_ == nullptr) {
             fail(not_run(reason::unknown_key));
             return false;
         }
     }
-    if (workspace_ != nullptr)
+    if (workspace_ != nullptr) {
         key_ = process::load::make_shed_key(workspace_->priority,
                                             route_->priority, request_id_);
-    else
-        key_ = node_.key_of_caller(request_id_, route_->name).value_or(0);
+    } else if (auto parent = node_.parent_of(request_id_, route_->name)) {
+        key_ = parent->key;
+        in_repeat_ = parent->repeat;
+    }
     auto timeout = route_->timeout;
     if (fields.timeout)
         timeout = std::min(timeout, *fields.timeout);
@@ -265,6 +274,7 @@
     what.inner = workspace_ == nullptr;
     what.key = key_;
     what.attempt = arrivals_ + 1;
+    what.repeat = in_repeat_ || arrivals_ > 0;
     what.remaining = remaining();
     what.patience = patience();
     what.policy_revision = policy_->revision();
@@ -362,9 +372,13 @@
 {
     if (remaining() < least_attempt_time || !body_->replayable())
         return false;
+    if (why.what.why == reason::suspected_crash)
+        return false;
     if (why.what.run == execution::not_run &&
         why.what.why != reason::backend_server_failed)
         return moves_ < max_moves;
+    if (in_repeat_)
+        return false;
     bool repeatable = route_->kind != version::work_kind::once;
     if (why.what.run != execution::not_run && !repeatable)
         return false;
@@ -434,6 +448,10 @@
     auto took = node_.loop().now() - arrived_;
     node_.latency().add(took);
     ++node_.counts().at("calls", "outcome=\"" + std::string(outcome) + '"');
+    if (why != nullptr)
+        ++node_.counts().at("calls_unserved",
+                            "reason=\"" + std::string(name_of(why->what.why)) +
+                                '"');
     auto kind = why == nullptr                        ? decision::served
                 : why->what.run == execution::not_run ? decision::refused
                                                       : decision::failed;
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -10,6 +10,7 @@
 
 #include "connection/http/server_connection.hpp"
 #include "process/counters.hpp"
+#include "process/fleet/isolation.hpp"
 #include "process/latency_histogram.hpp"
 #include "process/load/cut_board.hpp"
 #include "process/rate/wallet.hpp"
@@ -26,6 +27,13 @@
 namespace shallotwood::request
 {
 
+// The request that runs on the local backend server and makes a call.
+struct parent_call {
+    process::load::shed_key key = 0;
+    // It, or a call above it, was sent to a further backend server.
+    bool repeat = false;
+};
+
 // What a call needs of its node.
 class entry_services
 {
@@ -42,10 +50,11 @@
     // Service of the local backend server.
     virtual const std::string& own_service() = 0;
     virtual process::load::cut_board& cuts() = 0;
-    // Key of the request that runs on the local backend server under this id;
-    // nothing if there is none. Notes that it calls `route`.
-    virtual std::optional<process::load::shed_key>
-    key_of_caller(const std::string& request_id, const std::string& route) = 0;
+    virtual const process::fleet::isolation& contact() = 0;
+    // The request for which the local backend server makes the call with this
+    // id; nothing if there is none. Notes that it calls `route`.
+    virtual std::optional<parent_call> parent_of(const std::string& request_id,
+                                                 const std::string& route) = 0;
     virtual std::string new_attempt_id() = 0;
     // Splits the route's traffic between its services by their weights.
     virtual const std::string& choose_service(const version::route& route) = 0;
@@ -117,6 +126,9 @@
     connection::http::request_head head_;
     std::string request_id_;
     process::load::shed_key key_ = 0;
+    // Made for a request that is itself a repeat: repeats at each level would
+    // multiply.
+    bool in_repeat_ = false;
     std::string service_;
     std::shared_ptr<upload> body_;
 
--- a/src/request/run.hpp
+++ b/src/request/run.hpp
@@ -35,6 +35,8 @@
     process::load::shed_key key = 0;
     // 1 for the first backend server that it is sent to.
     int attempt = 1;
+    // This is a further attempt, or the call of a run that was one.
+    bool repeat = false;
     // Until the caller or the operator's timeout gives it up.
     process::duration remaining{};
     // How long it may wait for its turn.
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -85,6 +85,7 @@
     to.retry_ratio = 0.2;
     to.retry_allowance = 100;
     to.fleet_is_new = true;
+    to.isolation_limit = isolation_limit;
     for (const auto& other : all)
         to.seeds.push_back(other->settings.announce_address);
     it->node = std::make_unique<process::sidecar::sidecar_node>(
@@ -113,6 +114,7 @@
         spec["target_latency_s"] = 20;
         spec["service"] = name;
         spec["max_attempts"] = 2;
+        spec["anonymous"] = open_services.count(name) != 0;
         policy["resources"].append(route);
     }
     auto workspace = entry("tenants", "w");
@@ -153,7 +155,7 @@
     Json::Value beat;
     beat["address"] = at.settings.backend_address.host + ':' +
                       std::to_string(at.settings.backend_address.port);
-    beat["born"] = 1;
+    beat["born"] = at.born;
     beat["info"]["service"] = at.service;
     beat["info"]["concurrency"] = 10;
     beat["status"]["state"] = state;
@@ -190,6 +192,15 @@
                 method == "POST" ? body : "");
 }
 
+caller_answer small_fleet::inner_request(instance& at,
+                                         const std::string& service,
+                                         const std::string& parent)
+{
+    auto head = head_for(service, "", "GET");
+    head.headers.set("X-Request-Id", parent + ".1");
+    return call(at.settings.caller_address, head, {});
+}
+
 std::shared_ptr<client_connection>
 small_fleet::start_request(instance& at, const std::string& service,
                            call_events& events)
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -9,6 +9,7 @@
 #include "support/fake_object_store.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
         process::sidecar::node_settings settings;
         bool ended = false;
         std::uint64_t beats = 0;
+        // Start time of the backend server; a later one is a new start.
+        int born = 1;
     };
 
     small_fleet();
@@ -56,6 +59,9 @@
                           const std::string& key = "key",
                           const std::string& method = "GET",
                           const std::string& body = "body");
+    // A call that the backend server of `at` makes while it runs `parent`.
+    caller_answer inner_request(instance& at, const std::string& service,
+                                const std::string& parent);
     // Starts a request; its connection closes with the returned object.
     std::shared_ptr<connection::http::client_connection>
     start_request(instance& at, const std::string& service,
@@ -63,6 +69,11 @@
     bool ready(instance& at);
     std::string metrics(instance& at);
 
+    // Services whose routes need no key, for the next policies.
+    std::set<std::string> open_services;
+    // For the nodes added next.
+    process::duration isolation_limit = std::chrono::seconds(5);
+
     process::loop::reactor loop;
     platform::platform_dialect words;
     std::vector<std::unique_ptr<instance>> all;
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -40,7 +40,8 @@
 public:
     explicit fixture(scripted_connection::handler handle)
         : server(loop, std::move(handle)), backend("s", server.address()),
-          cuts(loop), runner(loop, words, counts, backend, cuts)
+          cuts(loop), suspects(loop),
+          runner(loop, words, counts, backend, cuts, suspects)
     {
         announcement it;
         it.backend_id = "b";
@@ -73,6 +74,7 @@
     counters counts;
     local_backend backend;
     load::cut_board cuts;
+    load::crash_suspects suspects;
     local_runner runner;
 };
 
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/support/small_fleet.hpp"
 
 #include <catch2/catch.hpp>
+#include <utility>
 
 namespace shallotwood::test
 {
@@ -233,4 +234,130 @@
     }
 }
 
+// A store that is away spoils nothing as long as another node answers.
+TEST_CASE("a node without any contact refuses what needs a key")
+{
+    small_fleet fleet;
+    fleet.isolation_limit = std::chrono::milliseconds(1500);
+    auto& entry = fleet.add("s", serve);
+    auto& other = fleet.add("s", serve);
+    fleet.open_services = {"open"};
+    fleet.write_policy(1, {"s", "open"}, "idempotent");
+    fleet.settle(1);
+    auto pass = [&](process::duration time) {
+        auto until = fleet.loop.now() + time;
+        run_until(fleet.loop, [&] { return fleet.loop.now() > until; });
+    };
+    fleet.all.front()->store->fail_watches(process::store_error::unavailable);
+    pass(std::chrono::milliseconds(3000));
+    CHECK(fleet.request(entry, "s").status == 200);
+    other.node.reset();
+    auto refused = [&] { return fleet.request(entry, "s").status == 503; };
+    bool reached = false;
+    for (int n = 0; n < 100 && !reached; ++n) {
+        reached = refused();
+        pass(std::chrono::milliseconds(100));
+    }
+    CHECK(reached);
+    auto answer = fleet.request(entry, "s");
+    CHECK(answer.headers.find("Retry-After") != nullptr);
+    // No key, so nothing that could have been withdrawn.
+    CHECK(fleet.request(entry, "open").status == 503);
+    CHECK(fleet.request(entry, "nowhere").status == 404);
+    CHECK(fleet.metrics(entry).find("reason=\"isolated\"") !=
+          std::string::npos);
+}
+
+// Otherwise each level of a call chain would multiply the repeats.
+TEST_CASE("no call of a repeated run is repeated")
+{
+    small_fleet fleet;
+    int arrivals = 0;
+    bool break_next = false;
+    std::string running;
+    std::size_t running_at = 0;
+    auto work = [&](std::size_t instance) {
+        return [&, instance](scripted_connection& from, const std::string& head,
+                             const std::string&) {
+            if (std::exchange(break_next, false)) {
+                from.abort();
+                return;
+            }
+            // Runs until its caller leaves.
+            running = header_of(head, "X-Request-Id");
+            running_at = instance;
+        };
+    };
+    auto fail = [&](scripted_connection& from, const std::string&,
+                    const std::string&) {
+        ++arrivals;
+        from.abort();
+    };
+    auto& entry = fleet.add("front", serve);
+    fleet.add("s", work(1));
+    fleet.add("s", work(2));
+    fleet.add("t", fail);
+    fleet.add("t", fail);
+    fleet.open_services = {"t"};
+    fleet.write_policy(1, {"front", "s", "t"}, "idempotent");
+    fleet.settle(1);
+    for (bool repeat : {false, true}) {
+        INFO(repeat);
+        break_next = repeat;
+        running.clear();
+        arrivals = 0;
+        silent_events events;
+        auto caller = fleet.start_request(entry, "s", events);
+        REQUIRE(run_until(fleet.loop, [&] { return !running.empty(); }));
+        fleet.inner_request(*fleet.all[running_at], "t", running);
+        CHECK(arrivals == (repeat ? 1 : 2));
+        caller->close();
+    }
+}
+
+TEST_CASE("a request that crashed three backend servers is refused")
+{
+    small_fleet fleet;
+    std::vector<small_fleet::instance*> crashed;
+    auto serve_or_crash = [](scripted_connection& from, const std::string& head,
+                             const std::string& body) {
+        if (head.find("POST") == 0)
+            from.abort();
+        else
+            serve(from, head, body);
+    };
+    auto& entry = fleet.add("front", serve);
+    for (int n = 0; n < 4; ++n)
+        fleet.add("s", serve_or_crash);
+    fleet.write_policy(1, {"front", "s"}, "non_idempotent");
+    fleet.settle(1);
+    auto arrivals = [&] {
+        std::size_t n = 0;
+        for (const auto& it : fleet.all)
+            n += it->backend->bodies.size();
+        return n;
+    };
+    for (int n = 0; n < 3; ++n) {
+        CHECK(fleet.request(entry, "s", "key", "POST").status == 502);
+        for (auto& it : fleet.all) {
+            bool hit = !it->backend->heads.empty() &&
+                       it->backend->heads.back().find("POST") == 0;
+            if (!hit)
+                continue;
+            it->backend->heads.clear();
+            ++it->born;
+            fleet.announce(*it, "ready");
+        }
+        fleet.settle(1);
+    }
+    auto before = arrivals();
+    auto answer = fleet.request(entry, "s", "key", "POST");
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.find("Retry-After") != nullptr);
+    CHECK(arrivals() == before);
+    // Others pass, also with the same path.
+    CHECK(fleet.request(entry, "s", "key", "POST", "other body").status == 502);
+    CHECK(fleet.request(entry, "s").status == 200);
+}
+
 } // namespace shallotwood::test
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -108,4 +108,11 @@
     on_change(object->second);
 }
 
+void fake_object_store::fail_watches(process::store_error why)
+{
+    auto all = watchers_;
+    for (const auto& [id, it] : all)
+        it.on_change(why);
+}
+
 } // namespace shallotwood::test
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -27,6 +27,9 @@
           std::function<void(process::get_result)> on_change) override;
     void cancel(process::watch_id id) override;
 
+    // Tells each watch of an error, as when the platform has become silent.
+    void fail_watches(process::store_error why);
+
     // While true, every call ends as `unavailable` and watches are quiet.
     bool down = false;
     // The next writes take effect and answer `unknown_outcome`.
