Refuse no request of a workspace that is within its rate and burst

The wallet now asks again as long as the home is not short. - A home saw a workspace for the first time 12 s after its start and gave it 0.25 s of its rate, though nobody else could have granted its burst. The bucket now counts from the last change of homes: a node that has come or gone, or a connection that was lost or regained.

Ruled out: the fetch ahead (no demand yet), the reserve for unreachable nodes (0).

"a new home of a running fleet starts nearly empty" asserted the second fault: it waited for 60 s without any change of homes. It now has such a change, and the same bound.

--- a/src/process/rate/token_bucket_home.cpp
+++ b/src/process/rate/token_bucket_home.cpp
@@ -33,7 +33,7 @@
         bool is_first = fleet_is_new_ && now - started_ < first_buckets_time;
         of.level = is_first ? std::max(1.0, limit.burst)
                             : std::max(1.0, limit.rate * first_level_seconds);
-        of.at = now;
+        of.at = unchanged_since_;
     }
     double seconds = std::chrono::duration<double>(now - of.at).count();
     of.level = std::min(std::max(limit.burst, 1.0),
--- a/src/process/rate/token_bucket_home.hpp
+++ b/src/process/rate/token_bucket_home.hpp
@@ -3,7 +3,8 @@
 // Every workspace has one home among the instances, found by rendezvous
 // hashing, so nothing has to be agreed or stored. Nodes take tokens from the
 // home ahead of need. A node that becomes the home of a workspace does not know
-// what the one before it has granted: its bucket starts nearly empty.
+// what the one before it has granted: its bucket starts nearly empty, and as if
+// refilled since the last change of homes.
 //
 // Bounded: one bucket for each workspace of the configuration.
 #pragma once
@@ -35,10 +36,15 @@
     // `fleet_is_new` says that no node can have granted anything before this
     // one started: then the first buckets are full.
     token_bucket_home(const clock& time, bool fleet_is_new)
-        : clock_(time), fleet_is_new_(fleet_is_new), started_(time.now())
+        : clock_(time), fleet_is_new_(fleet_is_new), started_(time.now()),
+          unchanged_since_(time.now())
     {
     }
 
+    // Nodes have come, gone, or changed sides of a partition: workspaces that
+    // are new here may have had another home until now.
+    void homes_changed() { unchanged_since_ = clock_.now(); }
+
     // `reserved` is the part of the rate kept for nodes that can't reach the
     // home and use their own part of it.
     grant take(const std::string& workspace, const rate_limit& limit,
@@ -59,6 +65,7 @@
     const clock& clock_;
     bool fleet_is_new_;
     time_point started_;
+    time_point unchanged_since_;
     std::unordered_map<std::string, bucket> buckets_;
 };
 
--- a/src/process/rate/wallet.cpp
+++ b/src/process/rate/wallet.cpp
@@ -107,10 +107,22 @@
     of.tokens_until = now + token_validity;
     if (given->retry_after > duration(0))
         of.refused_until = now + given->retry_after;
-    auto waiting = std::move(of.waiting);
-    of.waiting.clear();
-    for (auto& it : waiting)
-        it(spend(of) ? std::nullopt : std::optional<duration>(over_rate_wait));
+    while (!of.waiting.empty() && spend(of))
+        answer_first(of, std::nullopt);
+    if (given->retry_after > duration(0)) {
+        while (!of.waiting.empty())
+            answer_first(of, over_rate_wait);
+    } else if (!of.waiting.empty()) {
+        // They came after the question; the home has more.
+        ask(workspace, limit);
+    }
+}
+
+void wallet::answer_first(purse& of, std::optional<duration> refused)
+{
+    auto done = std::move(of.waiting.front());
+    of.waiting.pop_front();
+    done(refused);
 }
 
 void wallet::serve_from_own(purse& of, const rate_limit& limit)
@@ -121,13 +133,12 @@
     double seconds = std::chrono::duration<double>(now - of.own_at).count();
     of.own_level = std::min(most, of.own_level + seconds * limit.rate * part);
     of.own_at = now;
-    auto waiting = std::move(of.waiting);
-    of.waiting.clear();
-    for (auto& it : waiting) {
+    while (!of.waiting.empty()) {
         bool allowed = of.own_level >= 1;
         if (allowed)
             of.own_level -= 1;
-        it(allowed ? std::nullopt : std::optional<duration>(over_rate_wait));
+        answer_first(of, allowed ? std::nullopt
+                                 : std::optional<duration>(over_rate_wait));
     }
 }
 
--- a/src/process/rate/wallet.hpp
+++ b/src/process/rate/wallet.hpp
@@ -66,6 +66,7 @@
     void ask(const std::string& workspace, const rate_limit& limit);
     void answered(const std::string& workspace, const rate_limit& limit,
                   const std::optional<grant>& given);
+    static void answer_first(purse& of, std::optional<duration> refused);
     void serve_from_own(purse& of, const rate_limit& limit);
 
     const clock& clock_;
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -421,6 +421,8 @@
         return;
     of.reachable = reachable;
     placement_.set_reachable(name, reachable);
+    if (on_reachability_)
+        on_reachability_();
     if (telemetry::allow(telemetry::decision::state))
         SHALLOTWOOD_LOG(info)
             << "event=" << (reachable ? "peer_regained" : "peer_lost")
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -41,6 +41,12 @@
         on_revision_ = std::move(handler);
     }
 
+    // Called when a node has become unreachable, or reachable again.
+    void on_reachability(std::function<void()> changed)
+    {
+        on_reachability_ = std::move(changed);
+    }
+
     // Runs a call at another instance.
     std::shared_ptr<request::run>
     start(const fleet::instance& at, const request::run_request& what,
@@ -80,6 +86,7 @@
     const fleet::fleet_view& fleet_;
     routing::placement& placement_;
     revision_handler on_revision_;
+    std::function<void()> on_reachability_;
     std::map<std::string, link> links_;
     timer_id timer_{};
 };
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -128,6 +128,7 @@
     links_.on_revision([this](const std::string& name, std::uint64_t revision) {
         feed_.heard(name, revision);
     });
+    links_.on_reachability([this] { home_.homes_changed(); });
     feed_.on_store_state(
         [this](bool lost) { exchange_.tell_store_state(lost); });
     runner_.on_backend_lost([this] { backend_changed("unreachable"); });
@@ -425,7 +426,11 @@
 
 void sidecar_node::set_node_count()
 {
-    retries_.set_nodes(fleet_.size());
+    if (known_ == fleet_.size())
+        return;
+    known_ = fleet_.size();
+    retries_.set_nodes(known_);
+    home_.homes_changed();
 }
 
 // ---- policy, readiness, metrics, shutdown -----------------------------------
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -137,6 +137,8 @@
     std::uint64_t last_attempt_ = 0;
     std::uint64_t last_crash_ = 0;
     std::size_t calls_ = 0;
+    // Instances known at the last count.
+    std::size_t known_ = 0;
     bool isolated_ = false;
     bool leaving_ = false;
     time_point leaving_since_{};
--- a/tests/sidecar/test_rates_and_retries.cpp
+++ b/tests/sidecar/test_rates_and_retries.cpp
@@ -127,9 +127,33 @@
     rate::token_bucket_home first(loop, true);
     CHECK(first.take("w", {100, 100}, 0, 1000).tokens == 100);
     loop.advance(seconds(60));
+    first.homes_changed();
     CHECK(first.take("other", {100, 100}, 0, 1000).tokens <= 25);
 }
 
+// The question for the first one asked for a single token.
+TEST_CASE("requests that come while the home is asked are not refused")
+{
+    rate_world world(1, {100, 100});
+    for (int n = 0; n < 30; ++n)
+        world.request(0);
+    world.loop.advance(milliseconds(50));
+    CHECK(world.admitted == 30);
+    CHECK(world.refusals == 0);
+}
+
+TEST_CASE("a workspace that was quiet gets its whole burst")
+{
+    virtual_loop loop;
+    rate::token_bucket_home home(loop, false);
+    rate::rate_limit limit{1, 20};
+    loop.advance(seconds(60));
+    CHECK(home.take("w", limit, 0, 20).tokens == 20);
+    // Another node may have granted the burst of any other workspace.
+    home.homes_changed();
+    CHECK(home.take("v", limit, 0, 20).tokens <= 1);
+}
+
 TEST_CASE("a refund can be spent again")
 {
     rate_world world(1, {1, 1});
