Keep no agreed state on nodes: rates from a home, records in the store

What carries the promises now: - P4 (rate and burst): rate/wallet and rate/token_bucket_home, the code that the platform's node uses, over rate/token_messages. node_rate_across_nodes and node_rate_owner_killed hold unchanged. At 29,000 nodes: a question for each node and busy workspace in 150 ms at its home (docs/CAPACITY.md). - P7 (at most once for an idempotency key): record/claim_store, one object for a key in the platform's store, created under a condition. test_claim_store has its lost answers, outages, late writes, bounds, and a lost node; node_once_* hold. Two writes a request: fits today's sizes and a store of 400 writes a second, not the target's.

What is given up: while the store is down, requests with an idempotency key are refused as not run. node_once_platform_down asserted that they go on; it now asserts the refusal, that nothing runs meanwhile, that repeatable requests go on, and that the same key runs once and is recognised after the outage. The bound of P4 is exact with one home; two homes during a change exceed it by what first_level_seconds allows.

Ruled out: leases in the store for each shard without witnesses (a write every two seconds for each shard, and nothing without the store either); records at the node of a hashed home alone (a repeat after its end would run again).

object_store::remove is new, for records that have expired; the platform's stand-in and both clients have it.

--- a/bench/bench_node.cpp
+++ b/bench/bench_node.cpp
@@ -97,9 +97,15 @@
         self.peer = {"10.0.0." + std::to_string(n), 7000};
         self.failure_domain = "d" + std::to_string(n % 7);
         self.region = "r" + std::to_string(n % 3);
+        process::node_core_settings core_settings;
+        core_settings.wall = [this] {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(
+                       loop_.now().time_since_epoch())
+                .count();
+        };
         made->core = std::make_unique<process::node_core>(
             loop_, network_.at(self.peer), platform_, made->counts,
-            process::node_core_settings(), self, self.instance, n + 1,
+            core_settings, self, self.instance, n + 1,
             [](const auto&) { return false; });
         made->core->start(8000);
         made->core->server().announced({"bench", "127.0.0.1", 9000, 20, 100});
--- a/src/process/entry_controller.cpp
+++ b/src/process/entry_controller.cpp
@@ -156,18 +156,27 @@
         return;
     }
     auto workspace = it.it.context.workspace;
-    auto deadline = it.deadline;
     parts_.rates.charge(
-        workspace, deadline,
-        [this, it = std::move(it)](const charge_result& result) mutable {
-            if (const auto* why = std::get_if<charge_refusal>(&result))
-                refuse(it, {execution::not_run, why->why}, status_of(why->why),
-                       spread(why->retry_after));
+        workspace, limit_of(workspace),
+        [this,
+         it = std::move(it)](const std::optional<duration>& refused) mutable {
+            if (refused)
+                refuse(it, {execution::not_run, reason::over_rate},
+                       status_of(reason::over_rate), spread(*refused));
             else
                 claim(std::move(it));
         });
 }
 
+rate::rate_limit entry_controller::limit_of(const std::string& workspace) const
+{
+    auto configuration = parts_.state.configuration();
+    auto it = configuration->workspaces.find(workspace);
+    if (it == configuration->workspaces.end())
+        return {};
+    return {it->second.rate, it->second.burst};
+}
+
 void entry_controller::claim(pending it)
 {
     if (it.it.context.repeatable) {
@@ -179,23 +188,25 @@
     auto deadline = it.deadline;
     parts_.records.claim(
         workspace, key, deadline,
-        [this, it = std::move(it)](const claim_result& result) mutable {
-            if (const auto* granted = std::get_if<claim_granted>(&result)) {
+        [this, it = std::move(it)](const record::claim_result& result) mutable {
+            if (const auto* granted =
+                    std::get_if<record::claim_granted>(&result)) {
                 claims_[it.it.context.request_id] = granted->claim;
                 accept(std::move(it));
-            } else if (const auto* ended = std::get_if<claim_done>(&result)) {
+            } else if (const auto* ended =
+                           std::get_if<record::claim_done>(&result)) {
                 repeat(it, ended->response);
-            } else if (std::get_if<claim_in_progress>(&result)) {
+            } else if (std::get_if<record::claim_in_progress>(&result)) {
                 refuse(it,
                        {execution::may_have_run, reason::duplicate_in_progress},
                        status_of(reason::duplicate_in_progress),
                        spread(overload_pause));
-            } else if (std::get_if<claim_may_have_run>(&result)) {
+            } else if (std::get_if<record::claim_may_have_run>(&result)) {
                 refuse(it,
                        {execution::may_have_run, reason::backend_server_failed},
                        status_of(reason::backend_server_failed), std::nullopt);
             } else {
-                auto why = std::get<claim_refused>(result).why;
+                auto why = std::get<record::claim_refused>(result).why;
                 refuse(it, {execution::not_run, why}, status_of(why),
                        spread(overload_pause));
             }
--- a/src/process/entry_controller.hpp
+++ b/src/process/entry_controller.hpp
@@ -11,8 +11,9 @@
 
 #include "process/counters.hpp"
 #include "process/cut_table.hpp"
-#include "process/rate_ledger.hpp"
-#include "process/record_store.hpp"
+#include "process/random_source.hpp"
+#include "process/rate/wallet.hpp"
+#include "process/record/claim_store.hpp"
 #include "process/shed_key.hpp"
 #include "request/call_policy.hpp"
 #include "version/configuration.hpp"
@@ -44,8 +45,8 @@
     struct modules {
         const clock& time;
         const node_state& state;
-        rate_ledger& rates;
-        record_store& records;
+        rate::wallet& rates;
+        record::claim_store& records;
         cut_table& cuts;
         demand_estimator& demand;
         random_source& random;
@@ -82,6 +83,7 @@
     request::call make_call(const request::caller_request& it,
                             const version::route& on,
                             const std::string& workspace, double weight);
+    rate::rate_limit limit_of(const std::string& workspace) const;
     void charge(pending it);
     void claim(pending it);
     // An earlier request with the same idempotency key has ended.
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -12,10 +12,6 @@
 
 constexpr std::size_t boot_bytes = 9;
 
-// Part of the drain limit that is left for handing over tokens and shards once
-// nothing is in flight.
-constexpr int hand_over_share = 4;
-
 // Dynamic ports, from which a control port is drawn for tests.
 constexpr std::uint16_t first_dynamic_port = 49152;
 constexpr int max_port_trials = 50;
@@ -37,11 +33,8 @@
     node_core_settings it;
     it.members.seeds = from.seeds;
     it.feed.isolation_limit = from.isolation_limit;
-    it.owners.shards = static_cast<std::uint32_t>(from.shards);
-    it.rates.validity = from.token_grant_validity;
     it.records.window = from.record_window;
-    it.records.max_records = static_cast<std::size_t>(from.record_count_limit);
-    it.records.max_bytes = static_cast<std::size_t>(from.record_bytes_limit);
+    it.wall = [] { return g_get_real_time() / 1000; };
     it.queue.max_wait = from.queue_time_limit;
     it.retry_allowance = static_cast<int>(from.retry_allowance);
     return it;
@@ -173,13 +166,12 @@
 
 void node::drain(std::function<void()> done)
 {
-    auto hand_over_limit = settings_.drain_limit / hand_over_share;
     auto both = std::make_shared<int>(2);
     auto one_done = [both, done = std::move(done)] {
         if (--*both == 0)
             done();
     };
-    core_->drain(hand_over_limit, one_done);
+    core_->drain(one_done);
     data_path_->drain(one_done);
 }
 
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -15,13 +15,12 @@
                random_.below(UINT64_MAX)),
       loader_(store), feed_(loop, transport, store, members_, codec_, loader_,
                             counts, settings.feed),
-      owners_(loop, transport, store, members_, counts,
-              random_.below(UINT64_MAX), boot, settings.owners),
-      rates_(
-          loop, transport, owners_, counts,
-          [this](const std::string& workspace) { return limit_of(workspace); },
-          settings.rates),
-      records_(loop, transport, owners_, counts, settings.records),
+      home_(loop, false), tokens_(loop, transport, members_, home_,
+                                  [this](const std::string& workspace) {
+                                      return limit_of(workspace);
+                                  }),
+      rates_(loop, tokens_),
+      records_(loop, store, counts, boot, settings.wall, settings.records),
       attempts_(loop, transport, counts, settings.attempts,
                 [this] { return members_.first_incarnation(); }),
       suspects_(loop, transport, members_, counts, settings.suspects),
@@ -50,9 +49,9 @@
             << "event=configuration" << field("revision", now->revision);
         routing_.reassign_all();
     });
+    members_.listen([this](const member&) { home_.homes_changed(); });
     members_.start();
     feed_.start();
-    owners_.start();
 }
 
 version::configuration_ptr node_core::configuration() const
@@ -65,7 +64,7 @@
     return feed_.isolated();
 }
 
-std::optional<rate_limit>
+std::optional<rate::rate_limit>
 node_core::limit_of(const std::string& workspace) const
 {
     const auto& now = feed_.in_force();
@@ -74,7 +73,7 @@
     auto it = now->workspaces.find(workspace);
     if (it == now->workspaces.end())
         return std::nullopt;
-    return rate_limit{it->second.rate, it->second.burst};
+    return rate::rate_limit{it->second.rate, it->second.burst};
 }
 
 void node_core::server_present(const backend_announcement& it)
@@ -91,23 +90,19 @@
     members_.leave();
 }
 
-void node_core::drain(duration limit, std::function<void()> done)
+void node_core::drain(std::function<void()> done)
 {
     draining_ = true;
-    hand_over_limit_ = limit;
-    drained_ = std::move(done);
+    on_drained_ = std::move(done);
     members_.leave();
     loop_.call_after(settings_.leave_notice,
-                     [this] { execution_.drain([this] { hand_over(); }); });
+                     [this] { execution_.drain([this] { drained(); }); });
 }
 
-void node_core::hand_over()
+void node_core::drained()
 {
-    rates_.stop();
-    owners_.leave(hand_over_limit_, [this] {
-        members_.stop();
-        drained_();
-    });
+    members_.stop();
+    on_drained_();
 }
 
 Json::Value node_core::status() const
--- a/src/process/node_core.hpp
+++ b/src/process/node_core.hpp
@@ -11,9 +11,8 @@
 #include "process/entry_controller.hpp"
 #include "process/execution_controller.hpp"
 #include "process/membership.hpp"
-#include "process/ownership.hpp"
-#include "process/rate_ledger.hpp"
-#include "process/record_store.hpp"
+#include "process/rate/token_messages.hpp"
+#include "process/record/claim_store.hpp"
 #include "process/routing_controller.hpp"
 
 #include <json/json.h>
@@ -26,9 +25,8 @@
 struct node_core_settings {
     membership_settings members;
     configuration_feed_settings feed;
-    ownership_settings owners;
-    rate_settings rates;
-    record_settings records;
+    record::claim_settings records;
+    record::wall_clock wall;
     admission_settings queue;
     int retry_allowance = 2;
     // After leaving, other nodes may still send calls for this long; they are
@@ -62,12 +60,10 @@
     backend_presence& server() { return server_; }
     const membership& members() const { return members_; }
     const configuration_feed& feed() const { return feed_; }
-    const ownership& owners() const { return owners_; }
 
     // Planned end: announces that this node leaves, refuses new requests,
-    // finishes what runs, returns tokens, hands over ownership. Calls `done`
-    // once, at the latest after `limit` for the hand-over.
-    void drain(duration limit, std::function<void()> done);
+    // finishes what runs. Calls `done` once.
+    void drain(std::function<void()> done);
 
     // For /status.
     Json::Value status() const;
@@ -78,26 +74,27 @@
     bool draining() const override { return draining_; }
     const std::string& boot() const override { return boot_; }
 
-    std::optional<rate_limit> limit_of(const std::string& workspace) const;
+    std::optional<rate::rate_limit>
+    limit_of(const std::string& workspace) const;
     void server_present(const backend_announcement& it);
     void server_absent(bool lost);
-    void hand_over();
+    void drained();
 
     event_loop& loop_;
     const std::string boot_;
     const node_core_settings settings_;
     random_source random_;
     bool draining_ = false;
-    duration hand_over_limit_{};
-    std::function<void()> drained_;
+    std::function<void()> on_drained_;
 
     membership members_;
     json_configuration_codec codec_;
     platform_configuration_loader loader_;
     configuration_feed feed_;
-    ownership owners_;
-    rate_ledger rates_;
-    record_store records_;
+    rate::token_bucket_home home_;
+    rate::token_messages tokens_;
+    rate::wallet rates_;
+    record::claim_store records_;
     attempt_register attempts_;
     suspect_table suspects_;
     cut_table cuts_;
--- a/src/process/object_store.hpp
+++ b/src/process/object_store.hpp
@@ -67,6 +67,11 @@
                      std::uint64_t expected_version,
                      std::function<void(put_result)> done) = 0;
 
+    // Removes the object if its current version is `expected_version`. The
+    // result holds that version, or why nothing was removed.
+    virtual void remove(const std::string& name, std::uint64_t expected_version,
+                        std::function<void(put_result)> done) = 0;
+
     // All objects whose names start with `prefix`, in order of name.
     virtual void list(const std::string& prefix,
                       std::function<void(list_result)> done) = 0;
--- a/src/process/platform_client.cpp
+++ b/src/process/platform_client.cpp
@@ -182,6 +182,8 @@
     if (it.sends == 1) {
         if (it.status == SOUP_STATUS_CONFLICT)
             return store_error::conflict;
+        if (it.status == SOUP_STATUS_NOT_FOUND)
+            return store_error::not_found;
         if (it.status == status_too_many_requests)
             return store_error::rate_limited;
     }
@@ -206,8 +208,24 @@
 {
     if (!admit(done))
         return;
+    send_write("PUT", name, value, expected_version, std::move(done));
+}
+
+void platform_client::remove(const std::string& name,
+                             std::uint64_t expected_version,
+                             std::function<void(put_result)> done)
+{
+    if (admit(done))
+        send_write("DELETE", name, {}, expected_version, std::move(done));
+}
+
+void platform_client::send_write(const char* method, const std::string& name,
+                                 const std::string& value,
+                                 std::uint64_t expected_version,
+                                 std::function<void(put_result)> done)
+{
     auto it = make_request(object_path(name), limits_.call_timeout);
-    it.method = "PUT";
+    it.method = method;
     it.header.emplace(expected_header, std::to_string(expected_version));
     it.body = value;
     send_call(it, [this, done = std::move(done)](const http_answer& got) {
--- a/src/process/platform_client.hpp
+++ b/src/process/platform_client.hpp
@@ -58,6 +58,8 @@
     void put(const std::string& name, const std::string& value,
              std::uint64_t expected_version,
              std::function<void(put_result)> done) override;
+    void remove(const std::string& name, std::uint64_t expected_version,
+                std::function<void(put_result)> done) override;
     void list(const std::string& prefix,
               std::function<void(list_result)> done) override;
     watch_id watch(const std::string& name, std::uint64_t after_version,
@@ -78,6 +80,9 @@
     template <typename Result>
     bool admit(const std::function<void(Result)>& done);
     http_request make_request(const std::string& path, duration limit) const;
+    void send_write(const char* method, const std::string& name,
+                    const std::string& value, std::uint64_t expected_version,
+                    std::function<void(put_result)> done);
     void send_call(const http_request& it, http_client::on_answer done);
     void list_page(const std::string& prefix, const std::string& after,
                    std::vector<stored_object> found,
--- /dev/null
+++ b/src/process/rate/token_messages.cpp
@@ -0,0 +1,157 @@
+#include "process/rate/token_messages.hpp"
+
+#include "process/address.hpp"
+#include "process/message_fields.hpp"
+
+#include <algorithm>
+
+namespace shallotwood::process::rate
+{
+
+namespace
+{
+
+constexpr const char* question_method = "rate.ask";
+constexpr const char* answer_method = "rate.grant";
+
+// A request waits for its token this long.
+constexpr duration answer_limit = std::chrono::milliseconds(150);
+
+// Messages may be lost; between failure domains an answer takes 2 ms.
+constexpr duration resend_period = std::chrono::milliseconds(40);
+
+constexpr std::size_t max_name_bytes = 256;
+constexpr std::uint64_t max_wanted = 1'000'000;
+
+} // namespace
+
+token_messages::token_messages(event_loop& loop, peer_transport& transport,
+                               const member_view& members,
+                               token_bucket_home& home, rate_lookup limits)
+    : loop_(loop), transport_(transport), members_(members), home_(home),
+      limits_(std::move(limits))
+{
+    auto alive = std::weak_ptr<bool>(alive_);
+    transport_.subscribe(
+        question_method,
+        [this, alive](const peer_address& from, const Json::Value& params) {
+            if (!alive.expired())
+                on_question(from, params);
+        });
+    transport_.subscribe(answer_method, [this, alive](const peer_address&,
+                                                      const Json::Value& it) {
+        if (!alive.expired())
+            on_answer(it);
+    });
+}
+
+token_messages::~token_messages()
+{
+    for (const auto& [id, it] : questions_) {
+        loop_.cancel(it.resend);
+        loop_.cancel(it.limit);
+    }
+}
+
+double token_messages::own_part() const
+{
+    return 1.0 / static_cast<double>(
+                     std::max<std::size_t>(members_.members().size(), 1));
+}
+
+void token_messages::ask(const std::string& workspace, int wanted,
+                         std::function<void(std::optional<grant>)> reply)
+{
+    auto home = rendezvous_order(
+        members_.members(), "rate/" + workspace, 1,
+        [](const member& it) { return it.state == member_state::active; });
+    if (home.empty() || home[0].instance == members_.self().instance) {
+        reply(take(workspace, wanted));
+        return;
+    }
+    if (questions_.size() >= max_questions) {
+        reply(std::nullopt);
+        return;
+    }
+    auto id = ++last_question_;
+    auto& it = questions_[id];
+    it.to = home[0].peer;
+    it.params["id"] = Json::UInt64(id);
+    it.params["workspace"] = workspace;
+    it.params["wanted"] = wanted;
+    it.reply = std::move(reply);
+    it.limit =
+        loop_.call_after(answer_limit, [this, id] { end(id, std::nullopt); });
+    send(id);
+}
+
+void token_messages::send(std::uint64_t id)
+{
+    auto& it = questions_.at(id);
+    transport_.send(it.to, question_method, it.params);
+    it.resend = loop_.call_after(resend_period, [this, id] { send(id); });
+}
+
+void token_messages::end(std::uint64_t id, const std::optional<grant>& given)
+{
+    auto it = questions_.extract(id);
+    if (it.empty())
+        return;
+    loop_.cancel(it.mapped().resend);
+    loop_.cancel(it.mapped().limit);
+    it.mapped().reply(given);
+}
+
+std::optional<grant> token_messages::take(const std::string& workspace,
+                                          int wanted)
+{
+    auto limit = limits_(workspace);
+    if (!limit)
+        return std::nullopt;
+    const auto& all = members_.members();
+    auto silent = std::count_if(all.begin(), all.end(), [](const member& it) {
+        return it.state == member_state::suspect;
+    });
+    double reserved = static_cast<double>(silent) /
+                      static_cast<double>(std::max<std::size_t>(all.size(), 1));
+    return home_.take(workspace, *limit, reserved, wanted);
+}
+
+void token_messages::on_question(const peer_address& from,
+                                 const Json::Value& params)
+{
+    message_fields in(params);
+    auto id = in.number("id");
+    auto workspace = in.text("workspace", max_name_bytes);
+    auto wanted = static_cast<int>(in.number("wanted", max_wanted));
+    if (!in.valid())
+        return;
+    if (answered_.size() >= max_answers)
+        answered_.clear();
+    auto& last = answered_[to_text(from) + '/' + workspace];
+    bool again = last["id"].isUInt64() && last["id"].asUInt64() == id;
+    if (!again) {
+        auto given = take(workspace, wanted);
+        if (!given)
+            return;
+        last = Json::Value();
+        last["id"] = Json::UInt64(id);
+        last["tokens"] = given->tokens;
+        last["retry_after_us"] = Json::UInt64(given->retry_after.count());
+    }
+    transport_.send(from, answer_method, last);
+}
+
+void token_messages::on_answer(const Json::Value& params)
+{
+    message_fields in(params);
+    auto id = in.number("id");
+    grant given;
+    given.tokens = static_cast<int>(in.number("tokens", max_wanted));
+    given.retry_after =
+        duration(static_cast<duration::rep>(in.number("retry_after_us")));
+    if (in.valid())
+        end(id, given);
+}
+
+} // namespace shallotwood::process::rate
--- /dev/null
+++ b/src/process/rate/token_messages.hpp
@@ -0,0 +1,77 @@
+// Tokens of the workspaces' rates, over messages that may be lost.
+//
+// Finds the home of each workspace among the members, asks it for this node's
+// wallet, and answers for the workspaces whose home this node is. A question
+// that is not answered in time counts as a home that can't be reached.
+//
+// Bounds: max_questions waiting for an answer, max_answers remembered.
+#pragma once
+
+#include "process/event_loop.hpp"
+#include "process/member.hpp"
+#include "process/peer_transport.hpp"
+#include "process/rate/token_bucket_home.hpp"
+#include "process/rate/wallet.hpp"
+
+#include <functional>
+#include <json/json.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace shallotwood::process::rate
+{
+
+// The limit of the workspace in the configuration in force; nothing if there
+// is no such workspace.
+using rate_lookup =
+    std::function<std::optional<rate_limit>(const std::string& workspace)>;
+
+class token_messages final : public token_source
+{
+public:
+    static constexpr std::size_t max_questions = 10'000;
+    static constexpr std::size_t max_answers = 10'000;
+
+    // The references outlive this object.
+    token_messages(event_loop& loop, peer_transport& transport,
+                   const member_view& members, token_bucket_home& home,
+                   rate_lookup limits);
+    ~token_messages();
+    token_messages(const token_messages&) = delete;
+    token_messages& operator=(const token_messages&) = delete;
+
+    void ask(const std::string& workspace, int wanted,
+             std::function<void(std::optional<grant>)> reply) override;
+    double own_part() const override;
+
+private:
+    struct question {
+        peer_address to;
+        Json::Value params;
+        std::function<void(std::optional<grant>)> reply;
+        timer_id resend{};
+        timer_id limit{};
+    };
+
+    std::optional<grant> take(const std::string& workspace, int wanted);
+    void send(std::uint64_t id);
+    void on_question(const peer_address& from, const Json::Value& params);
+    void on_answer(const Json::Value& params);
+    void end(std::uint64_t id, const std::optional<grant>& given);
+
+    event_loop& loop_;
+    peer_transport& transport_;
+    const member_view& members_;
+    token_bucket_home& home_;
+    rate_lookup limits_;
+    std::unordered_map<std::uint64_t, question> questions_;
+    std::uint64_t last_question_ = 0;
+    // The last answer to each node about each workspace: a question that is
+    // sent again must not take tokens twice.
+    std::unordered_map<std::string, Json::Value> answered_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace shallotwood::process::rate
--- /dev/null
+++ b/src/process/record/claim_store.cpp
@@ -0,0 +1,396 @@
+#include "process/record/claim_store.hpp"
+
+#include "process/json_text.hpp"
+#include "process/keyed_hash.hpp"
+#include "process/log.hpp"
+#include "process/message_fields.hpp"
+
+#include <algorithm>
+#include <glib.h>
+#include <utility>
+
+namespace shallotwood::process::record
+{
+
+namespace
+{
+
+using request::execution;
+using request::reason;
+using request::recorded_response;
+
+constexpr const char* state_claimed = "claimed";
+constexpr const char* state_not_run = "not-run";
+constexpr const char* state_may_have_run = "may-have-run";
+constexpr const char* state_done = "done";
+
+constexpr std::size_t max_content_type_bytes = 256;
+constexpr std::size_t max_claim_bytes = 256;
+constexpr std::size_t max_state_bytes = 16;
+constexpr std::uint64_t max_status = 999;
+
+// A claim that meets a record that was given back or has expired tries to
+// replace it; another node may do so at the same time.
+constexpr int max_tries = 4;
+
+// How often expired records are looked for.
+constexpr duration removal_period = std::chrono::seconds(10);
+
+struct record {
+    std::string claim;
+    std::string state;
+    // Wall-clock milliseconds of its last change.
+    std::int64_t written_at = 0;
+    recorded_response response;
+};
+
+// Names an object by the workspace and the hash of the key, so that no
+// workspace can meet the keys of another one.
+std::string object_of(const std::string& workspace, const std::string& key)
+{
+    auto text = workspace + '\n' + key;
+    auto* raw = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.data(),
+                                              static_cast<gssize>(text.size()));
+    std::string name = object_prefix + std::string(raw);
+    g_free(raw);
+    return name;
+}
+
+Json::Value to_json(const recorded_response& it)
+{
+    Json::Value out;
+    out["status"] = it.status;
+    out["type"] = to_base64(it.content_type);
+    out["body"] = to_base64(it.body);
+    out["recorded"] = it.body_recorded;
+    return out;
+}
+
+std::optional<recorded_response> response_from_json(const Json::Value& value)
+{
+    message_fields in(value);
+    recorded_response it;
+    it.status = static_cast<int>(in.number("status", max_status));
+    auto type = from_base64(in.text("type", 2 * max_content_type_bytes));
+    auto body = from_base64(in.text("body", max_object_bytes));
+    it.body_recorded = in.flag("recorded");
+    if (!in.valid() || !type || !body)
+        return std::nullopt;
+    it.content_type = std::move(*type);
+    it.body = std::move(*body);
+    return it;
+}
+
+std::optional<record> parse_record(const std::string& text)
+{
+    auto json = parse_json(text);
+    if (!json || !json->isObject() || !(*json)["written_at"].isInt64())
+        return std::nullopt;
+    message_fields in(*json);
+    record it;
+    it.claim = in.text("claim", max_claim_bytes);
+    it.state = in.text("state", max_state_bytes);
+    it.written_at = (*json)["written_at"].asInt64();
+    if (!in.valid())
+        return std::nullopt;
+    if (it.state == state_done) {
+        auto response = response_from_json((*json)["response"]);
+        if (!response)
+            return std::nullopt;
+        it.response = std::move(*response);
+    }
+    return it;
+}
+
+std::int64_t to_ms(duration it)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+}
+
+} // namespace
+
+claim_store::claim_store(event_loop& loop, object_store& store,
+                         counters& counts, std::string boot, wall_clock wall,
+                         claim_settings settings)
+    : loop_(loop), store_(store), counts_(counts), boot_(std::move(boot)),
+      wall_(std::move(wall)), settings_(settings)
+{
+    removal_timer_ =
+        loop_.call_after(removal_period, [this] { remove_expired(); });
+}
+
+claim_store::~claim_store()
+{
+    loop_.cancel(removal_timer_);
+    for (const auto& [id, it] : open_)
+        loop_.cancel(it.limit);
+}
+
+std::string claim_store::encode(const std::string& id, const char* state) const
+{
+    Json::Value json;
+    json["claim"] = id;
+    json["state"] = state;
+    json["written_at"] = Json::Int64(wall_());
+    return write_json(json);
+}
+
+// ---- claiming ---------------------------------------------------------------
+
+void claim_store::claim(const std::string& workspace, const std::string& key,
+                        time_point deadline,
+                        std::function<void(const claim_result&)> done)
+{
+    if (key.size() > settings_.max_key_bytes) {
+        done(claim_refused{reason::malformed});
+        return;
+    }
+    if (open_.size() >= settings_.max_open_claims) {
+        ++counts_.at("claims_over_bound");
+        done(claim_refused{reason::record_capacity});
+        return;
+    }
+    auto id = boot_ + '-' + std::to_string(++last_claim_);
+    auto& it = open_[id];
+    it.object = object_of(workspace, key);
+    it.on_claimed = std::move(done);
+    auto left = std::chrono::duration_cast<duration>((deadline - loop_.now()) *
+                                                     settings_.wait_share);
+    it.limit = loop_.call_after(std::min(left, settings_.answer_limit),
+                                [this, id] { claim_timed_out(id); });
+    create(id, 0);
+}
+
+void claim_store::create(const std::string& id, std::uint64_t expected_version)
+{
+    auto& it = open_.at(id);
+    ++it.tries;
+    store_.put(it.object, encode(id, state_claimed), expected_version,
+               [this, id,
+                alive = std::weak_ptr<bool>(alive_)](const put_result& result) {
+                   if (!alive.expired() && open_.count(id) != 0)
+                       created(id, result);
+               });
+}
+
+void claim_store::created(const std::string& id, const put_result& result)
+{
+    if (const auto* version = std::get_if<std::uint64_t>(&result)) {
+        granted(id, *version);
+        return;
+    }
+    auto why = std::get<store_error>(result);
+    if (why == store_error::conflict || why == store_error::unknown_outcome)
+        look(id);
+    else
+        answer(id, claim_refused{});
+}
+
+void claim_store::look(const std::string& id)
+{
+    store_.get(open_.at(id).object,
+               [this, id,
+                alive = std::weak_ptr<bool>(alive_)](const get_result& result) {
+                   if (!alive.expired() && open_.count(id) != 0)
+                       looked(id, result);
+               });
+}
+
+void claim_store::looked(const std::string& id, const get_result& result)
+{
+    const auto& it = open_.at(id);
+    if (const auto* object = std::get_if<stored_object>(&result)) {
+        auto found = parse_record(object->value);
+        if (found && found->claim == id && found->state == state_claimed)
+            granted(id, object->version);
+        else
+            taken_by_other(id, *object);
+        return;
+    }
+    bool gone = std::get<store_error>(result) == store_error::not_found;
+    if (gone && it.on_claimed && it.tries < max_tries)
+        create(id, 0);
+    else
+        // The claim may have been written, or may be yet.
+        look_later(id);
+}
+
+void claim_store::look_later(const std::string& id)
+{
+    loop_.call_after(settings_.resend_period,
+                     [this, id, alive = std::weak_ptr<bool>(alive_)] {
+                         if (!alive.expired() && open_.count(id) != 0)
+                             look(id);
+                     });
+}
+
+void claim_store::taken_by_other(const std::string& id,
+                                 const stored_object& object)
+{
+    auto found = parse_record(object.value);
+    if (!found) {
+        // Written by something else: nothing is known of the key.
+        answer(id, claim_may_have_run{});
+        return;
+    }
+    auto age = wall_() - found->written_at;
+    bool free = found->state == state_not_run || age > to_ms(settings_.window);
+    if (free && open_.at(id).tries < max_tries)
+        create(id, object.version);
+    else if (free)
+        answer(id, claim_in_progress{});
+    else if (found->state == state_done)
+        answer(id, claim_done{found->response});
+    else if (found->state == state_claimed && age <= to_ms(settings_.run_limit))
+        answer(id, claim_in_progress{});
+    else
+        answer(id, claim_may_have_run{});
+}
+
+void claim_store::granted(const std::string& id, std::uint64_t version)
+{
+    auto& it = open_.at(id);
+    it.version = version;
+    if (!it.on_claimed) {
+        // Too late for the request, which was refused.
+        it.at = phase::running;
+        finish(id, execution::not_run, [](bool) {});
+        return;
+    }
+    it.at = phase::running;
+    loop_.cancel(it.limit);
+    auto done = std::move(it.on_claimed);
+    it.on_claimed = {};
+    done(claim_granted{id});
+}
+
+// Ends a claim that was not granted.
+void claim_store::answer(const std::string& id, const claim_result& result)
+{
+    auto it = open_.extract(id);
+    loop_.cancel(it.mapped().limit);
+    if (auto done = std::move(it.mapped().on_claimed))
+        done(result);
+}
+
+void claim_store::claim_timed_out(const std::string& id)
+{
+    auto& it = open_.at(id);
+    loop_.cancel(it.limit);
+    auto done = std::move(it.on_claimed);
+    it.on_claimed = {};
+    // If the store has written the claim, it is given back; see granted().
+    it.limit = loop_.call_after(settings_.finish_limit,
+                                [this, id] { open_.erase(id); });
+    if (done) {
+        ++counts_.at("claims_unanswered");
+        done(claim_refused{});
+    }
+}
+
+// ---- outcomes ---------------------------------------------------------------
+
+void claim_store::finish(const std::string& claim, claim_outcome outcome,
+                         std::function<void(bool recorded)> done)
+{
+    auto found = open_.find(claim);
+    if (found == open_.end() || found->second.at != phase::running) {
+        done(false);
+        return;
+    }
+    auto& it = found->second;
+    Json::Value json;
+    json["claim"] = claim;
+    json["written_at"] = Json::Int64(wall_());
+    if (auto* response = std::get_if<recorded_response>(&outcome)) {
+        if (response->content_type.size() > max_content_type_bytes)
+            response->content_type.clear();
+        if (response->body.size() > settings_.max_body_bytes) {
+            response->body.clear();
+            response->body_recorded = false;
+        }
+        json["state"] = state_done;
+        json["response"] = to_json(*response);
+    } else {
+        bool free = std::get<execution>(outcome) == execution::not_run;
+        json["state"] = free ? state_not_run : state_may_have_run;
+    }
+    it.at = phase::finishing;
+    it.outcome = write_json(json);
+    it.on_finished = std::move(done);
+    it.give_up_at = loop_.now() + settings_.finish_limit;
+    // The caller is not kept waiting for the store.
+    loop_.cancel(it.limit);
+    it.limit = loop_.call_after(settings_.answer_limit, [this, claim] {
+        if (auto tell = std::exchange(open_.at(claim).on_finished, {}))
+            tell(false);
+    });
+    write_outcome(claim);
+}
+
+void claim_store::write_outcome(const std::string& id)
+{
+    const auto& it = open_.at(id);
+    store_.put(it.object, it.outcome, it.version,
+               [this, id,
+                alive = std::weak_ptr<bool>(alive_)](const put_result& result) {
+                   if (!alive.expired() && open_.count(id) != 0)
+                       outcome_written(id, result);
+               });
+}
+
+void claim_store::outcome_written(const std::string& id,
+                                  const put_result& result)
+{
+    auto& it = open_.at(id);
+    if (const auto* version = std::get_if<std::uint64_t>(&result)) {
+        if (removals_.size() < settings_.max_removals)
+            removals_.push_back(
+                {loop_.now() + settings_.window, it.object, *version});
+        finished(id, true);
+        return;
+    }
+    if (std::get<store_error>(result) == store_error::conflict)
+        // Only an earlier sending of this outcome can have replaced the claim.
+        finished(id, true);
+    else
+        retry_outcome(id);
+}
+
+void claim_store::retry_outcome(const std::string& id)
+{
+    if (loop_.now() >= open_.at(id).give_up_at) {
+        ++counts_.at("outcomes_not_recorded");
+        SHALLOTWOOD_LOG(warning)
+            << "event=outcome_not_recorded" << field("claim", id);
+        finished(id, false);
+        return;
+    }
+    loop_.call_after(settings_.resend_period,
+                     [this, id, alive = std::weak_ptr<bool>(alive_)] {
+                         if (!alive.expired() && open_.count(id) != 0)
+                             write_outcome(id);
+                     });
+}
+
+void claim_store::finished(const std::string& id, bool recorded)
+{
+    auto it = open_.extract(id);
+    loop_.cancel(it.mapped().limit);
+    if (auto tell = std::move(it.mapped().on_finished))
+        tell(recorded);
+}
+
+void claim_store::remove_expired()
+{
+    while (!removals_.empty() && removals_.front().due <= loop_.now()) {
+        auto it = std::move(removals_.front());
+        removals_.pop_front();
+        // A record that was claimed anew meanwhile has another version.
+        store_.remove(it.object, it.version, [](const put_result&) {});
+    }
+    removal_timer_ =
+        loop_.call_after(removal_period, [this] { remove_expired(); });
+}
+
+} // namespace shallotwood::process::record
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -129,20 +129,10 @@
         {"drain_limit", &settings::drain_limit, optional, "s", 0.1, 3600,
          form::any,
          "Time that requests in flight get to finish at a shutdown."},
-        {"shards", &settings::shards, optional, "shards", 1, 4096, form::any,
-         "Number of shards that ownership is distributed over; the same on all "
-         "nodes."},
         {"record_window", &settings::record_window, optional, "s", 1, 604800,
          form::any,
          "Time that the record of a non-repeatable request is kept; it must "
          "outlive every repeat of the request."},
-        {"record_count_limit", &settings::record_count_limit, optional,
-         "records", 1, 10'000'000, form::any,
-         "Most records that this node keeps; at the limit new claims are "
-         "refused."},
-        {"record_bytes_limit", &settings::record_bytes_limit, optional, "bytes",
-         65536, 1e11, form::any,
-         "Most bytes that the records on this node take."},
         {"retry_allowance", &settings::retry_allowance, optional, "retries", 0,
          10, form::any, "Retries that a request may spend in its call tree."},
         {"queue_count_limit", &settings::queue_count_limit, optional,
@@ -150,10 +140,6 @@
          "Most requests that wait for a slot of the backend server."},
         {"queue_time_limit", &settings::queue_time_limit, optional, "s", 0.001,
          60, form::any, "Longest time that a request waits for a slot."},
-        {"token_grant_validity", &settings::token_grant_validity, optional, "s",
-         0.1, 60, form::any,
-         "Time from asking after which tokens granted by the owner of a "
-         "workspace's rate are void; the same on all nodes."},
     };
     return table;
 }
--- a/src/process/settings.hpp
+++ b/src/process/settings.hpp
@@ -41,14 +41,10 @@
     boost::log::trivial::severity_level log_level = boost::log::trivial::info;
     duration isolation_limit = std::chrono::seconds(10);
     duration drain_limit = std::chrono::seconds(30);
-    std::int64_t shards = 16;
     duration record_window = std::chrono::hours(24);
-    std::int64_t record_count_limit = 50'000;
-    std::int64_t record_bytes_limit = 33'554'432;
     std::int64_t retry_allowance = 2;
     std::int64_t queue_count_limit = 1024;
     duration queue_time_limit = std::chrono::milliseconds(500);
-    duration token_grant_validity = std::chrono::seconds(2);
 };
 
 struct settings_fault {
--- a/src/request/verdict.cpp
+++ b/src/request/verdict.cpp
@@ -25,7 +25,7 @@
      {reason::no_configuration, "no-configuration"},
      {reason::isolated, "isolated"},
      {reason::draining, "draining"},
-     {reason::record_owner_unknown, "record-owner-unknown"},
+     {reason::record_store_unreachable, "record-store-unreachable"},
      {reason::record_capacity, "record-capacity"},
      {reason::duplicate_in_progress, "duplicate-in-progress"},
      {reason::duplicate, "duplicate"},
--- a/src/request/verdict.hpp
+++ b/src/request/verdict.hpp
@@ -23,7 +23,7 @@
     no_configuration,
     isolated,
     draining,
-    record_owner_unknown,
+    record_store_unreachable,
     record_capacity,
     duplicate_in_progress,
     // It ran before; the response was too large to be recorded.
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -52,6 +52,27 @@
     return current + 1;
 }
 
+void fake_object_store::remove(const std::string& name,
+                               std::uint64_t expected_version,
+                               std::function<void(process::put_result)> done)
+{
+    timers_.call_after(delay,
+                       [this, name, expected_version, done = std::move(done)] {
+                           ++writes;
+                           auto it = objects_.find(name);
+                           if (down)
+                               done(store_error::unavailable);
+                           else if (it == objects_.end())
+                               done(store_error::not_found);
+                           else if (it->second.version != expected_version)
+                               done(store_error::conflict);
+                           else {
+                               objects_.erase(it);
+                               done(expected_version);
+                           }
+                       });
+}
+
 void fake_object_store::list(const std::string& prefix,
                              std::function<void(process::list_result)> done)
 {
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -20,6 +20,8 @@
     void put(const std::string& name, const std::string& value,
              std::uint64_t expected_version,
              std::function<void(process::put_result)> done) override;
+    void remove(const std::string& name, std::uint64_t expected_version,
+                std::function<void(process::put_result)> done) override;
     void list(const std::string& prefix,
               std::function<void(process::list_result)> done) override;
     process::watch_id
