--- a/src/process/fleet/fleet_view.cpp
+++ b/src/process/fleet/fleet_view.cpp
@@ -6,7 +6,39 @@
 namespace shallotwood::process::fleet
 {
 
-fleet_view::fleet_view(instance self) : self_(std::move(self)) {}
+namespace
+{
+
+std::uint64_t digest_of(const std::string& name, const instance& it)
+{
+    std::uint64_t numbers[2] = {it.incarnation, it.sequence};
+    return XXH64(numbers, sizeof numbers, XXH64(name.data(), name.size(), 0));
+}
+
+} // namespace
+
+fleet_view::fleet_view(instance self)
+    : self_(std::move(self)), self_name_(self_.name())
+{
+    put_in(self_name_, self_);
+}
+
+void fleet_view::take_out(const std::string& name, const instance& it)
+{
+    digest_ ^= digest_of(name, it);
+    auto& of = by_service_[it.service];
+    of.erase(
+        std::remove_if(of.begin(), of.end(),
+                       [&](const listed& entry) { return entry.it == &it; }),
+        of.end());
+}
+
+void fleet_view::put_in(const std::string& name, const instance& it)
+{
+    digest_ ^= digest_of(name, it);
+    by_service_[it.service].push_back({&name, &it});
+    ++revision_;
+}
 
 bool fleet_view::change_self(const std::function<void(instance&)>& change)
 {
@@ -15,56 +47,64 @@
     if (changed == self_)
         return false;
     changed.sequence = self_.sequence + 1;
+    take_out(self_name_, self_);
     self_ = std::move(changed);
-    ++revision_;
+    put_in(self_name_, self_);
+    return true;
+}
+
+bool fleet_view::make_room()
+{
+    auto left = std::find_if(others_.begin(), others_.end(),
+                             [](const auto& it) { return it.second.leaving; });
+    if (left == others_.end())
+        return false;
+    take_out(left->first, left->second);
+    others_.erase(left);
     return true;
 }
 
 bool fleet_view::learn(const instance& it)
 {
     auto name = it.name();
-    if (name == self_.name()) {
+    if (name == self_name_) {
         // An entry of an earlier start of this node, whose clock was ahead.
-        if (it.is_newer_than(self_)) {
-            self_.incarnation = it.incarnation + 1;
-            ++revision_;
-            return true;
-        }
-        return false;
+        if (!it.is_newer_than(self_))
+            return false;
+        take_out(self_name_, self_);
+        self_.incarnation = it.incarnation + 1;
+        put_in(self_name_, self_);
+        return true;
     }
     auto known = others_.find(name);
     if (known == others_.end()) {
-        if (others_.size() >= max_instances)
+        if (others_.size() + 1 >= max_instances && !make_room())
             return false;
-        others_.emplace(name, it);
-        ++revision_;
-        return true;
+        known = others_.emplace(name, it).first;
+    } else {
+        if (!it.is_newer_than(known->second))
+            return false;
+        take_out(known->first, known->second);
+        known->second = it;
     }
-    if (!it.is_newer_than(known->second))
-        return false;
-    known->second = it;
-    ++revision_;
+    put_in(known->first, known->second);
     return true;
 }
 
 const instance* fleet_view::find(const std::string& name) const
 {
-    if (name == self_.name())
+    if (name == self_name_)
         return &self_;
     auto it = others_.find(name);
     return it == others_.end() ? nullptr : &it->second;
 }
 
-std::vector<const instance*>
+const std::vector<fleet_view::listed>&
 fleet_view::of_service(const std::string& service) const
 {
-    std::vector<const instance*> found;
-    if (self_.service == service)
-        found.push_back(&self_);
-    for (const auto& [name, it] : others_)
-        if (it.service == service)
-            found.push_back(&it);
-    return found;
+    static const std::vector<listed> none;
+    auto it = by_service_.find(service);
+    return it == by_service_.end() ? none : it->second;
 }
 
 std::vector<const instance*> fleet_view::all() const
@@ -75,18 +115,6 @@
     return found;
 }
 
-std::uint64_t fleet_view::digest() const
-{
-    std::uint64_t sum = 0;
-    for (const auto* it : all()) {
-        std::uint64_t numbers[2] = {it->incarnation, it->sequence};
-        auto name = it->name();
-        sum ^=
-            XXH64(numbers, sizeof numbers, XXH64(name.data(), name.size(), 0));
-    }
-    return sum;
-}
-
 std::uint64_t rendezvous_weight(const std::string& key, const std::string& name)
 {
     return XXH64(name.data(), name.size(), XXH64(key.data(), key.size(), 0));
--- a/src/process/fleet/fleet_view.hpp
+++ b/src/process/fleet/fleet_view.hpp
@@ -1,8 +1,8 @@
 // The instances that this node knows, and the rule by which news replaces what
 // is known.
 //
-// Bounded: max_instances entries; one that has been unreachable longest makes
-// room for a new one.
+// Bounded: max_instances entries; one of an instance that has left makes room
+// for a new one.
 #pragma once
 
 #include "process/fleet/instance.hpp"
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace shallotwood::process::fleet
@@ -21,9 +22,15 @@
 class fleet_view
 {
 public:
-    using listener = std::function<void(const instance&)>;
+    // An entry and its name, which is costly to make.
+    struct listed {
+        const std::string* name = nullptr;
+        const instance* it = nullptr;
+    };
 
     explicit fleet_view(instance self);
+    fleet_view(const fleet_view&) = delete;
+    fleet_view& operator=(const fleet_view&) = delete;
 
     const instance& self() const { return self_; }
     // Changes the own entry under a new sequence; true if it did change.
@@ -34,19 +41,28 @@
     bool learn(const instance& it);
 
     const instance* find(const std::string& name) const;
-    // Including the own entry.
-    std::vector<const instance*> of_service(const std::string& service) const;
+    // Including the own entry. Valid until the next change.
+    const std::vector<listed>& of_service(const std::string& service) const;
     std::vector<const instance*> all() const;
     std::size_t size() const { return others_.size() + 1; }
     // Counts changes; caches of what the view holds compare it.
     std::uint64_t revision() const { return revision_; }
 
     // One number for all entries; equal views have equal digests.
-    std::uint64_t digest() const;
+    std::uint64_t digest() const { return digest_; }
 
 private:
+    // Bracket each change of an entry.
+    void take_out(const std::string& name, const instance& it);
+    void put_in(const std::string& name, const instance& it);
+    bool make_room();
+
     instance self_;
+    const std::string self_name_;
     std::map<std::string, instance> others_;
+    // Entries of self_ and others_.
+    std::unordered_map<std::string, std::vector<listed>> by_service_;
+    std::uint64_t digest_ = 0;
     std::uint64_t revision_ = 1;
 };
 
--- a/src/process/routing/placement.cpp
+++ b/src/process/routing/placement.cpp
@@ -57,12 +57,11 @@
     };
     std::vector<candidate> candidates;
     double fastest = 0;
-    for (const auto* it : fleet_.of_service(service)) {
-        auto name = it->name();
+    for (const auto& [name, it] : fleet_.of_service(service)) {
         if (!it->takes_calls() ||
-            std::find(tried.begin(), tried.end(), name) != tried.end())
+            std::find(tried.begin(), tried.end(), *name) != tried.end())
             continue;
-        const auto& of = figures_[name];
+        const auto& of = figures_[*name];
         candidates.push_back({it, &of});
         double time = fresh_time(of, route);
         if (time > 0 && (fastest <= 0 || time < fastest))
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -420,6 +420,7 @@
     if (of.reachable == reachable)
         return;
     of.reachable = reachable;
+    ++revision_;
     placement_.set_reachable(name, reachable);
     if (on_reachability_)
         on_reachability_();
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -59,6 +59,8 @@
     // False while the node does not answer.
     bool reachable(const std::string& name) const;
     std::size_t unreachable() const;
+    // Counts the changes of what reachable() says.
+    std::uint64_t revision() const { return revision_; }
 
 private:
     class remote_run;
@@ -88,6 +90,7 @@
     revision_handler on_revision_;
     std::function<void()> on_reachability_;
     std::map<std::string, link> links_;
+    std::uint64_t revision_ = 1;
     timer_id timer_{};
 };
 
--- a/src/process/sidecar/token_exchange.cpp
+++ b/src/process/sidecar/token_exchange.cpp
@@ -31,9 +31,18 @@
 {
 }
 
-std::string token_exchange::home_of(const std::string& workspace) const
+const std::string& token_exchange::home_of(const std::string& workspace)
 {
-    std::string home;
+    if (fleet_revision_ != fleet_.revision() ||
+        links_revision_ != links_.revision()) {
+        homes_.clear();
+        fleet_revision_ = fleet_.revision();
+        links_revision_ = links_.revision();
+    }
+    auto [found, inserted] = homes_.try_emplace(workspace);
+    auto& home = found->second;
+    if (!inserted)
+        return home;
     std::uint64_t most = 0;
     for (const auto* it : fleet_.all()) {
         auto name = it->name();
@@ -51,7 +60,7 @@
 void token_exchange::ask(const std::string& workspace, int wanted,
                          std::function<void(std::optional<rate::grant>)> reply)
 {
-    auto home = home_of(workspace);
+    const auto& home = home_of(workspace);
     Json::Value message;
     message["workspace"] = workspace;
     message["wanted"] = wanted;
--- a/src/process/sidecar/token_exchange.hpp
+++ b/src/process/sidecar/token_exchange.hpp
@@ -12,6 +12,7 @@
 
 #include <json/json.h>
 #include <string>
+#include <unordered_map>
 
 namespace shallotwood::process::sidecar
 {
@@ -31,12 +32,16 @@
     Json::Value take_message(const Json::Value& message);
 
 private:
-    std::string home_of(const std::string& workspace) const;
+    const std::string& home_of(const std::string& workspace);
 
     const fleet::fleet_view& fleet_;
     peer_links& links_;
     const policy_feed& feed_;
     rate::token_bucket_home& home_;
+    // By workspace; void when the fleet or the contact to a node has changed.
+    std::unordered_map<std::string, std::string> homes_;
+    std::uint64_t fleet_revision_ = 0;
+    std::uint64_t links_revision_ = 0;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/tests/sidecar/test_fleet.cpp
+++ b/tests/sidecar/test_fleet.cpp
@@ -3,6 +3,7 @@
 #include "process/sidecar/local_backend.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace shallotwood::test
 {
@@ -133,4 +134,62 @@
     CHECK(it.takes_calls());
 }
 
+TEST_CASE("a view finds the instances of a service through all changes")
+{
+    fleet_view view(entry("self", 5, 0));
+    auto hosts = [&](const std::string& service) {
+        std::set<std::string> all;
+        for (const auto& [name, it] : view.of_service(service)) {
+            CHECK(*name == it->name());
+            all.insert(it->peer.host);
+        }
+        return all;
+    };
+    auto a = entry("a", 1, 0);
+    view.learn(a);
+    view.learn(entry("b", 1, 0));
+    CHECK(hosts("s") == std::set<std::string>{"self", "a", "b"});
+    // The address now serves something else.
+    a.sequence = 1;
+    a.service = "t";
+    view.learn(a);
+    CHECK(hosts("s") == std::set<std::string>{"self", "b"});
+    CHECK(hosts("t") == std::set<std::string>{"a"});
+    view.change_self([](instance& it) { it.service = "t"; });
+    CHECK(hosts("t") == std::set<std::string>{"self", "a"});
+    CHECK(hosts("none").empty());
+}
+
+TEST_CASE("equal views have equal digests, whatever the order of news")
+{
+    fleet_view one(entry("a", 1, 0));
+    fleet_view two(entry("b", 1, 0));
+    one.learn(entry("b", 1, 0));
+    one.learn(entry("c", 1, 0));
+    one.learn(entry("c", 1, 4));
+    CHECK(one.digest() != two.digest());
+    two.learn(entry("c", 1, 4));
+    two.learn(entry("c", 1, 0));
+    two.learn(entry("a", 1, 0));
+    CHECK(one.digest() == two.digest());
+}
+
+// Replaced instances come at new addresses, for ever.
+TEST_CASE("an instance that has left makes room for a new one")
+{
+    fleet_view view(entry("self", 1, 0));
+    for (std::size_t n = 2; n < max_instances; ++n)
+        view.learn(entry("h" + std::to_string(n), 1, 0));
+    REQUIRE(view.size() == max_instances - 1);
+    CHECK(view.learn(entry("last", 1, 0)));
+    CHECK_FALSE(view.learn(entry("new", 1, 0)));
+    auto left = entry("h7", 1, 1);
+    left.leaving = true;
+    view.learn(left);
+    CHECK(view.learn(entry("new", 1, 0)));
+    CHECK(view.find("new:7000") != nullptr);
+    CHECK(view.find("h7:7000") == nullptr);
+    CHECK(view.size() == max_instances);
+}
+
 } // namespace shallotwood::test
