Give configuration, HTTP and the load experiment folders of their own

Left where they are: membership (a class of the folder's name) and the decision modules of shallotwoodd, which go when it moves to the sidecar's data path. The platform's node compiles from the same sources as before.

--- a/bench/bench_membership.cpp
+++ b/bench/bench_membership.cpp
@@ -5,7 +5,7 @@
 //
 // Every message is sealed and opened as on a real socket. CPU includes the
 // simulation, so it is an upper bound.
-#include "process/configuration_feed.hpp"
+#include "process/configuration/configuration_feed.hpp"
 #include "process/membership.hpp"
 #include "process/peer_message.hpp"
 #include "process/peer_socket.hpp"
@@ -130,17 +130,18 @@
 };
 
 // The head object holds only the revision; the changes are the bench's own.
-class bench_loader final : public process::configuration_loader
+class bench_loader final : public process::configuration::configuration_loader
 {
 public:
     void load(const process::stored_object& head,
               const version::configuration_ptr& base,
-              std::function<void(std::optional<process::loaded_configuration>)>
+              std::function<void(
+                  std::optional<process::configuration::loaded_configuration>)>
                   done) override
     {
         auto now =
             base ? base : std::make_shared<const version::configuration>();
-        process::loaded_configuration result;
+        process::configuration::loaded_configuration result;
         auto revision = std::stoull(head.value);
         while (now->revision < revision) {
             result.changes.push_back(changes[now->revision]);
@@ -157,7 +158,7 @@
 struct node {
     process::counters counts;
     std::unique_ptr<process::membership> members;
-    std::unique_ptr<process::configuration_feed> feed;
+    std::unique_ptr<process::configuration::configuration_feed> feed;
 };
 
 struct phase_result {
@@ -222,9 +223,9 @@
         loop_, port, platform_, it->counts, process::membership_settings{},
         self, number);
     it->members->announce("service-" + std::to_string(number % 20), 140);
-    it->feed = std::make_unique<process::configuration_feed>(
+    it->feed = std::make_unique<process::configuration::configuration_feed>(
         loop_, port, platform_, *it->members, loader_.codec, loader_,
-        it->counts, process::configuration_feed_settings{});
+        it->counts, process::configuration::configuration_feed_settings{});
     auto seen = std::make_shared<std::uint64_t>(0);
     it->feed->listen([this, seen](const version::configuration_ptr& now) {
         for (; *seen < now->revision; ++*seen) {
@@ -251,7 +252,7 @@
 {
     loader_.changes.push_back(body());
     committed_.push_back(loop_.now());
-    platform_.put(process::configuration_feed::head_name,
+    platform_.put(process::configuration::configuration_feed::head_name,
                   std::to_string(loader_.changes.size()),
                   loader_.changes.size() - 1, [](const auto&) {});
 }
--- a/programs/shallotwood_experiment.cpp
+++ b/programs/shallotwood_experiment.cpp
@@ -1,5 +1,5 @@
 // Compares the policies under load in virtual time.
-#include "process/load_experiment.hpp"
+#include "process/experiment/load_experiment.hpp"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
@@ -14,9 +14,9 @@
 using namespace shallotwood::process;
 
 constexpr double demands[] = {1, 2, 5, 10};
-constexpr load_policy policies[] = {load_policy::shallotwood,
-                                    load_policy::pass_through,
-                                    load_policy::static_limits};
+constexpr experiment::load_policy policies[] = {
+    experiment::load_policy::shallotwood, experiment::load_policy::pass_through,
+    experiment::load_policy::static_limits};
 
 void print_heading()
 {
@@ -27,12 +27,13 @@
                 "% cap.", "ms", "% fair", "% refused", "refused", "at last");
 }
 
-void print(const std::string& deployment, load_policy policy,
-           const experiment_result& it)
+void print(const std::string& deployment, experiment::load_policy policy,
+           const experiment::experiment_result& it)
 {
     std::printf("%-10s %-13s %7.2f %8.1f %9.0f %7.1f %9.2f %10llu %9.3f\n",
-                deployment.c_str(), std::string(name_of(policy)).c_str(),
-                it.demand, 100 * it.goodput,
+                deployment.c_str(),
+                std::string(experiment::name_of(policy)).c_str(), it.demand,
+                100 * it.goodput,
                 static_cast<double>(it.recovery.count()) / 1000,
                 100 * it.worst_share, 100 * it.refused_inside_rate,
                 static_cast<unsigned long long>(it.important_refused),
@@ -46,17 +47,17 @@
     Json::Value runs(Json::arrayValue);
     for (auto demand : demands) {
         for (auto policy : policies) {
-            if (!only.empty() && only != name_of(policy))
+            if (!only.empty() && only != experiment::name_of(policy))
                 continue;
-            auto settings =
-                name == "A" ? deployment_a(demand) : deployment_b(demand);
+            auto settings = name == "A" ? experiment::deployment_a(demand)
+                                        : experiment::deployment_b(demand);
             settings.policy = policy;
             settings.seed = seed;
-            auto result = run_experiment(settings);
+            auto result = experiment::run_experiment(settings);
             print(name, policy, result);
             auto json = to_json(result);
             json["deployment"] = name;
-            json["policy"] = std::string(name_of(policy));
+            json["policy"] = std::string(experiment::name_of(policy));
             json["nominal_demand"] = demand;
             json["seed"] = Json::UInt64(seed);
             runs.append(json);
@@ -69,8 +70,9 @@
 std::string check(const options::variables_map& given)
 {
     auto policy = given["policy"].as<std::string>();
-    auto known = std::any_of(std::begin(policies), std::end(policies),
-                             [&](auto it) { return policy == name_of(it); });
+    auto known =
+        std::any_of(std::begin(policies), std::end(policies),
+                    [&](auto it) { return policy == experiment::name_of(it); });
     if (!policy.empty() && !known)
         return "unknown policy: " + policy;
     if (given.count("deployment") == 0)
--- a/programs/shallotwoodctl.cpp
+++ b/programs/shallotwoodctl.cpp
@@ -1,7 +1,7 @@
 // The operator's command: plan, confirm, status, keys.
 #include "process/address.hpp"
 #include "process/glib_event_loop.hpp"
-#include "process/node_status.hpp"
+#include "process/http/node_status.hpp"
 #include "process/operator_command.hpp"
 #include "process/platform_client.hpp"
 
@@ -147,7 +147,7 @@
     process::glib_event_loop loop;
     process::random_source random(std::random_device{}());
     process::platform_client platform(platform_address(chosen), loop, random);
-    process::http_node_status_reader nodes(loop);
+    process::http::http_node_status_reader nodes(loop);
     process::operator_command command(platform, loop, random, nodes,
                                       {std::cin, std::cout, std::cerr});
     auto result = process::exit_code::failed;
--- a/programs/shallotwoodload.cpp
+++ b/programs/shallotwoodload.cpp
@@ -1,7 +1,7 @@
 // Sends load to a node and accounts for each request.
 #include "connection/http_listener.hpp"
+#include "process/experiment/load_generator.hpp"
 #include "process/glib_event_loop.hpp"
-#include "process/load_generator.hpp"
 
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -69,16 +69,16 @@
         std::chrono::duration<double>(it));
 }
 
-std::vector<process::load_workspace>
+std::vector<process::experiment::load_workspace>
 workspaces_of(const options::variables_map& values)
 {
     auto path = values["path"].as<std::string>();
     if (values.count("workspaces") == 0)
         return {{"all", 1, "", path}};
     std::ifstream file(values["workspaces"].as<std::string>());
-    std::vector<process::load_workspace> all;
+    std::vector<process::experiment::load_workspace> all;
     for (std::string line; std::getline(file, line);) {
-        process::load_workspace it{"", 0, "", path};
+        process::experiment::load_workspace it{"", 0, "", path};
         std::istringstream words(line);
         if (!(words >> it.name >> it.weight) || !(it.weight > 0))
             throw usage_error("expected NAME WEIGHT [KEY [PATH]]");
@@ -93,7 +93,7 @@
 }
 
 void set_target(const options::variables_map& values,
-                process::load_settings& it)
+                process::experiment::load_settings& it)
 {
     if (values.count("target") == 0)
         throw usage_error("--target is required");
@@ -108,9 +108,10 @@
     it.port = target->port;
 }
 
-process::load_settings settings_of(const options::variables_map& values)
+process::experiment::load_settings
+settings_of(const options::variables_map& values)
 {
-    process::load_settings it;
+    process::experiment::load_settings it;
     set_target(values, it);
     it.method = values["method"].as<std::string>();
     it.body_bytes = values["body-bytes"].as<std::size_t>();
@@ -150,7 +151,7 @@
 {
     process::glib_event_loop loop;
     connection::http_client client;
-    process::load_generator load(settings_of(values), loop, client);
+    process::experiment::load_generator load(settings_of(values), loop, client);
     load.start([&loop] { loop.stop(); });
     loop.run();
     auto json = to_json(load.report());
--- a/src/process/backend_presence.cpp
+++ b/src/process/backend_presence.cpp
@@ -22,7 +22,7 @@
         loop_.cancel(*silence_);
 }
 
-void backend_presence::announced(const backend_announcement& it)
+void backend_presence::announced(const http::backend_announcement& it)
 {
     if (loop_.now() < ignore_until_)
         return;
--- a/src/process/backend_presence.hpp
+++ b/src/process/backend_presence.hpp
@@ -6,8 +6,8 @@
 // notice before a new announcement counts.
 #pragma once
 
-#include "process/data_path.hpp"
 #include "process/event_loop.hpp"
+#include "process/http/data_path.hpp"
 
 #include <functional>
 #include <optional>
@@ -23,7 +23,7 @@
 public:
     struct listener {
         // First announcement, or one that differs from the last.
-        std::function<void(const backend_announcement&)> present;
+        std::function<void(const http::backend_announcement&)> present;
         // It asked to leave, or fell silent (`lost` is then true).
         std::function<void(bool lost)> absent;
     };
@@ -33,12 +33,12 @@
     backend_presence(const backend_presence&) = delete;
     backend_presence& operator=(const backend_presence&) = delete;
 
-    void announced(const backend_announcement& it);
+    void announced(const http::backend_announcement& it);
     // A connection to the backend server was refused.
     void connection_refused();
     void left();
 
-    const std::optional<backend_announcement>& current() const
+    const std::optional<http::backend_announcement>& current() const
     {
         return current_;
     }
@@ -49,7 +49,7 @@
 
     event_loop& loop_;
     listener on_change_;
-    std::optional<backend_announcement> current_;
+    std::optional<http::backend_announcement> current_;
     std::optional<timer_id> silence_;
     // After leaving, announcements are ignored until one is missing: the
     // backend server may announce once more before it notices.
--- a/src/process/configuration_feed.cpp
+++ b/src/process/configuration/configuration_feed.cpp
@@ -1,10 +1,10 @@
-#include "process/configuration_feed.hpp"
+#include "process/configuration/configuration_feed.hpp"
 
 #include "process/log.hpp"
 
 #include <algorithm>
 
-namespace shallotwood::process
+namespace shallotwood::process::configuration
 {
 
 namespace
@@ -373,4 +373,4 @@
         });
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::configuration
--- a/src/process/configuration_feed.hpp
+++ b/src/process/configuration/configuration_feed.hpp
@@ -26,7 +26,7 @@
 #include <string>
 #include <vector>
 
-namespace shallotwood::process
+namespace shallotwood::process::configuration
 {
 
 // The text forms in which configurations and changes travel. Implementations
@@ -191,4 +191,4 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::configuration
--- a/src/process/configuration_source.cpp
+++ b/src/process/configuration/configuration_source.cpp
@@ -1,4 +1,4 @@
-#include "process/configuration_source.hpp"
+#include "process/configuration/configuration_source.hpp"
 
 #include "process/json_text.hpp"
 #include "process/log.hpp"
@@ -6,7 +6,7 @@
 
 #include <memory>
 
-namespace shallotwood::process
+namespace shallotwood::process::configuration
 {
 
 namespace
@@ -91,4 +91,4 @@
         });
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::configuration
--- a/src/process/configuration_source.hpp
+++ b/src/process/configuration/configuration_source.hpp
@@ -1,10 +1,10 @@
 // Joins the stored form of configurations to the feed that spreads them.
 #pragma once
 
-#include "process/configuration_feed.hpp"
+#include "process/configuration/configuration_feed.hpp"
 #include "process/object_store.hpp"
 
-namespace shallotwood::process
+namespace shallotwood::process::configuration
 {
 
 class json_configuration_codec final : public configuration_codec
@@ -31,4 +31,4 @@
     object_store& store_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::configuration
--- a/src/process/execution_controller.cpp
+++ b/src/process/execution_controller.cpp
@@ -29,7 +29,7 @@
 
 execution_controller::~execution_controller() = default;
 
-void execution_controller::server_present(const backend_announcement& it)
+void execution_controller::server_present(const http::backend_announcement& it)
 {
     if (!gate_)
         gate_ = std::make_unique<admission>(parts_.loop, parts_.loop, it.slots,
--- a/src/process/execution_controller.hpp
+++ b/src/process/execution_controller.hpp
@@ -14,7 +14,7 @@
 #include "process/backend_presence.hpp"
 #include "process/call_table.hpp"
 #include "process/counters.hpp"
-#include "process/exclusive_run.hpp"
+#include "process/http/exclusive_run.hpp"
 #include "process/suspect_table.hpp"
 #include "request/call_policy.hpp"
 
@@ -38,7 +38,8 @@
         admission_settings queue;
         // Whether the backend server refuses connections, which shows that its
         // process has ended. Must not block.
-        std::function<bool(const backend_announcement&)> refuses_connections;
+        std::function<bool(const http::backend_announcement&)>
+            refuses_connections;
         // Called when that was found.
         std::function<void()> server_ended;
     };
@@ -58,7 +59,7 @@
 
     // The backend server beside this node announced itself, or is gone. `lost`
     // if it fell silent or its process has ended.
-    void server_present(const backend_announcement& it);
+    void server_present(const http::backend_announcement& it);
     void server_absent(bool lost);
 
     // Refuses new calls; `idle` is called when nothing runs any more.
@@ -97,10 +98,10 @@
     void took_end();
 
     modules parts_;
-    std::optional<backend_announcement> server_;
+    std::optional<http::backend_announcement> server_;
     // Absent until a backend server has announced itself.
     std::unique_ptr<admission> gate_;
-    exclusive_run exclusive_;
+    http::exclusive_run exclusive_;
     bool draining_ = false;
     // By attempt id, from the permit to ended().
     std::unordered_map<std::string, run> runs_;
--- a/src/process/load_experiment.cpp
+++ b/src/process/experiment/load_experiment.cpp
@@ -1,6 +1,6 @@
-#include "process/load_experiment.hpp"
+#include "process/experiment/load_experiment.hpp"
 
-#include "process/load_policies.hpp"
+#include "process/experiment/load_policies.hpp"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 #include <numeric>
 #include <unordered_map>
 
-namespace shallotwood::process
+namespace shallotwood::process::experiment
 {
 
 std::string_view name_of(load_policy policy)
@@ -622,4 +622,4 @@
     return json;
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::experiment
--- a/src/process/load_experiment.hpp
+++ b/src/process/experiment/load_experiment.hpp
@@ -20,7 +20,7 @@
 #include <string_view>
 #include <vector>
 
-namespace shallotwood::process
+namespace shallotwood::process::experiment
 {
 
 enum class load_policy { shallotwood, pass_through, static_limits };
@@ -126,4 +126,4 @@
 
 Json::Value to_json(const experiment_result& it);
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::experiment
--- a/src/process/load_generator.cpp
+++ b/src/process/experiment/load_generator.cpp
@@ -1,11 +1,11 @@
-#include "process/load_generator.hpp"
+#include "process/experiment/load_generator.hpp"
 
 #include "process/stream_hash.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::experiment
 {
 
 namespace
@@ -66,7 +66,7 @@
     bool measured = true;
     int retries_left = 0;
     std::shared_ptr<connection::client_call> call;
-    scoped_timer give_up;
+    http::scoped_timer give_up;
 
     // Of the current attempt.
     connection::response_head head;
@@ -277,4 +277,4 @@
         loop_.call_after(duration(0), std::exchange(done_, nullptr));
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::experiment
--- a/src/process/load_generator.hpp
+++ b/src/process/experiment/load_generator.hpp
@@ -8,9 +8,9 @@
 
 #include "connection/http_client.hpp"
 #include "process/event_loop.hpp"
-#include "process/http_environment.hpp"
+#include "process/experiment/precise_timer.hpp"
+#include "process/http/http_environment.hpp"
 #include "process/latency_histogram.hpp"
-#include "process/precise_timer.hpp"
 #include "process/random_source.hpp"
 
 #include <json/json.h>
@@ -19,7 +19,7 @@
 #include <string>
 #include <vector>
 
-namespace shallotwood::process
+namespace shallotwood::process::experiment
 {
 
 // One source of requests.
@@ -135,4 +135,4 @@
     bool planning_ = true;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::experiment
--- a/src/process/load_model.hpp
+++ b/src/process/experiment/load_model.hpp
@@ -5,7 +5,7 @@
 #include "process/admission.hpp"
 #include "process/balancer.hpp"
 #include "process/cut_table.hpp"
-#include "process/load_experiment.hpp"
+#include "process/experiment/load_experiment.hpp"
 #include "process/random_source.hpp"
 #include "process/retry_ratio.hpp"
 #include "process/shed_key.hpp"
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <utility>
 
-namespace shallotwood::process::load_model
+namespace shallotwood::process::experiment::load_model
 {
 
 using request::call_context;
@@ -171,4 +171,4 @@
     }
 };
 
-} // namespace shallotwood::process::load_model
+} // namespace shallotwood::process::experiment::load_model
--- a/src/process/load_policies.cpp
+++ b/src/process/experiment/load_policies.cpp
@@ -1,8 +1,8 @@
-#include "process/load_policies.hpp"
+#include "process/experiment/load_policies.hpp"
 
 #include <algorithm>
 
-namespace shallotwood::process::load_model
+namespace shallotwood::process::experiment::load_model
 {
 
 namespace
@@ -173,4 +173,4 @@
     }
 }
 
-} // namespace shallotwood::process::load_model
+} // namespace shallotwood::process::experiment::load_model
--- a/src/process/load_policies.hpp
+++ b/src/process/experiment/load_policies.hpp
@@ -1,9 +1,9 @@
 // What differs between the policies that the load experiment compares.
 #pragma once
 
-#include "process/load_model.hpp"
+#include "process/experiment/load_model.hpp"
 
-namespace shallotwood::process::load_model
+namespace shallotwood::process::experiment::load_model
 {
 
 constexpr const char* entry_route = "entry";
@@ -44,4 +44,4 @@
 
 std::unique_ptr<hop_policy> make_policy(world& in);
 
-} // namespace shallotwood::process::load_model
+} // namespace shallotwood::process::experiment::load_model
--- a/src/process/precise_timer.cpp
+++ b/src/process/experiment/precise_timer.cpp
@@ -1,4 +1,4 @@
-#include "process/precise_timer.hpp"
+#include "process/experiment/precise_timer.hpp"
 
 #include <algorithm>
 #include <glib-unix.h>
@@ -6,7 +6,7 @@
 #include <unistd.h>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::experiment
 {
 
 precise_timer::precise_timer(std::function<void()> task)
@@ -45,4 +45,4 @@
     return G_SOURCE_CONTINUE;
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::experiment
--- a/src/process/precise_timer.hpp
+++ b/src/process/experiment/precise_timer.hpp
@@ -9,7 +9,7 @@
 
 #include <functional>
 
-namespace shallotwood::process
+namespace shallotwood::process::experiment
 {
 
 class precise_timer
@@ -31,4 +31,4 @@
     connection::source_handle source_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::experiment
--- a/src/process/data_path.cpp
+++ b/src/process/http/data_path.cpp
@@ -1,13 +1,13 @@
-#include "process/data_path.hpp"
+#include "process/http/data_path.hpp"
 
-#include "process/http_entry.hpp"
-#include "process/http_execution.hpp"
+#include "process/http/http_entry.hpp"
+#include "process/http/http_execution.hpp"
 #include "process/json_text.hpp"
 
 #include <json/json.h>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 using connection::http_listener;
@@ -202,4 +202,4 @@
           environment_.counts.text()});
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/data_path.hpp
+++ b/src/process/http/data_path.hpp
@@ -2,7 +2,7 @@
 // policies that decide.
 #pragma once
 
-#include "process/http_environment.hpp"
+#include "process/http/http_environment.hpp"
 
 #include <functional>
 #include <memory>
@@ -10,7 +10,7 @@
 #include <string>
 #include <tuple>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 // What a backend server says about itself at `POST /backend/announce`.
@@ -118,4 +118,4 @@
     connection::http_listener local_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/exclusive_run.cpp
+++ b/src/process/http/exclusive_run.cpp
@@ -1,8 +1,8 @@
-#include "process/exclusive_run.hpp"
+#include "process/http/exclusive_run.hpp"
 
 #include <algorithm>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 bool exclusive_run::hold(const std::string& attempt_id,
@@ -75,4 +75,4 @@
         it.task();
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/exclusive_run.hpp
+++ b/src/process/http/exclusive_run.hpp
@@ -15,7 +15,7 @@
 #include <optional>
 #include <string>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 class exclusive_run
@@ -60,4 +60,4 @@
     std::deque<item> held_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_client.cpp
+++ b/src/process/http/http_client.cpp
@@ -1,6 +1,6 @@
-#include "process/http_client.hpp"
+#include "process/http/http_client.hpp"
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 namespace
@@ -194,4 +194,4 @@
     done(it);
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_client.hpp
+++ b/src/process/http/http_client.hpp
@@ -14,7 +14,7 @@
 #include <string>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 struct http_request {
@@ -72,4 +72,4 @@
     std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_entry.cpp
+++ b/src/process/http/http_entry.cpp
@@ -1,14 +1,14 @@
-#include "process/http_entry.hpp"
+#include "process/http/http_entry.hpp"
 
 #include "connection/body_receiver.hpp"
-#include "process/http_forward.hpp"
+#include "process/http/http_forward.hpp"
 #include "process/keyed_hash.hpp"
 #include "process/log.hpp"
 
 #include <cmath>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 using connection::request_body;
@@ -239,4 +239,4 @@
     });
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_entry.hpp
+++ b/src/process/http/http_entry.hpp
@@ -2,9 +2,9 @@
 // where a call begins.
 #pragma once
 
-#include "process/http_environment.hpp"
+#include "process/http/http_environment.hpp"
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 // Handles a request at the caller listener: asks the entry policy, forwards,
@@ -18,4 +18,4 @@
     http_environment& in,
     const std::shared_ptr<connection::server_exchange>& exchange);
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_environment.cpp
+++ b/src/process/http/http_environment.cpp
@@ -1,10 +1,10 @@
-#include "process/http_environment.hpp"
+#include "process/http/http_environment.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 namespace
@@ -94,4 +94,4 @@
                R"({"verdict":")" + run + R"(","reason":")" + why + "\"}\n");
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_environment.hpp
+++ b/src/process/http/http_environment.hpp
@@ -13,7 +13,7 @@
 #include <memory>
 #include <string>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 struct data_path_settings {
@@ -87,4 +87,4 @@
 void refuse(http_environment& in, connection::server_exchange& to,
             const request::refusal& it);
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_execution.cpp
+++ b/src/process/http/http_execution.cpp
@@ -1,11 +1,11 @@
-#include "process/http_execution.hpp"
+#include "process/http/http_execution.hpp"
 
 #include "connection/body_receiver.hpp"
 #include "process/log.hpp"
 
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 using connection::client_failure;
@@ -252,4 +252,4 @@
     in_.execution.ended(call_.context.attempt_id, how, status_);
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_execution.hpp
+++ b/src/process/http/http_execution.hpp
@@ -5,9 +5,9 @@
 // ended or failed.
 #pragma once
 
-#include "process/http_environment.hpp"
+#include "process/http/http_environment.hpp"
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 class http_execution : public std::enable_shared_from_this<http_execution>
@@ -60,4 +60,4 @@
     bool ended_ = false;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_forward.cpp
+++ b/src/process/http/http_forward.cpp
@@ -1,11 +1,11 @@
-#include "process/http_forward.hpp"
+#include "process/http/http_forward.hpp"
 
 #include "process/log.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 using connection::client_failure;
@@ -468,4 +468,4 @@
         done(request_.call, feedback);
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/http_forward.hpp
+++ b/src/process/http/http_forward.hpp
@@ -7,13 +7,13 @@
 // caller is the weakest claim that holds for all attempts together.
 #pragma once
 
-#include "process/http_environment.hpp"
+#include "process/http/http_environment.hpp"
 
 #include <optional>
 #include <string>
 #include <vector>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 struct forward_request {
@@ -111,4 +111,4 @@
     std::shared_ptr<void> without_caller_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/node_status.cpp
+++ b/src/process/http/node_status.cpp
@@ -1,9 +1,9 @@
-#include "process/node_status.hpp"
+#include "process/http/node_status.hpp"
 
 #include "process/address.hpp"
 #include "process/json_text.hpp"
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 namespace
@@ -39,4 +39,4 @@
     });
 }
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/node_status.hpp
+++ b/src/process/http/node_status.hpp
@@ -1,14 +1,14 @@
 // Reads which configuration revision a node has in force.
 #pragma once
 
-#include "process/http_client.hpp"
+#include "process/http/http_client.hpp"
 #include "process/peer_transport.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
 
-namespace shallotwood::process
+namespace shallotwood::process::http
 {
 
 class node_status_reader
@@ -35,4 +35,4 @@
     http_client client_;
 };
 
-} // namespace shallotwood::process
+} // namespace shallotwood::process::http
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -42,7 +42,7 @@
 
 // True if nothing listens there any more. On the loopback interface the answer
 // to a connection request comes at once, so this does not block.
-bool refuses_connections(const backend_announcement& server)
+bool refuses_connections(const http::backend_announcement& server)
 {
     connection::object_handle<GSocketAddress> address(
         g_inet_socket_address_new_from_string(server.host.c_str(),
@@ -128,28 +128,29 @@
 std::string node::open_data_path(const std::string& fleet_secret,
                                  bool ephemeral_ports)
 {
-    data_path_settings it;
+    http::data_path_settings it;
     it.caller = listen_on(settings_.caller_address, ephemeral_ports);
     it.peer = listen_on(settings_.peer_address, ephemeral_ports);
     it.local = listen_on(settings_.local_address, ephemeral_ports);
     it.fleet_secret = fleet_secret;
-    data_path_ = std::make_unique<data_path>(
+    data_path_ = std::make_unique<http::data_path>(
         std::move(it), loop_, random_, counts_, core_->entry(),
         core_->routing(), core_->execution());
-    data_path_->on_announce([this](const backend_announcement& server) {
+    data_path_->on_announce([this](const http::backend_announcement& server) {
         core_->server().announced(server);
     });
     data_path_->on_leave([this] { core_->server().left(); });
     data_path_->on_local_control(
-        [this](const control_request& asked,
-               const std::function<void(control_response)>& done) {
+        [this](const http::control_request& asked,
+               const std::function<void(http::control_response)>& done) {
             answer_local(asked, done);
         });
     return data_path_->start();
 }
 
-void node::answer_local(const control_request& it,
-                        const std::function<void(control_response)>& done) const
+void node::answer_local(
+    const http::control_request& it,
+    const std::function<void(http::control_response)>& done) const
 {
     if (it.method != "GET" || it.path != "/status") {
         done({404, "application/json", "{\"error\":\"no such path\"}\n"});
--- a/src/process/node.hpp
+++ b/src/process/node.hpp
@@ -4,8 +4,8 @@
 // node core, in the order in which they depend on each other.
 #pragma once
 
-#include "process/data_path.hpp"
 #include "process/glib_event_loop.hpp"
+#include "process/http/data_path.hpp"
 #include "process/node_core.hpp"
 #include "process/peer_socket.hpp"
 #include "process/platform_client.hpp"
@@ -54,8 +54,9 @@
     void make_core();
     std::string open_data_path(const std::string& fleet_secret,
                                bool ephemeral_ports);
-    void answer_local(const control_request& it,
-                      const std::function<void(control_response)>& done) const;
+    void
+    answer_local(const http::control_request& it,
+                 const std::function<void(http::control_response)>& done) const;
 
     glib_event_loop& loop_;
     const settings settings_;
@@ -66,7 +67,7 @@
     std::unique_ptr<platform_client> platform_;
     std::unique_ptr<peer_socket> transport_;
     std::unique_ptr<node_core> core_;
-    std::unique_ptr<data_path> data_path_;
+    std::unique_ptr<http::data_path> data_path_;
 };
 
 } // namespace shallotwood::process
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -9,7 +9,7 @@
     event_loop& loop, peer_transport& transport, object_store& store,
     counters& counts, const node_core_settings& settings, const member& self,
     const std::string& boot, std::uint64_t seed,
-    std::function<bool(const backend_announcement&)> refuses_connections)
+    std::function<bool(const http::backend_announcement&)> refuses_connections)
     : loop_(loop), boot_(boot), settings_(settings), random_(seed),
       members_(loop, transport, store, counts, settings.members, self,
                random_.below(UINT64_MAX)),
@@ -33,9 +33,10 @@
       execution_({loop, calls_, attempts_, suspects_, counts, settings.queue,
                   std::move(refuses_connections),
                   [this] { server_.connection_refused(); }}),
-      server_(loop,
-              {[this](const backend_announcement& it) { server_present(it); },
-               [this](bool lost) { server_absent(lost); }})
+      server_(loop, {[this](const http::backend_announcement& it) {
+                         server_present(it);
+                     },
+                     [this](bool lost) { server_absent(lost); }})
 {
 }
 
@@ -76,7 +77,7 @@
     return rate::rate_limit{it->second.rate, it->second.burst};
 }
 
-void node_core::server_present(const backend_announcement& it)
+void node_core::server_present(const http::backend_announcement& it)
 {
     if (draining_)
         return;
--- a/src/process/node_core.hpp
+++ b/src/process/node_core.hpp
@@ -6,8 +6,8 @@
 #pragma once
 
 #include "process/backend_presence.hpp"
-#include "process/configuration_feed.hpp"
-#include "process/configuration_source.hpp"
+#include "process/configuration/configuration_feed.hpp"
+#include "process/configuration/configuration_source.hpp"
 #include "process/entry_controller.hpp"
 #include "process/execution_controller.hpp"
 #include "process/membership.hpp"
@@ -24,7 +24,7 @@
 
 struct node_core_settings {
     membership_settings members;
-    configuration_feed_settings feed;
+    configuration::configuration_feed_settings feed;
     record::claim_settings records;
     record::wall_clock wall;
     admission_settings queue;
@@ -42,11 +42,11 @@
     // All references outlive this object. `self` names this node; its
     // incarnation must exceed those of its earlier starts. `boot` is unique to
     // this start.
-    node_core(
-        event_loop& loop, peer_transport& transport, object_store& store,
-        counters& counts, const node_core_settings& settings,
-        const member& self, const std::string& boot, std::uint64_t seed,
-        std::function<bool(const backend_announcement&)> refuses_connections);
+    node_core(event_loop& loop, peer_transport& transport, object_store& store,
+              counters& counts, const node_core_settings& settings,
+              const member& self, const std::string& boot, std::uint64_t seed,
+              std::function<bool(const http::backend_announcement&)>
+                  refuses_connections);
     ~node_core() override;
     node_core(const node_core&) = delete;
     node_core& operator=(const node_core&) = delete;
@@ -59,7 +59,7 @@
     request::execution_policy& execution() { return execution_; }
     backend_presence& server() { return server_; }
     const membership& members() const { return members_; }
-    const configuration_feed& feed() const { return feed_; }
+    const configuration::configuration_feed& feed() const { return feed_; }
 
     // Planned end: announces that this node leaves, refuses new requests,
     // finishes what runs. Calls `done` once.
@@ -76,7 +76,7 @@
 
     std::optional<rate::rate_limit>
     limit_of(const std::string& workspace) const;
-    void server_present(const backend_announcement& it);
+    void server_present(const http::backend_announcement& it);
     void server_absent(bool lost);
     void drained();
 
@@ -88,9 +88,9 @@
     std::function<void()> on_drained_;
 
     membership members_;
-    json_configuration_codec codec_;
-    platform_configuration_loader loader_;
-    configuration_feed feed_;
+    configuration::json_configuration_codec codec_;
+    configuration::platform_configuration_loader loader_;
+    configuration::configuration_feed feed_;
     rate::token_bucket_home home_;
     rate::token_messages tokens_;
     rate::wallet rates_;
--- a/src/process/operator_command.cpp
+++ b/src/process/operator_command.cpp
@@ -56,7 +56,7 @@
 
 operator_command::operator_command(object_store& store, event_loop& loop,
                                    random_source& random,
-                                   node_status_reader& nodes,
+                                   http::node_status_reader& nodes,
                                    operator_streams streams)
     : store_(store), loop_(loop), random_(random), nodes_(nodes),
       streams_(streams)
--- a/src/process/operator_command.hpp
+++ b/src/process/operator_command.hpp
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "process/event_loop.hpp"
-#include "process/node_status.hpp"
+#include "process/http/node_status.hpp"
 #include "process/object_store.hpp"
 #include "process/random_source.hpp"
 #include "version/commit.hpp"
@@ -65,7 +65,7 @@
 public:
     // All must outlive the command.
     operator_command(object_store& store, event_loop& loop,
-                     random_source& random, node_status_reader& nodes,
+                     random_source& random, http::node_status_reader& nodes,
                      operator_streams streams);
 
     // Runs one command and calls `done` once. To be called once.
@@ -108,7 +108,7 @@
     object_store& store_;
     event_loop& loop_;
     random_source& random_;
-    node_status_reader& nodes_;
+    http::node_status_reader& nodes_;
     operator_streams streams_;
     operator_options options_;
     std::function<void(exit_code)> done_;
--- a/src/process/platform_client.cpp
+++ b/src/process/platform_client.cpp
@@ -41,7 +41,7 @@
     return "/objects/" + escaped(name, "/");
 }
 
-std::optional<std::uint64_t> version_of(const http_answer& answer)
+std::optional<std::uint64_t> version_of(const http::http_answer& answer)
 {
     if (!answer.header)
         return std::nullopt;
@@ -132,10 +132,10 @@
     return false;
 }
 
-http_request platform_client::make_request(const std::string& path,
-                                           duration limit) const
+http::http_request platform_client::make_request(const std::string& path,
+                                                 duration limit) const
 {
-    http_request it;
+    http::http_request it;
     it.uri = base_uri_ + path;
     it.time_limit = limit;
     it.max_answer_bytes = max_answer_bytes;
@@ -143,18 +143,19 @@
     return it;
 }
 
-void platform_client::send_call(const http_request& it,
-                                http_client::on_answer done)
+void platform_client::send_call(const http::http_request& it,
+                                http::http_client::on_answer done)
 {
-    calls_.send(it, [this, done = std::move(done)](const http_answer& got) {
-        if (got.status != 0)
-            last_answer_ = loop_.now();
-        done(got);
-    });
+    calls_.send(it,
+                [this, done = std::move(done)](const http::http_answer& got) {
+                    if (got.status != 0)
+                        last_answer_ = loop_.now();
+                    done(got);
+                });
 }
 
 get_result platform_client::get_outcome(const std::string& name,
-                                        const http_answer& it)
+                                        const http::http_answer& it)
 {
     switch (it.status) {
     case SOUP_STATUS_OK:
@@ -171,7 +172,7 @@
     }
 }
 
-put_result platform_client::put_outcome(const http_answer& it)
+put_result platform_client::put_outcome(const http::http_answer& it)
 {
     if (it.sends == 0)
         return store_error::unavailable;
@@ -195,11 +196,12 @@
 {
     if (!admit(done))
         return;
-    send_call(make_request(object_path(name), limits_.call_timeout),
-              [this, name, done = std::move(done)](const http_answer& got) {
-                  --call_count_;
-                  done(get_outcome(name, got));
-              });
+    send_call(
+        make_request(object_path(name), limits_.call_timeout),
+        [this, name, done = std::move(done)](const http::http_answer& got) {
+            --call_count_;
+            done(get_outcome(name, got));
+        });
 }
 
 void platform_client::put(const std::string& name, const std::string& value,
@@ -228,7 +230,7 @@
     it.method = method;
     it.header.emplace(expected_header, std::to_string(expected_version));
     it.body = value;
-    send_call(it, [this, done = std::move(done)](const http_answer& got) {
+    send_call(it, [this, done = std::move(done)](const http::http_answer& got) {
         --call_count_;
         done(put_outcome(got));
     });
@@ -254,7 +256,7 @@
                 "&after=" + escaped(after, nullptr);
     send_call(make_request(path, limits_.call_timeout),
               [this, prefix, after, found = std::move(found),
-               done = std::move(done)](const http_answer& got) mutable {
+               done = std::move(done)](const http::http_answer& got) mutable {
                   if (got.status == status_too_many_requests) {
                       done(store_error::rate_limited);
                       return;
@@ -325,10 +327,10 @@
                 "&wait_ms=" + std::to_string(wait.count());
     state.exchange = polls_.send(
         make_request(path, limits_.watch_wait + limits_.watch_grace),
-        [this, id](const http_answer& got) { on_poll(id, got); });
+        [this, id](const http::http_answer& got) { on_poll(id, got); });
 }
 
-void platform_client::on_poll(std::uint64_t id, const http_answer& it)
+void platform_client::on_poll(std::uint64_t id, const http::http_answer& it)
 {
     if (it.status != 0)
         last_answer_ = loop_.now();
--- a/src/process/platform_client.hpp
+++ b/src/process/platform_client.hpp
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "process/event_loop.hpp"
-#include "process/http_client.hpp"
+#include "process/http/http_client.hpp"
 #include "process/object_store.hpp"
 #include "process/peer_transport.hpp"
 #include "process/random_source.hpp"
@@ -73,22 +73,24 @@
     struct watch_state;
 
     static get_result get_outcome(const std::string& name,
-                                  const http_answer& it);
-    static put_result put_outcome(const http_answer& it);
+                                  const http::http_answer& it);
+    static put_result put_outcome(const http::http_answer& it);
 
     // Counts the call, or refuses it if too many are in progress.
     template <typename Result>
     bool admit(const std::function<void(Result)>& done);
-    http_request make_request(const std::string& path, duration limit) const;
+    http::http_request make_request(const std::string& path,
+                                    duration limit) const;
     void send_write(const char* method, const std::string& name,
                     const std::string& value, std::uint64_t expected_version,
                     std::function<void(put_result)> done);
-    void send_call(const http_request& it, http_client::on_answer done);
+    void send_call(const http::http_request& it,
+                   http::http_client::on_answer done);
     void list_page(const std::string& prefix, const std::string& after,
                    std::vector<stored_object> found,
                    std::function<void(list_result)> done);
     void poll(std::uint64_t id);
-    void on_poll(std::uint64_t id, const http_answer& it);
+    void on_poll(std::uint64_t id, const http::http_answer& it);
 
     std::string base_uri_;
     event_loop& loop_;
@@ -96,8 +98,8 @@
     platform_limits limits_;
     // Watches have connections of their own, so that waiting ones never keep a
     // call from being sent.
-    http_client calls_;
-    http_client polls_;
+    http::http_client calls_;
+    http::http_client polls_;
     std::uint64_t last_watch_ = 0;
     std::size_t call_count_ = 0;
     std::map<std::uint64_t, watch_state> watches_;
--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -23,7 +23,7 @@
 #include "connection/http_listener.hpp"
 #include "process/daemon.hpp"
 #include "process/glib_event_loop.hpp"
-#include "process/http_environment.hpp"
+#include "process/http/http_environment.hpp"
 #include "process/stream_hash.hpp"
 
 #include <algorithm>
@@ -213,7 +213,7 @@
     Json::Value received_;
     std::optional<process::time_point> deadline_;
     std::string echo_;
-    process::scoped_timer timer_;
+    process::http::scoped_timer timer_;
     std::shared_ptr<connection::client_call> further_;
     int further_status_ = 0;
     std::string further_body_;
@@ -267,8 +267,8 @@
 
     std::string service_;
     std::optional<connection::listen_address> node_;
-    process::scoped_timer announce_timer_;
-    process::scoped_timer drain_timer_;
+    process::http::scoped_timer announce_timer_;
+    process::http::scoped_timer drain_timer_;
     process::time_point started_;
     int running_ = 0;
     std::size_t open_ = 0;
--- a/standins/pass_through_node.cpp
+++ b/standins/pass_through_node.cpp
@@ -1,8 +1,8 @@
 // A node with the pass-through policy: nothing is protected. The baseline for
 // measurements, and the data path alone for tests.
 #include "process/daemon.hpp"
-#include "process/data_path.hpp"
 #include "process/glib_event_loop.hpp"
+#include "process/http/data_path.hpp"
 #include "process/keyed_hash.hpp"
 #include "process/log.hpp"
 #include "process/pass_through_policy.hpp"
@@ -97,9 +97,10 @@
     return std::chrono::milliseconds(values[name].as<int>());
 }
 
-process::data_path_settings settings_of(const options::variables_map& values)
+process::http::data_path_settings
+settings_of(const options::variables_map& values)
 {
-    process::data_path_settings it;
+    process::http::data_path_settings it;
     it.caller = address_of(values["caller"].as<std::string>());
     it.peer = address_of(values["peer"].as<std::string>());
     it.local = address_of(values["local"].as<std::string>());
@@ -145,8 +146,8 @@
         process::stable_hash(process::random_token(process::hash_bytes)));
     process::counters counts;
     process::pass_through_policy policy(policy_settings_of(values));
-    process::data_path node(settings_of(values), loop, random, counts, policy,
-                            policy, policy);
+    process::http::data_path node(settings_of(values), loop, random, counts,
+                                  policy, policy, policy);
     node.on_announce(
         [&](const auto& it) { policy.set_backend(it.host, it.port); });
     node.on_leave([&] { policy.clear_backend(); });
--- a/tests/support/fake_codec.hpp
+++ b/tests/support/fake_codec.hpp
@@ -2,14 +2,14 @@
 // is "NAME=RATE" of a workspace; the platform's head holds all changes.
 #pragma once
 
-#include "process/configuration_feed.hpp"
+#include "process/configuration/configuration_feed.hpp"
 
 #include <sstream>
 
 namespace shallotwood::test
 {
 
-class fake_codec final : public process::configuration_codec
+class fake_codec final : public process::configuration::configuration_codec
 {
 public:
     std::string write(const version::configuration& it) const override
@@ -56,17 +56,18 @@
 };
 
 // Reads heads whose lines are the changes, the first of them at revision 1.
-class fake_loader final : public process::configuration_loader
+class fake_loader final : public process::configuration::configuration_loader
 {
 public:
     void load(const process::stored_object& head,
               const version::configuration_ptr& base,
-              std::function<void(std::optional<process::loaded_configuration>)>
+              std::function<void(
+                  std::optional<process::configuration::loaded_configuration>)>
                   done) override
     {
         version::configuration_ptr now =
             std::make_shared<version::configuration>();
-        process::loaded_configuration result;
+        process::configuration::loaded_configuration result;
         std::istringstream in(head.value);
         std::string line;
         while (std::getline(in, line)) {
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -58,7 +58,7 @@
         pausable_loop loop;
         process::counters counts;
         process::peer_address address;
-        process::backend_announcement server;
+        process::http::backend_announcement server;
         bool server_up = true;
         std::unique_ptr<process::node_core> core;
     };
--- a/tests/test_configuration_feed.cpp
+++ b/tests/test_configuration_feed.cpp
@@ -19,10 +19,11 @@
     void add_feed(fleet_node& node)
     {
         auto name = node.members->self().instance;
-        auto made = std::make_shared<process::configuration_feed>(
-            node.loop, nodes.network.at(node.address), nodes.platform,
-            *node.members, codec, loader, node.counts,
-            process::configuration_feed_settings{});
+        auto made =
+            std::make_shared<process::configuration::configuration_feed>(
+                node.loop, nodes.network.at(node.address), nodes.platform,
+                *node.members, codec, loader, node.counts,
+                process::configuration::configuration_feed_settings{});
         feeds[name] = made.get();
         seen[name] = 0;
         made->listen([this, name](const version::configuration_ptr& now) {
@@ -40,11 +41,11 @@
         for (int n = 1; n <= changes; ++n)
             head += "w" + std::to_string(n) + "=1\n";
         auto expected = head_version++;
-        nodes.platform.put(process::configuration_feed::head_name, head,
-                           expected, [](const process::put_result& it) {
-                               REQUIRE(
-                                   std::holds_alternative<std::uint64_t>(it));
-                           });
+        nodes.platform.put(
+            process::configuration::configuration_feed::head_name, head,
+            expected, [](const process::put_result& it) {
+                REQUIRE(std::holds_alternative<std::uint64_t>(it));
+            });
     }
 
     std::uint64_t revision_at(const std::string& name)
@@ -73,7 +74,7 @@
     fleet nodes;
     fake_codec codec;
     fake_loader loader;
-    std::map<std::string, process::configuration_feed*> feeds;
+    std::map<std::string, process::configuration::configuration_feed*> feeds;
     std::map<std::string, std::uint64_t> seen;
     int reverted = 0;
     std::uint64_t head_version = 0;
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -1,7 +1,7 @@
 // The data path in this process, with policies that the test controls: what
 // the real programs can't be made to show reliably.
-#include "process/data_path.hpp"
 #include "process/glib_event_loop.hpp"
+#include "process/http/data_path.hpp"
 #include "process/pass_through_policy.hpp"
 #include "support/child_process.hpp"
 #include "support/raw_http.hpp"
@@ -95,11 +95,11 @@
     controlled_policy policy{pass_through};
     support::child_process backend{"backend_standin",
                                    {"--settings={\"latency_ms\":0}"}};
-    std::optional<process::data_path> path;
+    std::optional<process::http::data_path> path;
 
     controlled_node()
     {
-        process::data_path_settings settings;
+        process::http::data_path_settings settings;
         settings.caller.host = settings.peer.host = settings.local.host =
             "127.0.0.1";
         settings.fleet_secret = "secret";
--- a/tests/test_load_scenarios.cpp
+++ b/tests/test_load_scenarios.cpp
@@ -16,7 +16,7 @@
 //     run
 //     check FIGURE at-most|at-least NUMBER
 #include "process/admission.hpp"
-#include "process/load_experiment.hpp"
+#include "process/experiment/load_experiment.hpp"
 #include "process/shed_key.hpp"
 #include "support/scenario.hpp"
 
@@ -89,19 +89,19 @@
 };
 
 struct one_experiment {
-    experiment_settings settings;
-    experiment_result result;
+    experiment::experiment_settings settings;
+    experiment::experiment_result result;
 
     void deployment(const words& in)
     {
         auto demand = std::stod(in.at(1));
-        settings =
-            in.at(0) == "A" ? deployment_a(demand) : deployment_b(demand);
+        settings = in.at(0) == "A" ? experiment::deployment_a(demand)
+                                   : experiment::deployment_b(demand);
     }
 
     void chain(const words& in)
     {
-        settings = deployment_a(std::stod(in.at(3)));
+        settings = experiment::deployment_a(std::stod(in.at(3)));
         settings.services.clear();
         auto count = std::stoi(in.at(0));
         auto slots = std::stoi(in.at(2));
@@ -117,7 +117,7 @@
 
     void fault(const words& in)
     {
-        server_fault it;
+        experiment::server_fault it;
         it.service = std::stoul(in.at(0));
         it.server = std::stoul(in.at(1));
         it.refuses = in.at(2) == "refuses";
@@ -192,7 +192,7 @@
          {"run",
           [&](const words&) {
               two.settings.seed = it.seed;
-              two.result = run_experiment(two.settings);
+              two.result = experiment::run_experiment(two.settings);
           }},
          {"check", [&](const words& in) { two.check(in); }}});
 }
--- a/tests/test_operator_command.cpp
+++ b/tests/test_operator_command.cpp
@@ -26,7 +26,7 @@
 const std::string plan_file = PROGRAM_DIRECTORY "/test_operator_plan." +
                               std::to_string(getpid()) + ".json";
 
-class fake_nodes final : public node_status_reader
+class fake_nodes final : public http::node_status_reader
 {
 public:
     void read(const peer_address& local, on_revision done) override
@@ -366,7 +366,7 @@
         g_slist_free_full(
             uris, [](gpointer uri) { g_uri_unref(static_cast<GUri*>(uri)); });
         glib_event_loop loop;
-        http_node_status_reader reader(loop);
+        http::http_node_status_reader reader(loop);
         std::optional<std::uint64_t> revision;
         bool done = false;
         reader.read({"127.0.0.1", static_cast<std::uint16_t>(port)},
