--- a/src/process/record/claim_store.cpp
+++ b/src/process/record/claim_store.cpp
@@ -235,14 +235,16 @@
     }
     auto age = wall_() - found->written_at;
     bool free = found->state == state_not_run || age > to_ms(settings_.window);
-    if (free && open_.at(id).tries < max_tries)
+    if (free && open_.at(id).tries < max_tries) {
         create(id, object.version);
-    else if (free)
+        return;
+    }
+    bool runs =
+        found->state == state_claimed && age <= to_ms(settings_.run_limit);
+    if (free || runs)
         answer(id, claim_in_progress{});
     else if (found->state == state_done)
         answer(id, claim_done{found->response});
-    else if (found->state == state_claimed && age <= to_ms(settings_.run_limit))
-        answer(id, claim_in_progress{});
     else
         answer(id, claim_may_have_run{});
 }
--- a/tests/soak/node_process.cpp
+++ b/tests/soak/node_process.cpp
@@ -58,6 +58,7 @@
 {
     std::vector<std::string> words{program_, "--config", settings_file_};
     std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
     for (auto& it : words)
         argv.push_back(it.data());
     argv.push_back(nullptr);
