Serve other nodes' calls while a node waits for its callers to leave

Ruled out: announcing only at the end; the runs of usual length would then lengthen every restart by their time. The test failed first (503 for both calls). Conclusion: the node leaves the fleet 1.5 s after SIGTERM.

--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -32,6 +32,11 @@
 // misses; callers keep coming until then.
 constexpr duration callers_leave_time = std::chrono::milliseconds(2300);
 
+// A node that is told to end takes calls of other nodes this long: until the
+// runs of usual length end with the stay of its own callers. Its backend
+// server, which goes on, would idle otherwise.
+constexpr duration peers_served_time = std::chrono::milliseconds(1500);
+
 // Kept at the end of the shutdown for the last responses.
 constexpr duration shutdown_margin = std::chrono::milliseconds(300);
 
@@ -310,7 +315,7 @@
 void sidecar_node::publish()
 {
     bool changed = fleet_.change_self([this](fleet::instance& it) {
-        it.leaving = leaving_;
+        it.leaving = left_fleet_;
         it.service = backend_.service();
         it.backend_id = backend_.id();
         it.slots = backend_.slots();
@@ -505,14 +510,23 @@
     leaving_ = true;
     leaving_since_ = loop_.now();
     shut_down_ = std::move(done);
+    end_if_idle();
+}
+
+void sidecar_node::leave_fleet()
+{
+    SHALLOTWOOD_LOG(info) << "event=left_fleet" << field("calls", calls_)
+                          << field("runs", runner_.runs());
+    left_fleet_ = true;
     runner_.set_leaving();
     publish();
-    end_if_idle();
 }
 
 void sidecar_node::end_if_idle()
 {
     auto waited = loop_.now() - leaving_since_;
+    if (waited > peers_served_time && !left_fleet_)
+        leave_fleet();
     if (waited > callers_leave_time && !callers_.draining())
         callers_.drain();
     bool idle = calls_ == 0 && runner_.runs() == 0 && callers_.draining();
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -103,6 +103,7 @@
     void look_around();
     void log_load();
     void set_node_count();
+    void leave_fleet();
     void end_if_idle();
     bool ready() const;
 
@@ -140,8 +141,11 @@
     // Instances known at the last count.
     std::size_t known_ = 0;
     bool isolated_ = false;
+    // Told to end: takes no new callers.
     bool leaving_ = false;
     time_point leaving_since_{};
+    // Refuses calls of other nodes, and has told them.
+    bool left_fleet_ = false;
     std::function<void()> shut_down_;
     timer_id look_timer_{};
     std::uint64_t refused_before_ = 0;
--- a/tests/sidecar/support/live_loop.hpp
+++ b/tests/sidecar/support/live_loop.hpp
@@ -29,4 +29,10 @@
     return reached;
 }
 
+inline void run_for(process::loop::reactor& loop, process::duration time)
+{
+    loop.call_after(time, [&loop] { loop.stop(); });
+    loop.run();
+}
+
 } // namespace shallotwood::test
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -198,6 +198,27 @@
     CHECK(events.ended);
 }
 
+// Its backend server is needed until the callers of the node have left it.
+TEST_CASE("a node that is told to end goes on taking calls of others at first")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& beside = fleet.add("s", serve);
+    fleet.write_policy(1, {"front", "s"}, "non_idempotent");
+    fleet.settle(1);
+    bool stopped = false;
+    beside.node->shut_down([&] { stopped = true; });
+    CHECK_FALSE(fleet.ready(beside));
+    CHECK(fleet.request(entry, "s").status == 200);
+    CHECK(fleet.request(beside, "s").status == 200);
+    // Later it refuses them, unrun.
+    auto refused = [&] { return fleet.request(entry, "s").status != 200; };
+    while (!refused())
+        run_for(fleet.loop, std::chrono::milliseconds(50));
+    CHECK(fleet.request(entry, "s").status == 503);
+    CHECK(run_until(fleet.loop, [&] { return stopped; }));
+}
+
 // The leak checker is what judges this one.
 TEST_CASE("nodes that end at once let go of what is in flight")
 {
