Move work off silent links, and refuse at once what no node can take

A repeatable request stayed on a silent link until the link was given up, 1.2 s after the cut, when its caller had no time left. An idle link was noticed only by the request that was sent over it. Now: unreachable instances are not chosen; repeatable runs leave a link with its first unanswered ping; one silent link has the idle ones checked; what was never sent is refused as not run. A request that may have run is not refused as unrun any more when the attempt after it was refused. Ruled out: a shorter limit for connecting; three tries would still cost a third of the caller's time.

--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -211,6 +211,16 @@
     flush_later();
 }
 
+void session::tell_silent()
+{
+    std::vector<std::shared_ptr<stream_events>> all;
+    for (const auto& [number, it] : streams_)
+        if (it.events)
+            all.push_back(it.events);
+    for (const auto& it : all)
+        it->on_silent();
+}
+
 void session::ping()
 {
     ping_waiting_ = true;
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -45,6 +45,8 @@
     virtual void on_closed(stream_close how) = 0;
     // Less than max_unsent_bytes is unsent again.
     virtual void on_drained() {}
+    // The other node does not answer, though the connection is not given up.
+    virtual void on_silent() {}
 };
 
 class session final : public net::byte_stream
@@ -95,6 +97,9 @@
     // The other node has answered on this connection.
     bool established() const { return established_; }
 
+    // Calls on_silent() of every open stream.
+    void tell_silent();
+
     void ping();
     bool ping_waiting() const { return ping_waiting_; }
     process::time_point heard() const { return heard_; }
--- a/src/process/routing/placement.cpp
+++ b/src/process/routing/placement.cpp
@@ -62,6 +62,8 @@
             std::find(tried.begin(), tried.end(), *name) != tried.end())
             continue;
         const auto& of = figures_[*name];
+        if (!of.reachable)
+            continue;
         candidates.push_back({it, &of});
         double time = fresh_time(of, route);
         if (time > 0 && (fastest <= 0 || time < fastest))
@@ -75,9 +77,7 @@
             value +=
                 slow_cost * std::max(0.0, time / fastest - tolerated_slowness);
         // Left for now, but better than nothing.
-        if (!of->reachable)
-            value += 1e6;
-        else if (now < of->avoided_until)
+        if (now < of->avoided_until)
             value += 1e3;
         // Breaks ties, and keeps nodes from acting alike.
         value += 0.05 * random_.unit();
--- a/src/process/routing/placement.hpp
+++ b/src/process/routing/placement.hpp
@@ -57,8 +57,8 @@
     placement(const clock& time, random_source& random,
               const fleet::fleet_view& fleet, std::string own_domain);
 
-    // An instance of the service that takes calls and is not in `tried`; null
-    // if there is none.
+    // An instance of the service that takes calls, can be reached and is not in
+    // `tried`; null if there is none.
     const fleet::instance* choose(const std::string& service,
                                   const std::string& route,
                                   const std::vector<std::string>& tried);
--- a/src/process/sidecar/local_runner.cpp
+++ b/src/process/sidecar/local_runner.cpp
@@ -240,6 +240,7 @@
     auto newest = what_.repeatable ? owner_.settings_.idle_limit
                                    : owner_.settings_.once_idle_limit;
     connection_ = owner_.pool_.take(sent_again_ ? duration(0) : newest);
+    connection_given_ = true;
     auto head = what_.head;
     owner_.words_.dress_for_backend(head, what_, owner_.backend_.id(),
                                     remaining());
--- a/src/process/sidecar/local_runner.hpp
+++ b/src/process/sidecar/local_runner.hpp
@@ -132,6 +132,7 @@
 
     void begin();
     void cancel() override;
+    bool may_have_run() const override { return connection_given_; }
     void pause() override;
     void resume() override;
 
@@ -175,6 +176,8 @@
     std::shared_ptr<connection::http::client_connection> connection_;
     timer_id timer_{};
     std::uint64_t body_sent_ = 0;
+    // Something may have been sent to the backend server.
+    bool connection_given_ = false;
     bool sent_again_ = false;
     bool paused_ = false;
     // The backend server said that it did not run the request.
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -94,6 +94,12 @@
         stream_ = -1;
     }
 
+    // Nothing is sent before the connection is established.
+    bool may_have_run() const override
+    {
+        return attaching_ || (session_ && session_->was_connected());
+    }
+
     void pause() override { paused_ = true; }
 
     void resume() override
@@ -183,6 +189,18 @@
 
     void on_drained() override { send_body(); }
 
+    // Another instance may still have time for it.
+    void on_silent() override
+    {
+        if (!repeatable_ || responding_ || !receiver_)
+            return;
+        auto self = shared_from_this();
+        session_->reset(stream_);
+        stream_ = -1;
+        body_->on_more({});
+        fail(execution::may_have_run, reason::connection_silent);
+    }
+
 private:
     // Asks over a new connection what has become of the run.
     void attach()
@@ -453,8 +471,12 @@
     std::vector<std::string> names;
     for (const auto& [name, it] : links_)
         names.push_back(name);
+    if (!check_all_)
+        all_checked_at_ = now;
     for (const auto& name : names)
         check(name, links_[name], now);
+    if (now - all_checked_at_ > ping_after)
+        check_all_ = false;
     timer_ = loop_.call_after(tick_period, [this] { tick(); });
 }
 
@@ -477,12 +499,16 @@
         auto silent = now - std::max(session->heard(), of.ping_at);
         if (silent > drop_after)
             session->drop();
-        else if (silent > suspect_after)
+        else if (silent > suspect_after && of.reachable) {
             set_reachable(name, of, false);
+            check_all_ = true;
+            session->tell_silent();
+        }
         return;
     }
     set_reachable(name, of, true);
-    if (session->streams() > 0 && now - session->heard() > ping_after) {
+    bool asked = session->streams() > 0 || check_all_;
+    if (asked && now - session->heard() > ping_after) {
         of.ping_at = now;
         session->ping();
     }
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -96,6 +96,10 @@
     std::map<std::string, link> links_;
     std::uint64_t revision_ = 1;
     bool closed_ = false;
+    // A link has gone silent: this node may be cut off, so idle links are asked
+    // for a sign of life, too, for as long as it takes until each is due.
+    bool check_all_ = false;
+    time_point all_checked_at_{};
     timer_id timer_{};
 };
 
--- a/src/request/run.hpp
+++ b/src/request/run.hpp
@@ -76,6 +76,9 @@
     virtual ~run() = default;
     // The result is of no use any more; no events follow.
     virtual void cancel() = 0;
+    // False as long as it is certain that no backend server has got it, and
+    // none will after a cancel().
+    virtual bool may_have_run() const = 0;
     // The receiver stops or resumes taking the response's body.
     virtual void pause() {}
     virtual void resume() {}
--- /dev/null
+++ b/tests/sidecar/test_peer_links.cpp
@@ -0,0 +1,209 @@
+#include "platform/platform_dialect.hpp"
+#include "process/sidecar/peer_links.hpp"
+#include "process/sidecar/peer_server.hpp"
+#include "sidecar/support/live_loop.hpp"
+#include "sidecar/support/scripted_server.hpp"
+#include "sidecar/support/small_fleet.hpp"
+#include "soak/fault_proxy.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+using namespace process;
+using namespace process::sidecar;
+using request::execution;
+using request::reason;
+using soak::fault_proxy;
+
+namespace
+{
+
+class run_recorder final : public request::run_receiver
+{
+public:
+    void on_response(connection::http::response_head&&,
+                     std::optional<std::uint64_t>) override
+    {
+    }
+    void on_response_body(std::string_view) override {}
+    void on_response_end() override { ended = true; }
+    void on_failure(const request::run_failure& why) override { failure = why; }
+    bool done() const { return ended || failure.has_value(); }
+
+    bool ended = false;
+    std::optional<request::run_failure> failure;
+};
+
+void serve(scripted_connection& from, const std::string& head,
+           const std::string&)
+{
+    from.send(good_answer(head, ""));
+}
+
+void stay_silent(scripted_connection&, const std::string&, const std::string&)
+{
+}
+
+// A node with its backend server, behind a line that can be cut.
+class other_node
+{
+public:
+    other_node(loop::reactor& loop, scripted_connection::handler handle)
+        : server(loop, std::move(handle)), backend("s", server.address()),
+          cuts(loop), suspects(loop),
+          runner(loop, words, counts, backend, cuts, suspects),
+          peers(
+              loop, runner, [] { return peer_server::identity{1, 1}; },
+              [](std::string_view, const std::string&) {
+                  return std::string("{}");
+              },
+              [](std::uint64_t) {}),
+          listens(peers.listen({"127.0.0.1", 0}).empty()),
+          line(loop, {"127.0.0.1", peers.port()})
+    {
+        announcement it;
+        it.backend_id = "b";
+        it.service = "s";
+        it.address = server.address();
+        it.slots = 4;
+        backend.announced(it);
+        runner.backend_changed();
+    }
+
+    fleet::instance entry() const
+    {
+        fleet::instance it;
+        it.peer = line.address();
+        it.failure_domain = "d";
+        it.incarnation = 1;
+        it.service = "s";
+        it.state = fleet::backend_state::ready;
+        it.slots = 4;
+        return it;
+    }
+
+    scripted_server server;
+    platform::platform_dialect words;
+    counters counts;
+    local_backend backend;
+    load::cut_board cuts;
+    load::crash_suspects suspects;
+    local_runner runner;
+    peer_server peers;
+    bool listens;
+    fault_proxy line;
+};
+
+fleet::instance self()
+{
+    fleet::instance it;
+    it.peer = {"127.0.0.1", 1};
+    it.service = "front";
+    return it;
+}
+
+class fixture
+{
+public:
+    fixture()
+        : view(self()), placement(loop, random, view, "d"),
+          links(loop, counts, view, placement)
+    {
+    }
+    ~fixture() { links.close(); }
+
+    // What the run gives is in the recorder.
+    std::shared_ptr<request::run>
+    start(const other_node& at, const std::shared_ptr<run_recorder>& to,
+          bool repeatable)
+    {
+        view.learn(at.entry());
+        request::run_request what;
+        what.request_id = "r";
+        what.attempt_id = "a" + std::to_string(++last_);
+        what.route = "route";
+        what.service = "s";
+        what.repeatable = repeatable;
+        what.remaining = what.patience = std::chrono::seconds(20);
+        what.head.method = "GET";
+        what.head.target = "/";
+        what.body = std::make_shared<request::upload>(std::nullopt);
+        what.body->finish();
+        return links.start(at.entry(), what, to);
+    }
+
+    void serve_one(const other_node& at)
+    {
+        auto it = std::make_shared<run_recorder>();
+        auto run = start(at, it, true);
+        REQUIRE(run_until(loop, [&] { return it->done(); }));
+        REQUIRE(it->ended);
+    }
+
+    loop::reactor loop;
+    counters counts;
+    random_source random{1};
+    fleet::fleet_view view;
+    routing::placement placement;
+    peer_links links;
+
+private:
+    int last_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a repeatable run leaves a link that has gone silent")
+{
+    fixture it;
+    other_node at(it.loop, serve);
+    REQUIRE(at.listens);
+    it.serve_one(at);
+    at.line.set_line(soak::line::silent);
+    auto repeatable = std::make_shared<run_recorder>();
+    auto once = std::make_shared<run_recorder>();
+    auto runs = {it.start(at, once, false), it.start(at, repeatable, true)};
+    REQUIRE(run_until(it.loop, [&] { return repeatable->done(); }));
+    REQUIRE(repeatable->failure);
+    CHECK(repeatable->failure->what.run == execution::may_have_run);
+    CHECK(repeatable->failure->what.why == reason::connection_silent);
+    CHECK_FALSE(it.links.reachable(at.entry().name()));
+    // The other one must hear what has become of it, over this connection or
+    // the next.
+    CHECK_FALSE(once->done());
+    CHECK(it.counts.at("peer_connections_opened") == 1);
+    for (const auto& run : runs)
+        run->cancel();
+}
+
+TEST_CASE("one silent link has the idle ones checked")
+{
+    fixture it;
+    other_node first(it.loop, serve);
+    other_node second(it.loop, serve);
+    it.serve_one(first);
+    it.serve_one(second);
+    first.line.set_line(soak::line::silent);
+    second.line.set_line(soak::line::silent);
+    auto waiting = std::make_shared<run_recorder>();
+    auto run = it.start(first, waiting, true);
+    CHECK(run_until(it.loop, [&] {
+        return !it.links.reachable(second.entry().name());
+    }));
+}
+
+TEST_CASE("a run that was never sent is known not to have run")
+{
+    fixture it;
+    other_node at(it.loop, stay_silent);
+    auto to = std::make_shared<run_recorder>();
+    auto run = it.start(at, to, false);
+    CHECK_FALSE(run->may_have_run());
+    REQUIRE(run_until(it.loop, [&] { return at.server.heads.size() == 1; }));
+    CHECK(run->may_have_run());
+    run->cancel();
+}
+
+} // namespace shallotwood::test
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -92,6 +92,18 @@
         CHECK(fleet.request(entry, "s").status == 200);
 }
 
+TEST_CASE("a request that may have run is not refused as unrun")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& only = fleet.add("s", break_off);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    // There is no second backend server to send it to.
+    CHECK(fleet.request(entry, "s").status == 502);
+    CHECK(only.backend->heads.size() == 1);
+}
+
 TEST_CASE("a draining backend server gets nothing new")
 {
     small_fleet fleet;
