Refuse callers at once at a node that nobody answers

Now such a node is not ready, refuses requests whose route makes calls, and a silent run is only moved if a repeat can be spent; else its answer is waited for. Ruled out: saving up more repeats; calls of repeated runs count, too.

--- a/src/process/load/cut_board.cpp
+++ b/src/process/load/cut_board.cpp
@@ -36,6 +36,17 @@
     inner_[route][inner] = clock_.now();
 }
 
+bool cut_board::makes_calls(const std::string& route) const
+{
+    auto it = inner_.find(route);
+    if (it == inner_.end())
+        return false;
+    auto now = clock_.now();
+    return std::any_of(
+        it->second.begin(), it->second.end(),
+        [now](const auto& to) { return now - to.second < link_time; });
+}
+
 shed_key cut_board::cut_of(const std::string& route) const
 {
     auto it = cuts_.find(route);
--- a/src/process/load/cut_board.hpp
+++ b/src/process/load/cut_board.hpp
@@ -31,6 +31,9 @@
     // `inner`.
     void called(const std::string& route, const std::string& inner);
 
+    // True if requests of the route have made calls a short while ago.
+    bool makes_calls(const std::string& route) const;
+
     // Of the route itself, as seen from here.
     shed_key cut_of(const std::string& route) const;
     // Strictest of what the calls of the route have brought.
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -63,6 +63,8 @@
     // False while the node does not answer.
     bool reachable(const std::string& name) const;
     std::size_t unreachable() const;
+    // None of the nodes that this one has links to answers.
+    bool cut_off() const;
     // Counts the changes of what reachable() says.
     std::uint64_t revision() const { return revision_; }
 
@@ -101,6 +103,7 @@
     // for a sign of life, too, for as long as it takes until each is due.
     bool check_all_ = false;
     time_point all_checked_at_{};
+    time_point last_tick_;
     timer_id timer_{};
 };
 
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -458,7 +458,7 @@
 
 bool sidecar_node::ready() const
 {
-    return feed_.current() && !leaving_;
+    return feed_.current() && !leaving_ && !links_.cut_off();
 }
 
 sidecar_node::exchange_ptr
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -70,6 +70,7 @@
     const std::string& own_service() override { return settings_.service; }
     load::cut_board& cuts() override { return cuts_; }
     const fleet::isolation& contact() override { return contact_; }
+    bool cut_off() override { return links_.cut_off(); }
     std::optional<request::parent_call>
     parent_of(const std::string& request_id, const std::string& route) override;
     std::string new_attempt_id() override;
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -36,6 +36,10 @@
 // When a caller may come back after a refusal without a better hint.
 constexpr duration default_retry_after = std::chrono::milliseconds(300);
 
+// A node that is cut off refuses at once, so that its callers have time for
+// another one.
+constexpr duration cut_off_retry_after = std::chrono::milliseconds(50);
+
 // A node that was cut off needs about this long to hear from others again.
 constexpr duration isolated_retry_after = std::chrono::seconds(1);
 
@@ -82,6 +86,11 @@
         if (call_ != nullptr)
             call_->attempt_failed(why);
     }
+    void on_silent() override
+    {
+        if (call_ != nullptr)
+            call_->attempt_silent();
+    }
 
 private:
     entry_call* call_;
@@ -159,7 +168,17 @@
     if (fields.timeout)
         timeout = std::min(timeout, *fields.timeout);
     deadline_ = arrived_ + timeout;
-    return !is_shed();
+    return !is_cut_off() && !is_shed();
+}
+
+// What the local backend server would do for it would be wasted.
+bool entry_call::is_cut_off()
+{
+    if (workspace_ == nullptr || !node_.cuts().makes_calls(route_->name) ||
+        !node_.cut_off())
+        return false;
+    fail(not_run(reason::isolated, cut_off_retry_after));
+    return true;
 }
 
 bool entry_call::is_shed()
@@ -369,6 +388,28 @@
         fail(why);
 }
 
+// Another instance may still have time for it. Without a repeat to spend, the
+// answer is waited for.
+void entry_call::attempt_silent()
+{
+    if (ended_ || streaming_ || !run_)
+        return;
+    auto self = shared_from_this();
+    ++arrivals_;
+    if (!may_send_again(
+            {{execution::may_have_run, reason::connection_silent}, {}})) {
+        --arrivals_;
+        return;
+    }
+    may_have_run_ = true;
+    run_->cancel();
+    release_attempt(call_outcome::failed);
+    response_.reset();
+    held_.clear();
+    tried_.push_back(instance_);
+    try_next();
+}
+
 bool entry_call::may_send_again(const run_failure& why)
 {
     if (remaining() < least_attempt_time || !body_->replayable())
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -51,6 +51,8 @@
     virtual const std::string& own_service() = 0;
     virtual process::load::cut_board& cuts() = 0;
     virtual const process::fleet::isolation& contact() = 0;
+    // No other node answers this one.
+    virtual bool cut_off() = 0;
     // The request for which the local backend server makes the call with this
     // id; nothing if there is none. Notes that it calls `route`.
     virtual std::optional<parent_call> parent_of(const std::string& request_id,
@@ -90,6 +92,7 @@
     class attempt;
 
     bool admit(const connection::http::request_head& head);
+    bool is_cut_off();
     bool is_shed();
     void charge();
     void charged(std::optional<process::duration> refused);
@@ -105,6 +108,7 @@
     void attempt_body(std::string_view bytes);
     void attempt_ended();
     void attempt_failed(const run_failure& why);
+    void attempt_silent();
 
     bool may_send_again(const run_failure& why);
     void release_attempt(process::routing::call_outcome how);
--- a/src/request/run.hpp
+++ b/src/request/run.hpp
@@ -67,6 +67,9 @@
     virtual void on_response_body(std::string_view bytes) = 0;
     virtual void on_response_end() = 0;
     virtual void on_failure(const run_failure& why) = 0;
+    // The node that was asked does not answer, and may still. Only for a run
+    // that may be repeated and has not responded; it may be cancelled in this.
+    virtual void on_silent() {}
 };
 
 // A run under way.
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -367,6 +367,38 @@
     }
 }
 
+// Its backend server would do its part of the work for nothing.
+TEST_CASE("a node that is cut off refuses what would make calls")
+{
+    small_fleet fleet;
+    std::string running;
+    auto& entry =
+        fleet.add("s", [&](scripted_connection& from, const std::string& head,
+                           const std::string&) {
+            running = header_of(head, "X-Request-Id");
+            if (head.find("POST ") == 0)
+                from.send(good_answer(head, ""));
+        });
+    for (int n = 0; n < 4; ++n)
+        fleet.add("t", serve);
+    fleet.open_services = {"t"};
+    fleet.write_policy(1, {"s", "t"}, "idempotent");
+    fleet.settle(1);
+    silent_events events;
+    auto caller = fleet.start_request(entry, "s", events);
+    REQUIRE(run_until(fleet.loop, [&] { return !running.empty(); }));
+    for (int n = 0; n < 40; ++n)
+        CHECK(fleet.inner_request(entry, "t", running).status == 200);
+    caller->close();
+    CHECK(fleet.request(entry, "s", "key", "POST").status == 200);
+    CHECK(fleet.ready(entry));
+    for (std::size_t n = 1; n < fleet.all.size(); ++n)
+        fleet.all[n]->node.reset();
+    while (fleet.ready(entry))
+        run_for(fleet.loop, std::chrono::milliseconds(50));
+    CHECK(fleet.request(entry, "s", "key", "POST").status == 503);
+}
+
 TEST_CASE("a request that crashed three backend servers is refused")
 {
     small_fleet fleet;
