Let calls of a run wait for an instance to become reachable

They now look again every 50 ms for half of their time. Lost links are tried again after 1 s at most.

--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -36,7 +36,7 @@
 
 // Pause before an unreachable node is tried again.
 constexpr duration first_backoff = std::chrono::milliseconds(250);
-constexpr duration longest_backoff = std::chrono::seconds(2);
+constexpr duration longest_backoff = std::chrono::seconds(1);
 
 // For the answer of a node that is asked for the result of a lost run.
 constexpr duration attach_limit = std::chrono::milliseconds(600);
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -30,6 +30,10 @@
 // done for them would be wasted.
 constexpr double inner_patience = 0.5;
 
+// How often such a call looks again for an instance if there is none: one that
+// was lost is often back in time.
+constexpr duration wait_for_instance = std::chrono::milliseconds(50);
+
 // Least time that is worth another attempt.
 constexpr duration least_attempt_time = std::chrono::milliseconds(20);
 
@@ -261,7 +265,15 @@
 void entry_call::try_next()
 {
     auto self = shared_from_this();
+    if (ended_)
+        return;
     const auto* at = node_.placement().choose(service_, route_->name, tried_);
+    if (at == nullptr && workspace_ == nullptr && tried_.empty() &&
+        node_.loop().now() - arrived_ + wait_for_instance < patience()) {
+        node_.loop().call_after(wait_for_instance,
+                                [self] { self->try_next(); });
+        return;
+    }
     if (at == nullptr) {
         fail(not_run(tried_.empty() ? reason::no_backend_server
                                     : reason::overload,
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -367,6 +367,27 @@
     }
 }
 
+// The work done for it would be lost.
+TEST_CASE("a call of a run waits for a backend server that comes back")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("s", serve);
+    auto& beside = fleet.add("t", serve);
+    fleet.open_services = {"t"};
+    fleet.write_policy(1, {"s", "t"}, "idempotent");
+    fleet.settle(1);
+    fleet.announce(beside, "draining");
+    run_for(fleet.loop, std::chrono::milliseconds(100));
+    silent_events events;
+    auto caller = fleet.start_request(entry, "t", events);
+    run_for(fleet.loop, std::chrono::milliseconds(300));
+    CHECK_FALSE(events.ended);
+    ++beside.born;
+    fleet.announce(beside, "ready");
+    CHECK(run_until(fleet.loop, [&] { return events.ended; }));
+    CHECK(events.status == 200);
+}
+
 // Its backend server would do its part of the work for nothing.
 TEST_CASE("a node that is cut off refuses what would make calls")
 {
