--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -272,6 +272,7 @@
             << field("leaving", it->leaving ? 1 : 0)
             << field("incarnation", it->incarnation)
             << field("sequence", it->sequence);
+    with_.links.try_again(it->name());
     spread(it->name());
 }
 
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -396,6 +396,15 @@
     it->begin(session_of(link_to(to)), path, body, limit);
 }
 
+void peer_links::try_again(const std::string& name)
+{
+    auto it = links_.find(name);
+    if (it == links_.end() || it->second.reachable || it->second.session ||
+        closed_)
+        return;
+    session_of(it->second);
+}
+
 bool peer_links::reachable(const std::string& name) const
 {
     auto it = links_.find(name);
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -60,6 +60,10 @@
     void call(const peer_address& to, std::string_view path,
               const std::string& body, duration limit, reply_handler done);
 
+    // There is news from the node, so it is tried again at once if it was
+    // unreachable.
+    void try_again(const std::string& name);
+
     // False while the node does not answer.
     bool reachable(const std::string& name) const;
     std::size_t unreachable() const;
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -215,6 +215,27 @@
         it.loop, [&] { return !it.links.reachable(second.entry().name()); }));
 }
 
+// Otherwise a node that starts late is left out until the pause has passed.
+TEST_CASE("an unreachable node is tried again when there is news from it")
+{
+    fixture it;
+    other_node at(it.loop, serve);
+    it.serve_one(at);
+    at.line.set_line(soak::line::silent);
+    at.line.reset_open();
+    auto name = at.entry().name();
+    REQUIRE(run_until(it.loop, [&] { return !it.links.reachable(name); }));
+    // Until the pauses are long.
+    REQUIRE(run_until(
+        it.loop, [&] { return it.counts.at("peer_connections_opened") == 5; }));
+    run_for(it.loop, std::chrono::milliseconds(500));
+    at.line.set_line(soak::line::clear);
+    it.links.try_again(name);
+    CHECK(it.counts.at("peer_connections_opened") == 6);
+    CHECK(run_until(it.loop, [&] { return it.links.reachable(name); }));
+    CHECK(it.counts.at("peer_connections_opened") == 6);
+}
+
 TEST_CASE("a run that was never sent is known not to have run")
 {
     fixture it;
