Replace a connection attempt without answer when there is news

Cause (see the commit before): all nodes start within 200 ms of each other, and a connection attempt to one that is not up yet hangs for its limit of 400 ms, then the link is unreachable for a pause of 250 ms.

--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -34,8 +34,11 @@
 // For a connection to be established; between failure domains it takes 2 ms.
 constexpr duration connect_limit = std::chrono::milliseconds(400);
 
+// Within this time a node that is there has answered.
+constexpr duration usual_connect_time = std::chrono::milliseconds(20);
+
 // Pause before an unreachable node is tried again.
-constexpr duration first_backoff = std::chrono::milliseconds(250);
+constexpr duration first_backoff = std::chrono::milliseconds(100);
 constexpr duration longest_backoff = std::chrono::seconds(1);
 
 // For the answer of a node that is asked for the result of a lost run.
@@ -398,11 +401,23 @@
 
 void peer_links::try_again(const std::string& name)
 {
-    auto it = links_.find(name);
-    if (it == links_.end() || it->second.reachable || it->second.session ||
-        closed_)
+    auto found = links_.find(name);
+    if (found == links_.end() || closed_)
         return;
-    session_of(it->second);
+    auto& of = found->second;
+    if (of.session) {
+        if (of.session->established() ||
+            loop_.now() - of.opened_at < usual_connect_time)
+            return;
+        // Nothing has answered, as before the node was there. TCP would wait a
+        // second before it asks again.
+        auto stale = std::move(of.session);
+        of.session.reset();
+        stale->drop();
+    } else if (of.reachable) {
+        return;
+    }
+    session_of(of);
 }
 
 bool peer_links::reachable(const std::string& name) const
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -61,7 +61,7 @@
               const std::string& body, duration limit, reply_handler done);
 
     // There is news from the node, so it is tried again at once if it was
-    // unreachable.
+    // unreachable, or has not answered yet.
     void try_again(const std::string& name);
 
     // False while the node does not answer.
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -236,6 +236,21 @@
     CHECK(it.counts.at("peer_connections_opened") == 6);
 }
 
+TEST_CASE("a connection without an answer is replaced when there is news")
+{
+    fixture it;
+    other_node at(it.loop, serve);
+    at.line.set_line(soak::line::silent);
+    auto waiting = std::make_shared<run_recorder>();
+    auto run = it.start(at, waiting, true);
+    run_for(it.loop, std::chrono::milliseconds(100));
+    at.line.set_line(soak::line::clear);
+    it.links.try_again(at.entry().name());
+    CHECK(it.counts.at("peer_connections_opened") == 2);
+    CHECK(it.links.reachable(at.entry().name()));
+    it.serve_one(at);
+}
+
 TEST_CASE("a run that was never sent is known not to have run")
 {
     fixture it;
