--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -409,6 +409,13 @@
             << field("policy", feed_.revision())
             << field("unreachable", links_.unreachable());
     }
+    if (links_.cut_off() != cut_off_) {
+        cut_off_ = !cut_off_;
+        SHALLOTWOOD_LOG(warning)
+            << "event=" << (cut_off_ ? "cut_off" : "links_regained")
+            << field("unreachable", links_.unreachable())
+            << field("ready", ready() ? 1 : 0);
+    }
     feed_.set_watching(!feed_.current() || isolated_ || duty_.on_duty());
     log_load();
     look_timer_ = loop_.call_after(look_period, [this] { look_around(); });
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -142,6 +142,8 @@
     // Instances known at the last count.
     std::size_t known_ = 0;
     bool isolated_ = false;
+    // As last logged.
+    bool cut_off_ = false;
     // Told to end: takes no new callers.
     bool leaving_ = false;
     time_point leaving_since_{};
--- /dev/null
+++ b/tests/sidecar/support/local_node.hpp
@@ -0,0 +1,53 @@
+// The parts of a node around its backend server, without the rest.
+#pragma once
+
+#include "platform/platform_dialect.hpp"
+#include "process/sidecar/local_runner.hpp"
+
+#include <string>
+
+namespace shallotwood::test
+{
+
+struct local_node {
+    local_node(process::loop::reactor& loop,
+               const process::peer_address& server)
+        : backend("s", server), cuts(loop), suspects(loop),
+          runner(loop, words, counts, backend, cuts, suspects)
+    {
+        process::sidecar::announcement it;
+        it.backend_id = "b";
+        it.service = "s";
+        it.address = server;
+        it.slots = 4;
+        backend.announced(it);
+        runner.backend_changed();
+    }
+
+    platform::platform_dialect words;
+    process::counters counts;
+    process::sidecar::local_backend backend;
+    process::load::cut_board cuts;
+    process::load::crash_suspects suspects;
+    process::sidecar::local_runner runner;
+};
+
+// A run on the service of a local_node.
+inline request::run_request run_on_s(const std::string& attempt,
+                                     bool repeatable)
+{
+    request::run_request what;
+    what.request_id = "r";
+    what.attempt_id = attempt;
+    what.route = "route";
+    what.service = "s";
+    what.repeatable = repeatable;
+    what.remaining = what.patience = std::chrono::seconds(20);
+    what.head.method = repeatable ? "GET" : "DELETE";
+    what.head.target = "/";
+    what.body = std::make_shared<request::upload>(std::nullopt);
+    what.body->finish();
+    return what;
+}
+
+} // namespace shallotwood::test
--- a/tests/sidecar/test_fleet_exchange.cpp
+++ b/tests/sidecar/test_fleet_exchange.cpp
@@ -1,8 +1,8 @@
-#include "platform/platform_dialect.hpp"
 #include "process/json_text.hpp"
 #include "process/sidecar/fleet_exchange.hpp"
 #include "process/sidecar/peer_server.hpp"
 #include "sidecar/support/live_loop.hpp"
+#include "sidecar/support/local_node.hpp"
 #include "support/fake_object_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -36,10 +36,9 @@
 {
 public:
     explicit talker(loop::reactor& loop)
-        : backend("s", {"127.0.0.1", 1}), cuts(loop), suspects(loop),
-          runner(loop, words, counts, backend, cuts, suspects),
+        : node(loop, {"127.0.0.1", 1}),
           peers(
-              loop, runner,
+              loop, node.runner,
               [] {
                   return peer_server::identity{1, 0};
               },
@@ -50,9 +49,9 @@
           listens(peers.listen({"127.0.0.1", 0}).empty()), view(self()),
           contact(loop, std::chrono::seconds(5)),
           placement(loop, random, view, "d"),
-          links(loop, counts, view, placement), store(loop),
+          links(loop, node.counts, view, placement), store(loop),
           feed(
-              store, words, counts, "policy",
+              store, node.words, node.counts, "policy",
               [](const std::string&, const auto& done) { done(std::nullopt); },
               [](const version::policy&, policy_feed::origin) {}),
           duty(loop, view, "policy", [](const std::string&) { return true; })
@@ -84,12 +83,7 @@
         return *parse_json(exchange->take_message(message));
     }
 
-    platform::platform_dialect words;
-    counters counts;
-    local_backend backend;
-    load::cut_board cuts;
-    load::crash_suspects suspects;
-    local_runner runner;
+    local_node node;
     peer_server peers;
     bool listens;
     fleet::fleet_view view;
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -1,6 +1,6 @@
-#include "platform/platform_dialect.hpp"
-#include "process/sidecar/local_runner.hpp"
 #include "sidecar/support/live_loop.hpp"
+#include "sidecar/support/local_node.hpp"
+#include "sidecar/support/run_recorder.hpp"
 #include "sidecar/support/scripted_server.hpp"
 #include "sidecar/support/small_fleet.hpp"
 
@@ -16,66 +16,24 @@
 namespace
 {
 
-class run_recorder final : public request::run_receiver
-{
-public:
-    void on_response(connection::http::response_head&& head,
-                     std::optional<std::uint64_t>) override
-    {
-        status = head.status;
-    }
-    void on_response_body(std::string_view bytes) override { body += bytes; }
-    void on_response_end() override { ended = true; }
-    void on_failure(const request::run_failure& why) override { failure = why; }
-    bool done() const { return ended || failure.has_value(); }
-
-    int status = 0;
-    std::string body;
-    bool ended = false;
-    std::optional<request::run_failure> failure;
-};
-
 class fixture
 {
 public:
     explicit fixture(scripted_connection::handler handle)
-        : server(loop, std::move(handle)), backend("s", server.address()),
-          cuts(loop), suspects(loop),
-          runner(loop, words, counts, backend, cuts, suspects)
+        : server(loop, std::move(handle)), node(loop, server.address()),
+          runner(node.runner)
     {
-        announcement it;
-        it.backend_id = "b";
-        it.service = "s";
-        it.address = server.address();
-        it.slots = 4;
-        backend.announced(it);
-        runner.backend_changed();
     }
 
-    request::run_request once(const std::string& attempt) const
+    static request::run_request once(const std::string& attempt)
     {
-        request::run_request what;
-        what.request_id = "r";
-        what.attempt_id = attempt;
-        what.route = "route";
-        what.service = "s";
-        what.repeatable = false;
-        what.remaining = what.patience = std::chrono::seconds(20);
-        what.head.method = "DELETE";
-        what.head.target = "/";
-        what.body = std::make_shared<request::upload>(std::nullopt);
-        what.body->finish();
-        return what;
+        return run_on_s(attempt, false);
     }
 
     loop::reactor loop;
     scripted_server server;
-    platform::platform_dialect words;
-    counters counts;
-    local_backend backend;
-    load::cut_board cuts;
-    load::crash_suspects suspects;
-    local_runner runner;
+    local_node node;
+    local_runner& runner;
 };
 
 } // namespace
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -1,7 +1,8 @@
-#include "platform/platform_dialect.hpp"
 #include "process/sidecar/peer_links.hpp"
 #include "process/sidecar/peer_server.hpp"
 #include "sidecar/support/live_loop.hpp"
+#include "sidecar/support/local_node.hpp"
+#include "sidecar/support/run_recorder.hpp"
 #include "sidecar/support/scripted_server.hpp"
 #include "sidecar/support/small_fleet.hpp"
 #include "soak/fault_proxy.hpp"
@@ -13,31 +14,11 @@
 
 using namespace process;
 using namespace process::sidecar;
-using request::execution;
-using request::reason;
 using soak::fault_proxy;
 
 namespace
 {
 
-class run_recorder final : public request::run_receiver
-{
-public:
-    void on_response(connection::http::response_head&&,
-                     std::optional<std::uint64_t>) override
-    {
-    }
-    void on_response_body(std::string_view) override {}
-    void on_response_end() override { ended = true; }
-    void on_failure(const request::run_failure& why) override { failure = why; }
-    void on_silent() override { silent = true; }
-    bool done() const { return ended || failure.has_value(); }
-
-    bool ended = false;
-    bool silent = false;
-    std::optional<request::run_failure> failure;
-};
-
 void serve(scripted_connection& from, const std::string& head,
            const std::string&)
 {
@@ -53,11 +34,9 @@
 {
 public:
     other_node(loop::reactor& loop, scripted_connection::handler handle)
-        : server(loop, std::move(handle)), backend("s", server.address()),
-          cuts(loop), suspects(loop),
-          runner(loop, words, counts, backend, cuts, suspects),
+        : server(loop, std::move(handle)), node(loop, server.address()),
           peers(
-              loop, runner,
+              loop, node.runner,
               [] {
                   return peer_server::identity{1, 1};
               },
@@ -68,13 +47,6 @@
           listens(peers.listen({"127.0.0.1", 0}).empty()),
           line(loop, {"127.0.0.1", peers.port()})
     {
-        announcement it;
-        it.backend_id = "b";
-        it.service = "s";
-        it.address = server.address();
-        it.slots = 4;
-        backend.announced(it);
-        runner.backend_changed();
     }
 
     fleet::instance entry() const
@@ -90,12 +62,7 @@
     }
 
     scripted_server server;
-    platform::platform_dialect words;
-    counters counts;
-    local_backend backend;
-    load::cut_board cuts;
-    load::crash_suspects suspects;
-    local_runner runner;
+    local_node node;
     peer_server peers;
     bool listens;
     fault_proxy line;
@@ -125,17 +92,7 @@
                                         bool repeatable)
     {
         view.learn(at.entry());
-        request::run_request what;
-        what.request_id = "r";
-        what.attempt_id = "a" + std::to_string(++last_);
-        what.route = "route";
-        what.service = "s";
-        what.repeatable = repeatable;
-        what.remaining = what.patience = std::chrono::seconds(20);
-        what.head.method = "GET";
-        what.head.target = "/";
-        what.body = std::make_shared<request::upload>(std::nullopt);
-        what.body->finish();
+        auto what = run_on_s("a" + std::to_string(++last_), repeatable);
         return links.start(at.entry(), what, to);
     }
 
