Call a node cut off only if the store doesn't answer it either

Found by reading the change: the last node of a fleet whose others are lost would not have been ready, and a call that waits for an instance was kept alive by the loop after its node had gone. The test of the cut-off node asserts both sides now.

--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -439,7 +439,8 @@
 {
     std::size_t lost = 0;
     for (const auto& [name, it] : links_) {
-        if (fleet_.find(name) == nullptr)
+        if (const auto* known = fleet_.find(name);
+            known == nullptr || !known->takes_calls())
             continue;
         if (it.reachable)
             return false;
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -67,7 +67,8 @@
     // False while the node does not answer.
     bool reachable(const std::string& name) const;
     std::size_t unreachable() const;
-    // None of the nodes that this one has links to answers.
+    // None of the nodes that this one has links to, and that should be there,
+    // answers.
     bool cut_off() const;
     // Counts the changes of what reachable() says.
     std::uint64_t revision() const { return revision_; }
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -409,7 +409,7 @@
             << field("policy", feed_.revision())
             << field("unreachable", links_.unreachable());
     }
-    if (links_.cut_off() != cut_off_) {
+    if (cut_off() != cut_off_) {
         cut_off_ = !cut_off_;
         SHALLOTWOOD_LOG(warning)
             << "event=" << (cut_off_ ? "cut_off" : "links_regained")
@@ -463,9 +463,9 @@
     exchange_.tell_policy(from == policy_feed::origin::store);
 }
 
-bool sidecar_node::ready() const
+bool sidecar_node::ready()
 {
-    return feed_.current() && !leaving_ && !links_.cut_off();
+    return feed_.current() && !leaving_ && !cut_off();
 }
 
 sidecar_node::exchange_ptr
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -70,7 +70,11 @@
     const std::string& own_service() override { return settings_.service; }
     load::cut_board& cuts() override { return cuts_; }
     const fleet::isolation& contact() override { return contact_; }
-    bool cut_off() override { return links_.cut_off(); }
+    // The last node of a fleet has the store, so it goes on.
+    bool cut_off() override
+    {
+        return links_.cut_off() && !feed_.store_answers();
+    }
     std::optional<request::parent_call>
     parent_of(const std::string& request_id, const std::string& route) override;
     std::string new_attempt_id() override;
@@ -106,7 +110,7 @@
     void set_node_count();
     void leave_fleet();
     void end_if_idle();
-    bool ready() const;
+    bool ready();
 
     loop::reactor& loop_;
     const dialect& words_;
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -270,8 +270,10 @@
     const auto* at = node_.placement().choose(service_, route_->name, tried_);
     if (at == nullptr && workspace_ == nullptr && tried_.empty() &&
         node_.loop().now() - arrived_ + wait_for_instance < patience()) {
-        node_.loop().call_after(wait_for_instance,
-                                [self] { self->try_next(); });
+        node_.loop().call_after(wait_for_instance, [weak = weak_from_this()] {
+            if (auto it = weak.lock())
+                it->try_next();
+        });
         return;
     }
     if (at == nullptr) {
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -51,7 +51,7 @@
     virtual const std::string& own_service() = 0;
     virtual process::load::cut_board& cuts() = 0;
     virtual const process::fleet::isolation& contact() = 0;
-    // No other node answers this one.
+    // Neither another node nor the store answers this one.
     virtual bool cut_off() = 0;
     // The request for which the local backend server makes the call with this
     // id; nothing if there is none. Notes that it calls `route`.
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -415,6 +415,11 @@
     CHECK(fleet.ready(entry));
     for (std::size_t n = 1; n < fleet.all.size(); ++n)
         fleet.all[n]->node.reset();
+    // The store still answers: the others are gone.
+    run_for(fleet.loop, std::chrono::milliseconds(200));
+    CHECK(fleet.ready(entry));
+    entry.store->down = true;
+    entry.store->fail_watches(process::store_error::unavailable);
     while (fleet.ready(entry))
         run_for(fleet.loop, std::chrono::milliseconds(50));
     CHECK(fleet.request(entry, "s", "key", "POST").status == 503);
