Pass news on within the failure domain

Only its origin sends it to other failure domains now, 16 messages; what that misses is repaired by the comparison of views, as before.

--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -18,8 +18,9 @@
 // News gathered before it is sent on.
 constexpr duration news_delay = std::chrono::milliseconds(15);
 
-// Nodes that the origin of news tells at once, and those that each further
-// node tells. News reaches 29,000 nodes in about eight steps.
+// Nodes that the origin of news tells at once, and those of its own failure
+// domain that each further node tells. News reaches 29,000 nodes in about eight
+// steps.
 constexpr std::size_t origin_fan_out = 16;
 constexpr std::size_t fan_out = 3;
 
@@ -59,7 +60,7 @@
 }
 
 std::vector<const fleet::instance*>
-fleet_exchange::some_others(std::size_t count) const
+fleet_exchange::some_others(std::size_t count, reach where) const
 {
     const auto& fleet = with_.fleet;
     std::vector<std::size_t> numbers(fleet.size() - 1);
@@ -69,7 +70,9 @@
         std::swap(numbers[n],
                   numbers[n + with_.random.below(numbers.size() - n)]);
         const auto& it = fleet.other(numbers[n]);
-        if (with_.links.reachable(it.name()))
+        bool wanted = where == reach::fleet ||
+                      it.failure_domain == fleet.self().failure_domain;
+        if (wanted && with_.links.reachable(it.name()))
             found.push_back(&it);
     }
     return found;
@@ -121,7 +124,7 @@
     }
     changed_();
     // An entry may be old; the nodes themselves know more.
-    tell_some(origin_fan_out, comparison());
+    tell_some(origin_fan_out, reach::fleet, comparison());
 }
 
 // ---- messages ---------------------------------------------------------------
@@ -145,13 +148,18 @@
     news_planned_ = false;
     auto names = std::move(news_);
     news_.clear();
-    bool origin = names.count(with_.fleet.self().name()) != 0;
-    tell_some(origin ? origin_fan_out : fan_out, message_with(names));
+    if (names.count(with_.fleet.self().name()) != 0)
+        tell_some(origin_fan_out, reach::fleet, message_with(names));
+    else
+        tell_some(fan_out, reach::failure_domain, message_with(names));
 }
 
 void fleet_exchange::tell_policy(bool first_hand)
 {
-    tell_some(first_hand ? origin_fan_out : fan_out, message_with({}));
+    if (first_hand)
+        tell_some(origin_fan_out, reach::fleet, message_with({}));
+    else
+        tell_some(fan_out, reach::failure_domain, message_with({}));
 }
 
 void fleet_exchange::tell_store_state(bool lost)
@@ -162,12 +170,13 @@
         return;
     }
     with_.duty.store_lost(self);
-    tell_some(origin_fan_out, message_with({}));
+    tell_some(origin_fan_out, reach::fleet, message_with({}));
 }
 
-void fleet_exchange::tell_some(std::size_t count, const Json::Value& message)
+void fleet_exchange::tell_some(std::size_t count, reach where,
+                               const Json::Value& message)
 {
-    for (const auto* it : some_others(count))
+    for (const auto* it : some_others(count, where))
         exchange_with(it->peer, message);
 }
 
@@ -295,7 +304,7 @@
 
 void fleet_exchange::compare_views()
 {
-    tell_some(1, comparison());
+    tell_some(1, reach::fleet, comparison());
     compare_timer_ =
         with_.loop.call_after(compare_period, [this] { compare_views(); });
 }
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -3,7 +3,8 @@
 // Each message carries the sender's own entry, the revision of its policy, a
 // digest of its view, and whether the store answers it; the reply carries the
 // same. News is passed on once by each node that had not heard it, so its cost
-// to a node doesn't depend on the number of nodes. To repair what was lost,
+// to a node doesn't depend on the number of nodes, and only its origin sends it
+// to other failure domains. To repair what was lost,
 // views are compared with one other node a second: if their digests differ, the
 // digests of their parts are, and then the entries of the parts that differ go
 // both ways. The store holds one entry for each instance, for nodes that know
@@ -69,10 +70,12 @@
 private:
     void spread(const std::string& name);
     void send_news();
-    void tell_some(std::size_t count, const Json::Value& message);
+    enum class reach { fleet, failure_domain };
+    void tell_some(std::size_t count, reach where, const Json::Value& message);
     // Up to `count` other nodes, at random, without those that were found to
     // be unreachable.
-    std::vector<const fleet::instance*> some_others(std::size_t count) const;
+    std::vector<const fleet::instance*> some_others(std::size_t count,
+                                                    reach where) const;
     // With `differing` parts of the views found before this exchange.
     void exchange_with(const peer_address& to, const Json::Value& message,
                        std::size_t differing = fleet::fleet_view::part_count +
--- a/tests/sidecar/test_fleet_exchange.cpp
+++ b/tests/sidecar/test_fleet_exchange.cpp
@@ -35,8 +35,8 @@
 class talker
 {
 public:
-    explicit talker(loop::reactor& loop)
-        : node(loop, {"127.0.0.1", 1}),
+    explicit talker(loop::reactor& loop, const std::string& in = "d")
+        : domain(in), node(loop, {"127.0.0.1", 1}),
           peers(
               loop, node.runner,
               [] {
@@ -71,7 +71,7 @@
     {
         fleet::instance it;
         it.peer = {"127.0.0.1", peers.port()};
-        it.failure_domain = "d";
+        it.failure_domain = domain;
         it.incarnation = 1;
         it.service = "s";
         return it;
@@ -83,6 +83,7 @@
         return *parse_json(exchange->take_message(message));
     }
 
+    std::string domain;
     local_node node;
     peer_server peers;
     bool listens;
@@ -145,4 +146,26 @@
     CHECK(one.view.size() == 502);
 }
 
+// Traffic between failure domains would grow with the square of the fleet.
+TEST_CASE("news from elsewhere is passed on within the failure domain only")
+{
+    loop::reactor loop;
+    talker one(loop, "d");
+    std::vector<std::unique_ptr<talker>> all;
+    for (const auto* domain : {"d", "e", "d", "e", "e"}) {
+        all.push_back(std::make_unique<talker>(loop, domain));
+        one.view.learn(all.back()->self());
+    }
+    Json::Value message;
+    message["from"] = to_json(entry(500));
+    one.reply_to(message);
+    auto heard = [&](const talker& at) {
+        return at.view.find(entry(500).name()) != nullptr;
+    };
+    CHECK(run_until(loop, [&] { return heard(*all[0]) && heard(*all[2]); }));
+    run_for(loop, std::chrono::milliseconds(200));
+    for (const auto& at : all)
+        CHECK(heard(*at) == (at->domain == "d"));
+}
+
 } // namespace shallotwood::test
