Take no home for the first one after the fleet has found itself

Grants, logged on a scratch copy: 325 a second, but 649 in the second in which the home changes, 10 s after the start, for a new home of a new fleet began with a whole burst during the first 12 s. The test failed first (100 tokens where 25 are allowed).

--- a/src/process/rate/token_bucket_home.cpp
+++ b/src/process/rate/token_bucket_home.cpp
@@ -17,6 +17,10 @@
 // workspace. Later ones may follow a home that has ended.
 constexpr duration first_buckets_time = std::chrono::seconds(12);
 
+// The nodes of a new fleet have found each other by then; a later change of
+// homes takes workspaces from homes that have granted.
+constexpr duration discovery_time = std::chrono::seconds(3);
+
 // Shortest time after which a refused caller may come back.
 constexpr duration shortest_wait = std::chrono::milliseconds(50);
 
@@ -30,7 +34,8 @@
     auto [it, inserted] = buckets_.try_emplace(workspace);
     auto& of = it->second;
     if (inserted) {
-        bool is_first = fleet_is_new_ && now - started_ < first_buckets_time;
+        bool is_first = fleet_is_new_ && now - started_ < first_buckets_time &&
+                        unchanged_since_ - started_ < discovery_time;
         of.level = is_first ? std::max(1.0, limit.burst)
                             : std::max(1.0, limit.rate * first_level_seconds);
         of.at = unchanged_since_;
--- a/tests/sidecar/test_rates_and_retries.cpp
+++ b/tests/sidecar/test_rates_and_retries.cpp
@@ -141,6 +141,20 @@
     CHECK(first.take("other", {100, 100}, 0, 1000).tokens <= 25);
 }
 
+// Requests may come before the whole fleet is ten seconds old.
+TEST_CASE("a home that follows another one in a new fleet starts nearly empty")
+{
+    virtual_loop loop;
+    rate::token_bucket_home home(loop, true);
+    // The nodes find each other.
+    loop.advance(seconds(1));
+    home.homes_changed();
+    CHECK(home.take("w", {100, 100}, 0, 1000).tokens == 100);
+    loop.advance(seconds(9));
+    home.homes_changed();
+    CHECK(home.take("other", {100, 100}, 0, 1000).tokens <= 25);
+}
+
 // The question for the first one asked for a single token.
 TEST_CASE("requests that come while the home is asked are not refused")
 {
