Count an instance that leaves as a change of homes

The home of the workspace leaves at 10.0 s; its successor's bucket is filled as if since the last change of homes, and that was the start: only the number of instances was followed, and an instance that leaves stays in the view. So a whole burst was granted twice within 5 s. The view now counts who comes and leaves.

--- a/src/process/fleet/fleet_view.cpp
+++ b/src/process/fleet/fleet_view.cpp
@@ -56,6 +56,8 @@
     if (changed == self_)
         return false;
     changed.sequence = self_.sequence + 1;
+    if (changed.leaving != self_.leaving)
+        ++membership_;
     take_out(self_name_, self_);
     self_ = std::move(changed);
     put_in(self_name_, self_);
@@ -75,6 +77,7 @@
     *number = numbered_.back();
     numbered_.pop_back();
     others_.erase(left);
+    ++membership_;
     return true;
 }
 
@@ -96,9 +99,12 @@
             return false;
         known = others_.emplace(name, it).first;
         numbered_.push_back({&known->first, &known->second});
+        ++membership_;
     } else {
         if (!it.is_newer_than(known->second))
             return false;
+        if (it.leaving != known->second.leaving)
+            ++membership_;
         take_out(known->first, known->second);
         known->second = it;
     }
--- a/src/process/fleet/fleet_view.hpp
+++ b/src/process/fleet/fleet_view.hpp
@@ -55,6 +55,8 @@
     std::size_t size() const { return others_.size() + 1; }
     // Counts changes; caches of what the view holds compare it.
     std::uint64_t revision() const { return revision_; }
+    // Counts the times that an instance has come, is leaving, or is back.
+    std::uint64_t membership() const { return membership_; }
 
     // One number for all entries; equal views have equal digests.
     std::uint64_t digest() const { return digest_; }
@@ -84,6 +86,7 @@
     std::uint64_t digest_ = 0;
     digests part_digests_{};
     std::uint64_t revision_ = 1;
+    std::uint64_t membership_ = 1;
 };
 
 // Order of the instances for a duty, the same at every node that knows the
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -109,7 +109,7 @@
       home_(loop, settings.fleet_is_new), tokens_(fleet_, links_, feed_, home_),
       wallet_(loop, tokens_),
       exchange_({loop, random_, store, fleet_, duty_, contact_, links_, feed_},
-                names.instance_prefix, [this] { set_node_count(); }),
+                names.instance_prefix, [this] { follow_membership(); }),
       callers_(loop,
                [this](const connection_ptr& from, request_head&& head,
                       const connection::http::message_info& info) {
@@ -172,7 +172,7 @@
                           << field("service", settings_.service)
                           << field("domain", settings_.failure_domain)
                           << field("incarnation", fleet_.self().incarnation);
-    set_node_count();
+    follow_membership();
     feed_.set_watching(true);
     exchange_.start(settings_.seeds);
     look_around();
@@ -441,12 +441,12 @@
     shed_before_ = shed;
 }
 
-void sidecar_node::set_node_count()
+void sidecar_node::follow_membership()
 {
-    if (known_ == fleet_.size())
+    if (membership_ == fleet_.membership())
         return;
-    known_ = fleet_.size();
-    retries_.set_nodes(known_);
+    membership_ = fleet_.membership();
+    retries_.set_nodes(fleet_.size());
     home_.homes_changed();
 }
 
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -107,7 +107,7 @@
     void policy_adopted(const version::policy& it, policy_feed::origin from);
     void look_around();
     void log_load();
-    void set_node_count();
+    void follow_membership();
     void leave_fleet();
     void end_if_idle();
     bool ready();
@@ -143,8 +143,8 @@
     std::uint64_t last_attempt_ = 0;
     std::uint64_t last_crash_ = 0;
     std::size_t calls_ = 0;
-    // Instances known at the last count.
-    std::size_t known_ = 0;
+    // Of the fleet, as last followed.
+    std::uint64_t membership_ = 0;
     bool isolated_ = false;
     // As last logged.
     bool cut_off_ = false;
--- a/tests/sidecar/test_fleet.cpp
+++ b/tests/sidecar/test_fleet.cpp
@@ -202,6 +202,28 @@
     CHECK(one.digest() == two.digest());
 }
 
+// Homes of workspaces follow it.
+TEST_CASE("a view counts who comes and leaves, not what else changes")
+{
+    fleet_view view(entry("self", 1, 0));
+    auto before = view.membership();
+    auto it = entry("10.0.0.1", 1, 1);
+    view.learn(it);
+    CHECK(view.membership() == before + 1);
+    it.sequence = 2;
+    it.slots = 9;
+    view.learn(it);
+    CHECK(view.membership() == before + 1);
+    it.sequence = 3;
+    it.leaving = true;
+    view.learn(it);
+    CHECK(view.membership() == before + 2);
+    it.incarnation = 2;
+    it.leaving = false;
+    view.learn(it);
+    CHECK(view.membership() == before + 3);
+}
+
 TEST_CASE("an instance that has left makes room for a new one")
 {
     fleet_view view(entry("self", 1, 0));
