--- a/src/process/pass_through_policy.cpp
+++ b/src/process/pass_through_policy.cpp
@@ -58,8 +58,7 @@
                                 std::function<void(request::entry_result)> done)
 {
     auto matches = [&](const auto& route) {
-        return it.path.compare(0, route.path_prefix.size(),
-                               route.path_prefix) == 0;
+        return it.path.compare(0, route.prefix.size(), route.prefix) == 0;
     };
     auto route =
         std::find_if(settings_.routes.begin(), settings_.routes.end(), matches);
@@ -72,7 +71,7 @@
     auto& context = entered.context;
     context.request_id = next_id();
     context.attempt_id = context.request_id + ".1";
-    context.route = route->path_prefix;
+    context.route = route->prefix;
     context.repeatable = route->repeatable;
     context.idempotency_key = it.idempotency_key;
     context.remaining = it.timeout.value_or(settings_.default_timeout);
--- a/src/process/pass_through_policy.hpp
+++ b/src/process/pass_through_policy.hpp
@@ -17,7 +17,7 @@
 {
 
 struct pass_through_route {
-    std::string path_prefix;
+    std::string prefix;
     std::string service;
     // False for requests that must run at most once.
     bool repeatable = true;
