Log which node grants a workspace's tokens, and count their source

Cause: neither logs nor metrics could tell apart the three hypotheses about the excess over a workspace's rate. A node now logs when it opens a bucket (rate_bucket_opened: level, part kept back) and when it loses or regains the owner of a workspace, and counts requests admitted by tokens of the owner or by its fallback share, and tokens returned. No decision changes.

--- a/bench/bench_sidecar.cpp
+++ b/bench/bench_sidecar.cpp
@@ -108,7 +108,8 @@
 {
     test::virtual_loop loop;
     generous_source source;
-    rate::token_cache token_cache(loop, source);
+    counters counts;
+    rate::token_cache token_cache(loop, source, counts);
     std::vector<std::string> names;
     for (std::int64_t n = 0; n < state.range(0); ++n)
         names.push_back("workspace-" + std::to_string(n));
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -20,7 +20,7 @@
               [this](const std::string& workspace) {
                   return rate_limit_of(workspace);
               }),
-      rates_(loop, tokens_),
+      rates_(loop, tokens_, counts),
       records_(loop, store, counts, boot_id, settings.wall, settings.records),
       attempts_(loop, transport, counts, settings.attempts,
                 [this] { return members_.first_incarnation(); }),
--- a/src/process/rate/token_bucket_table.cpp
+++ b/src/process/rate/token_bucket_table.cpp
@@ -1,5 +1,8 @@
 #include "process/rate/token_bucket_table.hpp"
 
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -47,6 +50,11 @@
     entry.level = std::min(std::max(limit.burst, 1.0),
                            entry.level + seconds * limit.rate * (1 - reserved));
     entry.at = now;
+    if (inserted && telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=rate_bucket_opened" << field("workspace", workspace)
+            << field("level", entry.level) << field("rate", limit.rate)
+            << field("reserved", reserved);
     return entry;
 }
 
--- a/src/process/rate/token_cache.cpp
+++ b/src/process/rate/token_cache.cpp
@@ -1,5 +1,8 @@
 #include "process/rate/token_cache.hpp"
 
+#include "process/log.hpp"
+#include "process/telemetry/decision_log.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -27,8 +30,12 @@
 
 } // namespace
 
-token_cache::token_cache(const clock& time, token_source& source)
-    : clock_(time), source_(source)
+token_cache::token_cache(const clock& time, token_source& source,
+                         counters& counts)
+    : clock_(time), source_(source),
+      admitted_by_owner_(counts.at("rate_admitted", "source=\"owner\"")),
+      admitted_by_fallback_(counts.at("rate_admitted", "source=\"fallback\"")),
+      returned_(counts.at("rate_tokens_returned"))
 {
 }
 
@@ -47,6 +54,7 @@
     if (cached.tokens <= 0 || clock_.now() > cached.tokens_valid_until)
         return false;
     --cached.tokens;
+    ++admitted_by_owner_;
     return true;
 }
 
@@ -77,6 +85,7 @@
 void token_cache::return_token(const std::string& workspace)
 {
     if (auto it = cached_tokens_.find(workspace); it != cached_tokens_.end()) {
+        ++returned_;
         ++it->second.tokens;
         it->second.tokens_valid_until = clock_.now() + token_validity;
     }
@@ -111,9 +120,13 @@
         if (cached.timed_out_requests < max_timed_out_requests)
             request_tokens(workspace, limit);
         if (!cached.request_pending)
-            serve_from_fallback(cached, limit);
+            serve_from_fallback(workspace, cached, limit);
         return;
     }
+    if (cached.timed_out_requests >= max_timed_out_requests &&
+        telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=rate_owner_regained" << field("workspace", workspace);
     cached.timed_out_requests = 0;
     auto now = clock_.now();
     if (now > cached.tokens_valid_until)
@@ -141,11 +154,18 @@
     done(refused);
 }
 
-void token_cache::serve_from_fallback(cached_tokens& cached,
+void token_cache::serve_from_fallback(const std::string& workspace,
+                                      cached_tokens& cached,
                                       const rate_limit& limit)
 {
     auto now = clock_.now();
     double part = source_.fallback_share();
+    if (cached.timed_out_requests == max_timed_out_requests &&
+        telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(warning)
+            << "event=rate_owner_lost" << field("workspace", workspace)
+            << field("share", part)
+            << field("silence_us", (now - cached.fallback_at).count());
     double most = std::max(1.0, limit.burst * part);
     double seconds =
         std::chrono::duration<double>(now - cached.fallback_at).count();
@@ -154,8 +174,10 @@
     cached.fallback_at = now;
     while (!cached.waiting.empty()) {
         bool allowed = cached.fallback_level >= 1;
-        if (allowed)
+        if (allowed) {
             cached.fallback_level -= 1;
+            ++admitted_by_fallback_;
+        }
         complete_first(
             cached, allowed ? std::nullopt
                             : std::optional<duration>(over_rate_retry_after));
--- a/src/process/rate/token_cache.hpp
+++ b/src/process/rate/token_cache.hpp
@@ -7,6 +7,7 @@
 // owner keeps the shares of unresponsive nodes back.
 #pragma once
 
+#include "process/counters.hpp"
 #include "process/rate/token_bucket_table.hpp"
 
 #include <deque>
@@ -40,7 +41,7 @@
     // caller may retry.
     using decision = std::function<void(std::optional<duration>)>;
 
-    token_cache(const clock& time, token_source& source);
+    token_cache(const clock& time, token_source& source, counters& counts);
 
     void acquire_token(const std::string& workspace, const rate_limit& limit,
                        decision done);
@@ -74,10 +75,14 @@
                   const std::optional<grant>& given);
     static void complete_first(cached_tokens& cached,
                                std::optional<duration> refused);
-    void serve_from_fallback(cached_tokens& cached, const rate_limit& limit);
+    void serve_from_fallback(const std::string& workspace,
+                             cached_tokens& cached, const rate_limit& limit);
 
     const clock& clock_;
     token_source& source_;
+    std::uint64_t& admitted_by_owner_;
+    std::uint64_t& admitted_by_fallback_;
+    std::uint64_t& returned_;
     std::unordered_map<std::string, cached_tokens> cached_tokens_;
 };
 
--- a/tests/sidecar/test_rates_and_retries.cpp
+++ b/tests/sidecar/test_rates_and_retries.cpp
@@ -27,7 +27,8 @@
     }
 
     struct member final : rate::token_source {
-        explicit member(rate_world& of) : world(of), token_cache(of.loop, *this)
+        explicit member(rate_world& of)
+            : world(of), token_cache(of.loop, *this, counts)
         {
         }
 
@@ -56,6 +57,7 @@
         }
 
         rate_world& world;
+        counters counts;
         rate::token_cache token_cache;
         bool cut = false;
         // Of so many answers one comes too late.
