Let the exchange of tokens run without a network

The exchange between the nodes of the platform needed real links and a policy feed, so the decisions about a workspace's owner had no test under cuts or resets. It now takes an interface for messages and reachability, which the links implement, and a look-up of rates.

--- a/src/process/rate/token_bucket_table.hpp
+++ b/src/process/rate/token_bucket_table.hpp
@@ -10,6 +10,8 @@
 
 #include "process/event_loop.hpp"
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -23,6 +25,11 @@
     double burst = 0;
 };
 
+// Returns the limit of the workspace in the current configuration, or nullopt
+// if the workspace does not exist.
+using rate_lookup =
+    std::function<std::optional<rate_limit>(const std::string& workspace)>;
+
 struct grant {
     int tokens = 0;
     // Time until the next token, if fewer were granted than requested.
--- a/src/process/rate/token_exchange.hpp
+++ b/src/process/rate/token_exchange.hpp
@@ -24,11 +24,6 @@
 namespace shallotwood::process::rate
 {
 
-// Returns the limit of the workspace in the current configuration, or nullopt
-// if the workspace does not exist.
-using rate_lookup =
-    std::function<std::optional<rate_limit>(const std::string& workspace)>;
-
 class token_exchange final : public token_source
 {
 public:
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -9,6 +9,7 @@
 #include "process/counters.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/routing/load_balancer.hpp"
+#include "process/sidecar/peer_channel.hpp"
 #include "process/sidecar/peer_codec.hpp"
 #include "request/attempt.hpp"
 
@@ -21,11 +22,9 @@
 namespace shallotwood::process::sidecar
 {
 
-class peer_links
+class peer_links final : public peer_channel
 {
 public:
-    // Gets the body of the reply, or nothing if none arrived in time.
-    using reply_handler = std::function<void(std::optional<std::string>)>;
     // Gets the policy revision that another node states in its reply.
     using revision_handler =
         std::function<void(const std::string& name, std::uint64_t revision)>;
@@ -57,23 +56,21 @@
     start(const fleet::instance& at, const request::attempt_request& what,
           const std::shared_ptr<request::attempt_receiver>& receiver);
 
-    // Sends a message and waits for its reply.
     void call(const peer_address& to, std::string_view path,
-              const std::string& body, duration limit, reply_handler done);
+              const std::string& body, duration limit,
+              reply_handler done) override;
 
     // Reconnects without waiting for the backoff if the node was unreachable or
     // its connection is not established yet. Call when an update about
     // the node has arrived.
     void reconnect_now(const std::string& name);
 
-    // False while the node does not answer.
-    bool reachable(const std::string& name) const;
-    std::size_t unreachable() const;
+    bool reachable(const std::string& name) const override;
+    std::size_t unreachable() const override;
     // True if no linked node that should be taking calls is reachable, and
     // there are enough of them to blame this node's own network.
     bool is_partitioned() const;
-    // Increases whenever reachable() changes for any node.
-    std::uint64_t revision() const { return revision_; }
+    std::uint64_t revision() const override { return revision_; }
 
 private:
     class remote_attempt;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -110,7 +110,12 @@
           loop, fleet_, names.policy,
           [this](const std::string& name) { return links_.reachable(name); }),
       token_buckets_(loop, settings.fleet_is_new),
-      tokens_(fleet_, links_, feed_, token_buckets_),
+      tokens_(
+          fleet_, links_,
+          [this](const std::string& workspace) {
+              return rate_limit_of(workspace);
+          },
+          token_buckets_),
       token_cache_(loop, tokens_, counts),
       exchange_({loop, random_, store, fleet_, watcher_election_,
                  isolation_detector_, links_, feed_},
@@ -476,6 +481,16 @@
     return feed_.current() && !leaving_ && !is_partitioned();
 }
 
+std::optional<rate::rate_limit>
+sidecar_node::rate_limit_of(const std::string& workspace) const
+{
+    auto current = feed_.current();
+    const auto* it = current ? current->find_workspace(workspace) : nullptr;
+    if (it == nullptr)
+        return std::nullopt;
+    return rate::rate_limit{it->rate, it->burst};
+}
+
 sidecar_node::exchange_ptr
 sidecar_node::readiness_request(const connection_ptr& from,
                                 const request_head& head)
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -113,6 +113,8 @@
     void handle_crash_report(const Json::Value& message);
 
     void policy_adopted(const version::policy& it, policy_feed::origin from);
+    std::optional<rate::rate_limit>
+    rate_limit_of(const std::string& workspace) const;
     void run_periodic_checks();
     void log_load();
     void apply_membership_change();
--- a/src/process/sidecar/token_exchange.cpp
+++ b/src/process/sidecar/token_exchange.cpp
@@ -1,6 +1,7 @@
 #include "process/sidecar/token_exchange.hpp"
 
 #include "process/json_text.hpp"
+#include "process/sidecar/peer_codec.hpp"
 
 namespace shallotwood::process::sidecar
 {
@@ -25,19 +26,20 @@
 } // namespace
 
 token_exchange::token_exchange(const fleet::fleet_view& fleet,
-                               peer_links& links, const policy_feed& feed,
+                               peer_channel& peers, rate::rate_lookup limits,
                                rate::token_bucket_table& token_buckets)
-    : fleet_(fleet), links_(links), feed_(feed), token_buckets_(token_buckets)
+    : fleet_(fleet), peers_(peers), limits_(std::move(limits)),
+      token_buckets_(token_buckets)
 {
 }
 
 const std::string& token_exchange::owner_of(const std::string& workspace)
 {
     if (fleet_revision_ != fleet_.revision() ||
-        links_revision_ != links_.revision()) {
+        peers_revision_ != peers_.revision()) {
         owners_.clear();
         fleet_revision_ = fleet_.revision();
-        links_revision_ = links_.revision();
+        peers_revision_ = peers_.revision();
     }
     auto [found, inserted] = owners_.try_emplace(workspace);
     auto& owner = found->second;
@@ -46,7 +48,7 @@
     std::uint64_t most = 0;
     for (const auto* it : fleet_.all()) {
         auto name = it->name();
-        if (it->leaving || !links_.reachable(name))
+        if (it->leaving || !peers_.reachable(name))
             continue;
         auto weight = fleet::rendezvous_weight(workspace, name);
         if (owner.empty() || weight > most) {
@@ -69,7 +71,7 @@
         reply(grant_in(handle_message(message)));
         return;
     }
-    links_.call(
+    peers_.call(
         fleet_.find(owner)->peer, peer_path::tokens, write_json(message),
         token_timeout,
         [reply = std::move(reply)](const std::optional<std::string>& text) {
@@ -88,15 +90,15 @@
     Json::Value reply(Json::objectValue);
     const auto& name = message["workspace"];
     const auto& wanted = message["wanted"];
-    if (!feed_.current() || !name.isString() || !wanted.isInt())
+    if (!name.isString() || !wanted.isInt())
         return reply;
-    const auto* of = feed_.current()->find_workspace(name.asString());
-    if (of == nullptr)
+    auto limit = limits_(name.asString());
+    if (!limit)
         return reply;
-    double reserved = static_cast<double>(links_.unreachable()) /
+    double reserved = static_cast<double>(peers_.unreachable()) /
                       static_cast<double>(fleet_.size());
-    auto given = token_buckets_.take(of->name, {of->rate, of->burst}, reserved,
-                                     wanted.asInt());
+    auto given =
+        token_buckets_.take(name.asString(), *limit, reserved, wanted.asInt());
     reply["tokens"] = given.tokens;
     reply["retry_after_us"] = Json::Int64(given.retry_after.count());
     return reply;
--- a/src/process/sidecar/token_exchange.hpp
+++ b/src/process/sidecar/token_exchange.hpp
@@ -8,8 +8,7 @@
 #include "process/fleet/fleet_view.hpp"
 #include "process/rate/token_bucket_table.hpp"
 #include "process/rate/token_cache.hpp"
-#include "process/sidecar/peer_links.hpp"
-#include "process/sidecar/policy_feed.hpp"
+#include "process/sidecar/peer_channel.hpp"
 
 #include <json/json.h>
 #include <string>
@@ -22,8 +21,8 @@
 {
 public:
     // The referenced objects must outlive the exchange.
-    token_exchange(const fleet::fleet_view& fleet, peer_links& links,
-                   const policy_feed& feed,
+    token_exchange(const fleet::fleet_view& fleet, peer_channel& peers,
+                   rate::rate_lookup limits,
                    rate::token_bucket_table& token_buckets);
 
     void request_tokens(
@@ -39,14 +38,14 @@
     const std::string& owner_of(const std::string& workspace);
 
     const fleet::fleet_view& fleet_;
-    peer_links& links_;
-    const policy_feed& feed_;
+    peer_channel& peers_;
+    rate::rate_lookup limits_;
     rate::token_bucket_table& token_buckets_;
     // Owner of each workspace; cleared when the fleet or the reachability of a
     // node has changed.
     std::unordered_map<std::string, std::string> owners_;
     std::uint64_t fleet_revision_ = 0;
-    std::uint64_t links_revision_ = 0;
+    std::uint64_t peers_revision_ = 0;
 };
 
 } // namespace shallotwood::process::sidecar
