Grant a workspace's tokens from one owner, whatever links are lost

What callers saw: a workspace was served more than its rate and burst when links between nodes were lost (438 requests in 5 s where 383 are tolerated).

Cause: each node chose the owner of a workspace among the nodes that it reached at that moment, and whoever was asked granted. A node without links chose itself. Views that disagree thus made several owners, each with a bucket that started with 0.25 s of the rate, or with the bucket of an earlier ownership, which had filled up while another node granted. Class of fault: a duty that moves by each node's own view of who is reachable, without a bound on holders.

Fix, for both data paths: - Only a node that is the owner by its own view grants; others refuse, and the sender uses its fallback share. - On the platform an owner is replaced only when it has not answered for 1.5 s and up to 16 other nodes, asked by the successor, don't reach it either. - A bucket is closed when its workspace gets another owner, is not refilled for a pause of the process, and saves nothing up while its owner is a substitute. - Tokens spent without the owner's knowledge (fallback shares, grants of a substitute) are reported to it once it answers. - A link that is being established counts as unreachable for the part kept back.

Evidence: 13 buckets opened within 80 ms after a reset before (rate_bucket_opened). The fallback share beside the owner was part of the excess, not the cause: alone it adds at most its share for the time until the owner notices.

--- a/bench/bench_sidecar.cpp
+++ b/bench/bench_sidecar.cpp
@@ -101,6 +101,7 @@
     {
         reply(rate::grant{wanted, duration(0)});
     }
+    void report_spent(const rate::spent_tokens&) override {}
     double fallback_share() const override { return 1; }
 };
 
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -51,7 +51,7 @@
             << "event=configuration" << field("revision", current->revision);
         routing_.reassign_all();
     });
-    members_.listen([this](const member&) { token_buckets_.owners_changed(); });
+    members_.listen([this](const member&) { tokens_.owners_changed(); });
     members_.start();
     feed_.start();
 }
--- a/src/process/rate/token_bucket_table.cpp
+++ b/src/process/rate/token_bucket_table.cpp
@@ -26,62 +26,144 @@
 // of owners moves workspaces from owners that have already granted tokens.
 constexpr duration fleet_discovery_time = std::chrono::seconds(3);
 
+// A substitute that nobody has contradicted for this time counts as the owner.
+constexpr duration substitute_trial_time = std::chrono::seconds(10);
+
+// How often the process is checked for a pause, and the shortest pause after
+// which other nodes may have granted tokens in its place.
+constexpr duration check_period = std::chrono::milliseconds(500);
+constexpr duration min_pause = std::chrono::milliseconds(1500);
+
 // Lower bound of the retry-after time of a refused caller.
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
 
 } // namespace
 
+token_bucket_table::token_bucket_table(event_loop& loop, bool fleet_is_new)
+    : loop_(loop), fleet_is_new_(fleet_is_new), started_(loop.now()),
+      owners_stable_since_(loop.now()), checked_at_(loop.now())
+{
+    check_periodically();
+}
+
+token_bucket_table::~token_bucket_table()
+{
+    loop_.cancel(check_timer_);
+}
+
+std::vector<spent_tokens> token_bucket_table::owners_changed(
+    const std::function<bool(const std::string&)>& owned)
+{
+    auto now = loop_.now();
+    owners_stable_since_ = now;
+    std::vector<spent_tokens> closed;
+    for (auto it = buckets_.begin(); it != buckets_.end();) {
+        if (owned(it->first)) {
+            ++it;
+            continue;
+        }
+        auto tokens = static_cast<int>(it->second.granted.value(now));
+        if (telemetry::allow(telemetry::decision::state))
+            SHALLOTWOOD_LOG(info)
+                << "event=rate_bucket_closed" << field("workspace", it->first)
+                << field("level", it->second.level) << field("granted", tokens);
+        closed.push_back({it->first, tokens});
+        it = buckets_.erase(it);
+    }
+    return closed;
+}
+
+void token_bucket_table::check_periodically()
+{
+    skip_pause();
+    check_timer_ =
+        loop_.call_after(check_period, [this] { check_periodically(); });
+}
+
+void token_bucket_table::skip_pause()
+{
+    auto now = loop_.now();
+    if (auto pause = now - checked_at_; pause > min_pause)
+        for (auto& [workspace, entry] : buckets_)
+            entry.at = std::min(entry.at + pause, now);
+    checked_at_ = now;
+}
+
+void token_bucket_table::open(bucket& entry, const std::string& workspace,
+                              const rate_limit& limit, double reserved) const
+{
+    auto now = loop_.now();
+    bool is_first = fleet_is_new_ && now - started_ < initial_fill_window &&
+                    owners_stable_since_ - started_ < fleet_discovery_time;
+    double initial =
+        is_first ? limit.burst : limit.rate * initial_level_seconds;
+    entry.level = std::max(1.0, initial * (1 - reserved));
+    entry.at = owners_stable_since_;
+    entry.opened_at = now;
+    if (telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=rate_bucket_opened" << field("workspace", workspace)
+            << field("level", entry.level) << field("rate", limit.rate)
+            << field("reserved", reserved)
+            << field("since_us", (now - entry.at).count());
+}
+
 token_bucket_table::bucket&
 token_bucket_table::refill(const std::string& workspace,
-                           const rate_limit& limit, double reserved)
+                           const rate_limit& limit, const grant_terms& terms)
 {
-    auto now = clock_.now();
+    skip_pause();
+    auto now = loop_.now();
     auto [it, inserted] = buckets_.try_emplace(workspace);
     auto& entry = it->second;
-    if (inserted) {
-        bool is_first = fleet_is_new_ && now - started_ < initial_fill_window &&
-                        owners_stable_since_ - started_ < fleet_discovery_time;
-        entry.level = is_first
-                          ? std::max(1.0, limit.burst)
-                          : std::max(1.0, limit.rate * initial_level_seconds);
-        entry.at = owners_stable_since_;
-    }
+    if (inserted)
+        open(entry, workspace, limit, terms.reserved);
+    double part = 1 - terms.reserved;
     double seconds = std::chrono::duration<double>(now - entry.at).count();
-    entry.level = std::min(std::max(limit.burst, 1.0),
-                           entry.level + seconds * limit.rate * (1 - reserved));
+    double refilled = entry.level + seconds * limit.rate * part;
+    double full = std::max(1.0, limit.burst * part);
+    if (terms.substitute && now - entry.opened_at < substitute_trial_time)
+        entry.level = std::min(
+            refilled, std::max(1.0, limit.rate * initial_level_seconds * part));
+    else if (entry.level < full)
+        entry.level = std::min(full, refilled);
+    else
+        entry.level = std::min(entry.level, std::max(1.0, limit.burst));
     entry.at = now;
-    if (inserted && telemetry::allow(telemetry::decision::state))
-        SHALLOTWOOD_LOG(info)
-            << "event=rate_bucket_opened" << field("workspace", workspace)
-            << field("level", entry.level) << field("rate", limit.rate)
-            << field("reserved", reserved);
     return entry;
 }
 
 grant token_bucket_table::take(const std::string& workspace,
-                               const rate_limit& limit, double reserved,
-                               int wanted)
+                               const rate_limit& limit,
+                               const grant_terms& terms, int wanted)
 {
-    auto& entry = refill(workspace, limit, reserved);
+    auto& entry = refill(workspace, limit, terms);
     grant given;
-    given.tokens = std::clamp(static_cast<int>(std::floor(entry.level)), 0,
-                              std::max(wanted, 0));
+    if (wanted <= 0)
+        return given;
+    given.tokens =
+        std::clamp(static_cast<int>(std::floor(entry.level)), 0, wanted);
     entry.level -= given.tokens;
+    entry.granted.add(given.tokens, loop_.now());
     if (given.tokens < wanted) {
         double missing = std::max(0.0, 1 - entry.level);
         auto wait = std::chrono::duration<double>(
-            missing / std::max(limit.rate * (1 - reserved), 0.01));
+            missing / std::max(limit.rate * (1 - terms.reserved), 0.01));
         given.retry_after = std::max(
             min_retry_after, std::chrono::duration_cast<duration>(wait));
     }
     return given;
 }
 
-void token_bucket_table::return_tokens(const std::string& workspace,
-                                       const rate_limit& limit, int tokens)
+void token_bucket_table::charge(const spent_tokens& it, const rate_limit& limit,
+                                const grant_terms& terms)
 {
-    auto& entry = refill(workspace, limit, 0);
-    entry.level = std::min(std::max(limit.burst, 1.0), entry.level + tokens);
+    auto& entry = refill(it.workspace, limit, terms);
+    // A new owner granted nothing while these tokens were spent.
+    bool is_new = loop_.now() - entry.opened_at < unreported_time;
+    double least = is_new ? std::min(entry.level, 0.0)
+                          : std::min(entry.level, -limit.burst);
+    entry.level = std::max(least, entry.level - it.tokens);
 }
 
 } // namespace shallotwood::process::rate
--- a/src/process/rate/token_cache.cpp
+++ b/src/process/rate/token_cache.cpp
@@ -19,7 +19,7 @@
 constexpr double prefetch_seconds = 0.15;
 
 // Time constant of the moving average of the demand.
-constexpr double demand_time_constant_seconds = 1;
+constexpr duration demand_time_constant = std::chrono::seconds(1);
 
 // Consecutive timeouts after which a node uses its fallback share; a single
 // response may just be late.
@@ -39,15 +39,7 @@
 {
 }
 
-void token_cache::record_demand(cached_tokens& cached)
-{
-    auto now = clock_.now();
-    double seconds =
-        std::chrono::duration<double>(now - cached.demand_at).count();
-    cached.demand *= std::exp(-seconds / demand_time_constant_seconds);
-    cached.demand += 1 / demand_time_constant_seconds;
-    cached.demand_at = now;
-}
+token_cache::cached_tokens::cached_tokens() : demand(demand_time_constant) {}
 
 bool token_cache::take_cached(cached_tokens& cached)
 {
@@ -66,11 +58,13 @@
         return;
     }
     auto& cached = cached_tokens_[workspace];
-    record_demand(cached);
+    cached.demand.add(1, clock_.now());
     if (cached.waiting.empty() && take_cached(cached)) {
         done(std::nullopt);
         auto& after = cached_tokens_[workspace];
-        if (after.tokens < std::floor(after.demand * prefetch_seconds) / 2)
+        auto prefetched =
+            std::floor(after.demand.rate(clock_.now()) * prefetch_seconds);
+        if (after.tokens < prefetched / 2)
             request_tokens(workspace, limit);
         return;
     }
@@ -100,7 +94,8 @@
     cached.request_pending = true;
     cached.requested_at = clock_.now();
     int wanted = static_cast<int>(cached.waiting.size()) +
-                 static_cast<int>(cached.demand * prefetch_seconds);
+                 static_cast<int>(cached.demand.rate(cached.requested_at) *
+                                  prefetch_seconds);
     source_.request_tokens(
         workspace, wanted,
         [this, workspace, limit](std::optional<grant> given) {
@@ -115,8 +110,10 @@
     auto& cached = cached_tokens_[workspace];
     cached.request_pending = false;
     if (!given) {
-        if (++cached.timed_out_requests == 1)
-            cached.fallback_at = cached.requested_at;
+        if (++cached.timed_out_requests == 1) {
+            cached.fallback_at = clock_.now();
+            cached.silent_since = cached.requested_at;
+        }
         if (cached.timed_out_requests < max_timed_out_requests)
             request_tokens(workspace, limit);
         if (!cached.request_pending)
@@ -128,6 +125,7 @@
         SHALLOTWOOD_LOG(info)
             << "event=rate_owner_regained" << field("workspace", workspace);
     cached.timed_out_requests = 0;
+    report_spent(workspace, cached);
     auto now = clock_.now();
     if (now > cached.tokens_valid_until)
         cached.tokens = 0;
@@ -165,7 +163,7 @@
         SHALLOTWOOD_LOG(warning)
             << "event=rate_owner_lost" << field("workspace", workspace)
             << field("share", part)
-            << field("silence_us", (now - cached.fallback_at).count());
+            << field("silence_us", (now - cached.silent_since).count());
     double most = std::max(1.0, limit.burst * part);
     double seconds =
         std::chrono::duration<double>(now - cached.fallback_at).count();
@@ -176,6 +174,7 @@
         bool allowed = cached.fallback_level >= 1;
         if (allowed) {
             cached.fallback_level -= 1;
+            cached.unreported.add(1, now);
             ++admitted_by_fallback_;
         }
         complete_first(
@@ -184,4 +183,14 @@
     }
 }
 
+void token_cache::report_spent(const std::string& workspace,
+                               cached_tokens& cached)
+{
+    auto tokens = static_cast<int>(cached.unreported.value(clock_.now()));
+    if (tokens < 1)
+        return;
+    cached.unreported.clear();
+    source_.report_spent({workspace, tokens});
+}
+
 } // namespace shallotwood::process::rate
--- a/src/process/rate/token_cache.hpp
+++ b/src/process/rate/token_cache.hpp
@@ -3,8 +3,9 @@
 // A request takes a cached token or waits for the workspace's owner node to
 // grant one; it is never refused before the owner was asked. Tokens for some
 // 100 ms of demand are prefetched, so few requests of a busy workspace wait. A
-// node that can't reach the owner uses its fallback share of the rate; the
-// owner keeps the shares of unresponsive nodes back.
+// node that can't reach the owner uses its fallback share of the rate. The
+// owner keeps the shares of unresponsive nodes back; what was spent before it
+// noticed is reported to it once it answers again.
 #pragma once
 
 #include "process/counters.hpp"
@@ -27,6 +28,8 @@
     virtual void
     request_tokens(const std::string& workspace, int wanted,
                    std::function<void(std::optional<grant>)> reply) = 0;
+    // Tells the owner that tokens were spent without its knowledge.
+    virtual void report_spent(const spent_tokens& it) = 0;
     // Fraction of the rate that this node may use without the owner.
     virtual double fallback_share() const = 0;
 
@@ -55,10 +58,9 @@
         std::deque<decision> waiting;
         bool request_pending = false;
         time_point refused_until{};
-        // Moving average, in requests per second.
-        double demand = 0;
-        time_point demand_at{};
+        decaying_sum demand;
         time_point requested_at{};
+        time_point silent_since{};
         // Consecutive requests without a response.
         int timed_out_requests = 0;
         // Bucket used while the owner is unreachable. It refills only then,
@@ -66,9 +68,12 @@
         // notices.
         double fallback_level = 1;
         time_point fallback_at{};
+        // Tokens that the fallback share has spent and the owner doesn't know.
+        decaying_sum unreported{unreported_time};
+
+        cached_tokens();
     };
 
-    void record_demand(cached_tokens& cached);
     bool take_cached(cached_tokens& cached);
     void request_tokens(const std::string& workspace, const rate_limit& limit);
     void on_grant(const std::string& workspace, const rate_limit& limit,
@@ -77,6 +82,7 @@
                                std::optional<duration> refused);
     void serve_from_fallback(const std::string& workspace,
                              cached_tokens& cached, const rate_limit& limit);
+    void report_spent(const std::string& workspace, cached_tokens& cached);
 
     const clock& clock_;
     token_source& source_;
--- a/src/process/rate/token_exchange.cpp
+++ b/src/process/rate/token_exchange.cpp
@@ -13,6 +13,7 @@
 
 constexpr const char* request_method = "rate.ask";
 constexpr const char* response_method = "rate.grant";
+constexpr const char* spent_method = "rate.spent";
 
 // Limits how long a caller's request waits for its token.
 constexpr duration response_timeout = std::chrono::milliseconds(150);
@@ -43,6 +44,11 @@
         if (!alive.expired())
             on_response(it);
     });
+    transport_.subscribe(spent_method, [this, alive](const peer_address&,
+                                                     const Json::Value& it) {
+        if (!alive.expired())
+            on_spent(it);
+    });
 }
 
 token_exchange::~token_exchange()
@@ -63,10 +69,8 @@
     const std::string& workspace, int wanted,
     std::function<void(std::optional<grant>)> reply)
 {
-    auto owner = rendezvous_order(
-        members_.members(), "rate/" + workspace, 1,
-        [](const member& it) { return it.state == member_state::active; });
-    if (owner.empty() || owner[0].instance == members_.self().instance) {
+    auto owner = other_owner(workspace);
+    if (!owner) {
         reply(take(workspace, wanted));
         return;
     }
@@ -76,7 +80,7 @@
     }
     auto id = ++last_request_id_;
     auto& it = pending_requests_[id];
-    it.to = owner[0].peer;
+    it.to = owner->peer;
     it.params["id"] = Json::UInt64(id);
     it.params["workspace"] = workspace;
     it.params["wanted"] = wanted;
@@ -103,19 +107,65 @@
     it.mapped().reply(given);
 }
 
-std::optional<grant> token_exchange::take(const std::string& workspace,
-                                          int wanted)
+std::optional<member>
+token_exchange::other_owner(const std::string& workspace) const
 {
-    auto limit = limits_(workspace);
-    if (!limit)
+    auto owner = rendezvous_order(
+        members_.members(), "rate/" + workspace, 1,
+        [](const member& it) { return it.state == member_state::active; });
+    if (owner.empty() || owner[0].instance == members_.self().instance)
         return std::nullopt;
+    return owner[0];
+}
+
+void token_exchange::owners_changed()
+{
+    auto closed = buckets_.owners_changed([this](const std::string& workspace) {
+        return !other_owner(workspace);
+    });
+    for (const auto& it : closed)
+        report_spent(it);
+}
+
+void token_exchange::report_spent(const spent_tokens& it)
+{
+    Json::Value params;
+    params["workspace"] = it.workspace;
+    params["tokens"] = it.tokens;
+    if (auto owner = other_owner(it.workspace))
+        transport_.send(owner->peer, spent_method, params);
+    else
+        on_spent(params);
+}
+
+void token_exchange::on_spent(const Json::Value& params)
+{
+    message_fields in(params);
+    auto workspace = in.text("workspace", max_name_bytes);
+    auto tokens = static_cast<int>(in.number("tokens", max_wanted));
+    if (!in.valid() || other_owner(workspace))
+        return;
+    if (auto limit = limits_(workspace))
+        buckets_.charge({workspace, tokens}, *limit, reserved());
+}
+
+double token_exchange::reserved() const
+{
     const auto& all = members_.members();
     auto suspects = std::count_if(all.begin(), all.end(), [](const member& it) {
         return it.state == member_state::suspect;
     });
-    double reserved = static_cast<double>(suspects) /
-                      static_cast<double>(std::max<std::size_t>(all.size(), 1));
-    return buckets_.take(workspace, *limit, reserved, wanted);
+    return static_cast<double>(suspects) /
+           static_cast<double>(std::max<std::size_t>(all.size(), 1));
+}
+
+std::optional<grant> token_exchange::take(const std::string& workspace,
+                                          int wanted)
+{
+    auto limit = limits_(workspace);
+    if (!limit || other_owner(workspace))
+        return std::nullopt;
+    return buckets_.take(workspace, *limit, reserved(), wanted);
 }
 
 void token_exchange::on_request(const peer_address& from,
@@ -133,8 +183,13 @@
     bool again = last["id"].isUInt64() && last["id"].asUInt64() == id;
     if (!again) {
         auto given = take(workspace, wanted);
-        if (!given)
+        if (!given) {
+            Json::Value refusal;
+            refusal["id"] = Json::UInt64(id);
+            refusal["not_owner"] = true;
+            transport_.send(from, response_method, refusal);
             return;
+        }
         last = Json::Value();
         last["id"] = Json::UInt64(id);
         last["tokens"] = given->tokens;
@@ -147,6 +202,10 @@
 {
     message_fields in(params);
     auto id = in.number("id");
+    if (in.valid() && params["not_owner"].isBool()) {
+        end(id, std::nullopt);
+        return;
+    }
     grant given;
     given.tokens = static_cast<int>(in.number("tokens", max_wanted));
     given.retry_after =
--- a/src/process/rate/token_exchange.hpp
+++ b/src/process/rate/token_exchange.hpp
@@ -41,8 +41,12 @@
     void
     request_tokens(const std::string& workspace, int wanted,
                    std::function<void(std::optional<grant>)> reply) override;
+    void report_spent(const spent_tokens& it) override;
     double fallback_share() const override;
 
+    // Call when a node has joined, left, died or returned.
+    void owners_changed();
+
 private:
     struct pending_request {
         peer_address to;
@@ -52,10 +56,17 @@
         timer_id timeout{};
     };
 
+    // Null if there is no other active node.
+    std::optional<member> other_owner(const std::string& workspace) const;
+    // Fraction of the rate that nodes use which are suspected to be dead.
+    double reserved() const;
+    // Grants nothing if by this node's view another node owns the workspace:
+    // two owners would grant the rate twice.
     std::optional<grant> take(const std::string& workspace, int wanted);
     void send(std::uint64_t id);
     void on_request(const peer_address& from, const Json::Value& params);
     void on_response(const Json::Value& params);
+    void on_spent(const Json::Value& params);
     void end(std::uint64_t id, const std::optional<grant>& given);
 
     event_loop& loop_;
--- a/src/process/sidecar/peer_channel.hpp
+++ b/src/process/sidecar/peer_channel.hpp
@@ -19,6 +19,10 @@
 class peer_channel
 {
 public:
+    // Both ends of a cut have noticed it after this time.
+    static constexpr duration presumed_dead_time =
+        std::chrono::milliseconds(1500);
+
     // Gets the body of the reply, or nothing if none arrived in time.
     using reply_handler = std::function<void(std::optional<std::string>)>;
 
@@ -27,11 +31,15 @@
                       const std::string& body, duration limit,
                       reply_handler done) = 0;
 
-    // False while the node does not answer.
-    virtual bool reachable(const std::string& name) const = 0;
+    // True if the node has answered lately.
+    virtual bool answers(const std::string& name) const = 0;
+    // True if the node has not answered for presumed_dead_time. A shorter loss
+    // of its link says nothing about the node: others may still reach it.
+    virtual bool presumed_dead(const std::string& name) const = 0;
+    // Increases whenever presumed_dead() changes for any node.
+    virtual std::uint64_t liveness_revision() const = 0;
+    // Number of nodes that do not answer now.
     virtual std::size_t unreachable() const = 0;
-    // Increases whenever reachable() changes for any node.
-    virtual std::uint64_t revision() const = 0;
 
 protected:
     ~peer_channel() = default;
--- a/src/process/sidecar/peer_codec.hpp
+++ b/src/process/sidecar/peer_codec.hpp
@@ -21,6 +21,8 @@
 constexpr std::string_view policy = "/policy";
 // Asks for tokens of a workspace's rate limit.
 constexpr std::string_view tokens = "/tokens";
+// Asks whether the node reaches another one.
+constexpr std::string_view probe = "/probe";
 // Reports the requests that were in flight when a backend server crashed.
 constexpr std::string_view crash = "/crash";
 } // namespace peer_path
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -32,6 +32,9 @@
 // lost packets in a row delay the answer by 600 ms.
 constexpr duration drop_timeout = std::chrono::milliseconds(900);
 
+// A node that was heard from within this time is taken to be alive.
+constexpr duration recent_answer_time = std::chrono::seconds(1);
+
 // Limit for establishing a connection, which takes 2 ms between failure
 // domains.
 constexpr duration connect_timeout = std::chrono::milliseconds(400);
@@ -432,12 +435,29 @@
     return it == links_.end() || it->second.reachable;
 }
 
+bool peer_links::answers(const std::string& name) const
+{
+    auto it = links_.find(name);
+    return it != links_.end() && it->second.reachable && it->second.session &&
+           it->second.session->established() &&
+           loop_.now() - it->second.session->heard() < recent_answer_time;
+}
+
+bool peer_links::presumed_dead(const std::string& name) const
+{
+    auto it = links_.find(name);
+    return it != links_.end() && it->second.presumed_dead;
+}
+
 std::size_t peer_links::unreachable() const
 {
     std::size_t n = 0;
-    for (const auto& [name, it] : links_)
-        if (!it.reachable && fleet_.find(name) != nullptr)
+    for (const auto& [name, it] : links_) {
+        bool is_connecting = it.session && !it.session->established() &&
+                             loop_.now() - it.opened_at > usual_connect_time;
+        if ((!it.reachable || is_connecting) && fleet_.find(name) != nullptr)
             ++n;
+    }
     return n;
 }
 
@@ -506,16 +526,30 @@
     if (of.reachable == reachable)
         return;
     of.reachable = reachable;
-    ++revision_;
+    of.unreachable_since = loop_.now();
+    if (reachable)
+        set_presumed_dead(name, of, false);
     load_balancer_.set_reachable(name, reachable);
-    if (on_reachability_)
-        on_reachability_();
     if (telemetry::allow(telemetry::decision::state))
         SHALLOTWOOD_LOG(info)
             << "event=" << (reachable ? "peer_regained" : "peer_lost")
             << field("peer", name);
 }
 
+void peer_links::set_presumed_dead(const std::string& name, link& of, bool dead)
+{
+    if (of.presumed_dead == dead)
+        return;
+    of.presumed_dead = dead;
+    ++liveness_revision_;
+    if (telemetry::allow(telemetry::decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=" << (dead ? "peer_presumed_dead" : "peer_alive")
+            << field("peer", name);
+    if (on_liveness_)
+        on_liveness_();
+}
+
 void peer_links::tick()
 {
     auto now = loop_.now();
@@ -523,7 +557,7 @@
     // yet.
     if (now - last_tick_ > max_tick_delay)
         for (auto& [name, it] : links_)
-            it.ping_at = it.opened_at = now;
+            it.ping_at = it.opened_at = it.unreachable_since = now;
     last_tick_ = now;
     std::vector<std::string> names;
     for (const auto& [name, it] : links_)
@@ -534,6 +568,9 @@
         check_link(name, links_[name], now);
     if (now - ping_idle_links_since_ > ping_idle_time)
         ping_idle_links_ = false;
+    for (auto& [name, it] : links_)
+        if (!it.reachable && now - it.unreachable_since > presumed_dead_time)
+            set_presumed_dead(name, it, true);
     timer_ = loop_.call_after(tick_period, [this] { tick(); });
 }
 
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -41,10 +41,10 @@
         on_revision_ = std::move(handler);
     }
 
-    // Called when a node has become unreachable, or reachable again.
-    void on_reachability(std::function<void()> changed)
+    // Called when presumed_dead() has changed for a node.
+    void on_liveness(std::function<void()> changed)
     {
-        on_reachability_ = std::move(changed);
+        on_liveness_ = std::move(changed);
     }
 
     // Closes all connections and fails the calls on them; nothing is sent
@@ -65,12 +65,17 @@
     // the node has arrived.
     void reconnect_now(const std::string& name);
 
-    bool reachable(const std::string& name) const override;
+    bool reachable(const std::string& name) const;
+    bool answers(const std::string& name) const override;
+    bool presumed_dead(const std::string& name) const override;
+    std::uint64_t liveness_revision() const override
+    {
+        return liveness_revision_;
+    }
     std::size_t unreachable() const override;
     // True if no linked node that should be taking calls is reachable, and
     // there are enough of them to blame this node's own network.
     bool is_partitioned() const;
-    std::uint64_t revision() const override { return revision_; }
 
 private:
     class remote_attempt;
@@ -82,6 +87,10 @@
         time_point ping_at{};
         time_point used_at{};
         bool reachable = true;
+        // Since when it has not been reachable.
+        time_point unreachable_since{};
+        bool presumed_dead = false;
+        // When its connection was lost.
         time_point lost_at{};
         duration backoff{};
     };
@@ -92,6 +101,7 @@
         const std::string& name,
         const std::shared_ptr<connection::peer::session>& which);
     void set_reachable(const std::string& name, link& of, bool reachable);
+    void set_presumed_dead(const std::string& name, link& of, bool dead);
     void tick();
     void check_link(const std::string& name, link& of, time_point now);
 
@@ -100,9 +110,9 @@
     const fleet::fleet_view& fleet_;
     routing::load_balancer& load_balancer_;
     revision_handler on_revision_;
-    std::function<void()> on_reachability_;
+    std::function<void()> on_liveness_;
     std::map<std::string, link> links_;
-    std::uint64_t revision_ = 1;
+    std::uint64_t liveness_revision_ = 1;
     bool closed_ = false;
     // Set when a link has gone silent: this node itself may be partitioned, so
     // idle links are pinged too, until each has been due for a ping.
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -109,9 +109,10 @@
       watcher_election_(
           loop, fleet_, names.policy,
           [this](const std::string& name) { return links_.reachable(name); }),
+      probes_(loop, random_, fleet_, links_),
       token_buckets_(loop, settings.fleet_is_new),
       tokens_(
-          fleet_, links_,
+          fleet_, links_, probes_,
           [this](const std::string& workspace) {
               return rate_limit_of(workspace);
           },
@@ -143,7 +144,8 @@
     links_.on_revision([this](const std::string& name, std::uint64_t revision) {
         feed_.handle_peer_revision(name, revision);
     });
-    links_.on_reachability([this] { token_buckets_.owners_changed(); });
+    links_.on_liveness([this] { tokens_.owners_changed(); });
+    probes_.on_refuted([this] { tokens_.owners_changed(); });
     feed_.on_store_state(
         [this](bool lost) { exchange_.announce_store_state(lost); });
     executor_.on_backend_lost([this] { backend_changed("unreachable"); });
@@ -397,6 +399,8 @@
         return exchange_.handle_message(*message);
     if (path == peer_path::tokens)
         return write_json(tokens_.handle_message(*message));
+    if (path == peer_path::probe)
+        return write_json(probes_.handle_message(*message));
     if (path == peer_path::crash)
         handle_crash_report(*message);
     return "{}";
@@ -460,7 +464,7 @@
         return;
     membership_ = fleet_.membership();
     retries_.set_nodes(fleet_.size());
-    token_buckets_.owners_changed();
+    tokens_.owners_changed();
 }
 
 // ---- policy, readiness, metrics, shutdown -----------------------------------
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -14,6 +14,7 @@
 #include "process/random_source.hpp"
 #include "process/routing/service_split.hpp"
 #include "process/sidecar/fleet_exchange.hpp"
+#include "process/sidecar/indirect_probes.hpp"
 #include "process/sidecar/local_executor.hpp"
 #include "process/sidecar/node_settings.hpp"
 #include "process/sidecar/peer_links.hpp"
@@ -141,6 +142,7 @@
     peer_server peers_;
     policy_feed feed_;
     fleet::watcher_election watcher_election_;
+    indirect_probes probes_;
     rate::token_bucket_table token_buckets_;
     token_exchange tokens_;
     rate::token_cache token_cache_;
--- a/src/process/sidecar/token_exchange.cpp
+++ b/src/process/sidecar/token_exchange.cpp
@@ -3,6 +3,9 @@
 #include "process/json_text.hpp"
 #include "process/sidecar/peer_codec.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace shallotwood::process::sidecar
 {
 
@@ -26,44 +29,52 @@
 } // namespace
 
 token_exchange::token_exchange(const fleet::fleet_view& fleet,
-                               peer_channel& peers, rate::rate_lookup limits,
+                               peer_channel& peers, indirect_probes& probes,
+                               rate::rate_lookup limits,
                                rate::token_bucket_table& token_buckets)
-    : fleet_(fleet), peers_(peers), limits_(std::move(limits)),
+    : fleet_(fleet), peers_(peers), probes_(probes), limits_(std::move(limits)),
       token_buckets_(token_buckets)
 {
 }
 
-const std::string& token_exchange::owner_of(const std::string& workspace)
+const token_exchange::ownership&
+token_exchange::owner_of(const std::string& workspace)
 {
     if (fleet_revision_ != fleet_.revision() ||
-        peers_revision_ != peers_.revision()) {
+        liveness_revision_ != peers_.liveness_revision()) {
         owners_.clear();
         fleet_revision_ = fleet_.revision();
-        peers_revision_ = peers_.revision();
+        liveness_revision_ = peers_.liveness_revision();
     }
     auto [found, inserted] = owners_.try_emplace(workspace);
-    auto& owner = found->second;
+    auto& it = found->second;
     if (!inserted)
-        return owner;
+        return it;
     std::uint64_t most = 0;
-    for (const auto* it : fleet_.all()) {
-        auto name = it->name();
-        if (it->leaving || !peers_.reachable(name))
+    std::vector<std::pair<std::uint64_t, std::string>> dead;
+    for (const auto* instance : fleet_.all()) {
+        if (instance->leaving)
             continue;
+        auto name = instance->name();
         auto weight = fleet::rendezvous_weight(workspace, name);
-        if (owner.empty() || weight > most) {
-            owner = name;
+        if (peers_.presumed_dead(name)) {
+            dead.emplace_back(weight, name);
+        } else if (it.owner.empty() || weight > most) {
+            it.owner = name;
             most = weight;
         }
     }
-    return owner;
+    for (auto& [weight, name] : dead)
+        if (weight > most)
+            it.dead.push_back(std::move(name));
+    return it;
 }
 
 void token_exchange::request_tokens(
     const std::string& workspace, int wanted,
     std::function<void(std::optional<rate::grant>)> reply)
 {
-    const auto& owner = owner_of(workspace);
+    const auto& owner = owner_of(workspace).owner;
     Json::Value message;
     message["workspace"] = workspace;
     message["wanted"] = wanted;
@@ -80,25 +91,87 @@
         });
 }
 
+void token_exchange::report_spent(const rate::spent_tokens& it)
+{
+    if (it.tokens <= 0)
+        return;
+    const auto& owner = owner_of(it.workspace).owner;
+    Json::Value message;
+    message["workspace"] = it.workspace;
+    message["spent"] = it.tokens;
+    if (owner.empty() || owner == fleet_.self().name())
+        handle_message(message);
+    else
+        peers_.call(fleet_.find(owner)->peer, peer_path::tokens,
+                    write_json(message), token_timeout,
+                    [](const std::optional<std::string>&) {});
+}
+
 double token_exchange::fallback_share() const
 {
     return 1.0 / static_cast<double>(fleet_.size());
 }
 
+void token_exchange::owners_changed()
+{
+    auto closed = token_buckets_.owners_changed(
+        [this](const std::string& workspace) { return owns(workspace); });
+    for (const auto& it : closed)
+        report_spent(it);
+}
+
+bool token_exchange::owns(const std::string& workspace)
+{
+    const auto& it = owner_of(workspace);
+    return it.owner == fleet_.self().name() &&
+           std::all_of(it.dead.begin(), it.dead.end(),
+                       [this](const std::string& name) {
+                           return probes_.confirmed_dead(name);
+                       });
+}
+
+void token_exchange::check_owner(const std::string& workspace)
+{
+    const auto& owner = owner_of(workspace).owner;
+    const auto* at = fleet_.find(owner);
+    if (at == nullptr || owner == fleet_.self().name() ||
+        !checked_.insert(owner).second)
+        return;
+    peers_.call(at->peer, peer_path::tokens, "{}", token_timeout,
+                [this, owner](const std::optional<std::string>&) {
+                    checked_.erase(owner);
+                });
+}
+
+rate::grant_terms token_exchange::terms_for(const std::string& workspace)
+{
+    auto reserved = static_cast<double>(peers_.unreachable()) /
+                    static_cast<double>(fleet_.size());
+    return {reserved, !owner_of(workspace).dead.empty()};
+}
+
 Json::Value token_exchange::handle_message(const Json::Value& message)
 {
     Json::Value reply(Json::objectValue);
-    const auto& name = message["workspace"];
-    const auto& wanted = message["wanted"];
-    if (!name.isString() || !wanted.isInt())
+    const auto& workspace = message["workspace"];
+    if (!workspace.isString())
         return reply;
-    auto limit = limits_(name.asString());
+    auto name = workspace.asString();
+    auto limit = limits_(name);
     if (!limit)
         return reply;
-    double reserved = static_cast<double>(peers_.unreachable()) /
-                      static_cast<double>(fleet_.size());
+    if (!owns(name)) {
+        check_owner(name);
+        return reply;
+    }
+    const auto& spent = message["spent"];
+    if (spent.isInt() && spent.asInt() > 0)
+        token_buckets_.charge({name, spent.asInt()}, *limit, terms_for(name));
+    const auto& wanted = message["wanted"];
+    if (!wanted.isInt())
+        return reply;
     auto given =
-        token_buckets_.take(name.asString(), *limit, reserved, wanted.asInt());
+        token_buckets_.take(name, *limit, terms_for(name), wanted.asInt());
     reply["tokens"] = given.tokens;
     reply["retry_after_us"] = Json::Int64(given.retry_after.count());
     return reply;
--- a/tests/sidecar/support/token_fleet.cpp
+++ b/tests/sidecar/support/token_fleet.cpp
@@ -1,6 +1,8 @@
 #include "sidecar/support/token_fleet.hpp"
 
 #include "process/json_text.hpp"
+#include "process/sidecar/peer_codec.hpp"
+#include "support/pausable_loop.hpp"
 
 #include <algorithm>
 
@@ -18,23 +20,29 @@
 // A silent link is noticed after this time, a closed one at once.
 constexpr duration silence_limit = milliseconds(600);
 
+// The platform starts a process that has ended again after this time.
+constexpr duration restart_time = milliseconds(200);
+
 } // namespace
 
 struct token_fleet::node final : sidecar::peer_channel {
     node(token_fleet& owner, std::size_t its_number, std::uint64_t incarnation,
          bool fleet_is_new)
         : world(owner), number(its_number),
-          view(owner.entry(its_number, incarnation)),
-          buckets(owner.loop, fleet_is_new),
+          view(owner.entry(its_number, incarnation)), random(its_number + 1),
+          probes(owner.loop, random, view, *this), own_loop(owner.loop),
+          buckets(own_loop, fleet_is_new),
           tokens(
-              view, *this, [this](const std::string&) { return world.limit; },
-              buckets),
+              view, *this, probes,
+              [this](const std::string&) { return world.limit; }, buckets),
           token_cache(owner.loop, tokens, counts)
     {
+        probes.on_refuted([this] { tokens.owners_changed(); });
     }
 
-    void call(const peer_address& to, std::string_view, const std::string& body,
-              duration limit, reply_handler done) override
+    void call(const peer_address& to, std::string_view path,
+              const std::string& body, duration limit,
+              reply_handler done) override
     {
         auto peer = static_cast<std::size_t>(to.port);
         auto answer = std::make_shared<reply_handler>(std::move(done));
@@ -53,12 +61,15 @@
         auto from = number;
         if (!of.connected(from, peer))
             return;
-        of.loop.call_after(one_way, [&of, alive, finish, from, peer, body] {
-            if (of.nodes_[peer]->frozen)
+        bool is_probe = path == sidecar::peer_path::probe;
+        of.loop.call_after(one_way, [&of, alive, finish, from, peer, body,
+                                     is_probe] {
+            auto& at = *of.nodes_[peer];
+            if (at.frozen)
                 return;
             auto json = parse_json(body);
-            auto text =
-                write_json(of.nodes_[peer]->tokens.handle_message(*json));
+            auto text = write_json(is_probe ? at.probes.handle_message(*json)
+                                            : at.tokens.handle_message(*json));
             if (!of.connected(peer, from))
                 return;
             of.loop.call_after(one_way, [alive, finish, text] {
@@ -68,33 +79,48 @@
         });
     }
 
-    bool reachable(const std::string& name) const override
+    bool answers(const std::string& name) const override
     {
         return lost.count(name) == 0;
     }
+    bool presumed_dead(const std::string& name) const override
+    {
+        return dead.count(name) != 0;
+    }
+    std::uint64_t liveness_revision() const override { return changes; }
     std::size_t unreachable() const override { return lost.size(); }
-    std::uint64_t revision() const override { return changes; }
 
     void set_lost(const std::string& name, bool is_lost)
     {
-        if ((lost.count(name) != 0) == is_lost)
-            return;
         if (is_lost)
             lost.emplace(name, world.loop.now());
         else
             lost.erase(name);
+        bool is_dead =
+            is_lost && world.loop.now() - lost.at(name) > presumed_dead_time;
+        if (is_dead == presumed_dead(name))
+            return;
+        if (is_dead)
+            dead.insert(name);
+        else
+            dead.erase(name);
         ++changes;
-        buckets.owners_changed();
+        tokens.owners_changed();
     }
 
     token_fleet& world;
     std::size_t number;
     counters counts;
     fleet::fleet_view view;
+    random_source random;
+    sidecar::indirect_probes probes;
+    pausable_loop own_loop;
     rate::token_bucket_table buckets;
     sidecar::token_exchange tokens;
     rate::token_cache token_cache;
     std::map<std::string, time_point> lost;
+    std::set<std::string> dead;
+    std::set<std::string> answered;
     // Since when a node has been silent.
     std::map<std::string, time_point> silent;
     std::uint64_t changes = 1;
@@ -112,7 +138,7 @@
             if (n != it->number)
                 it->view.learn(entry(n, 1));
     for (auto& it : nodes_)
-        it->buckets.owners_changed();
+        it->tokens.owners_changed();
     check_links();
 }
 
@@ -155,11 +181,13 @@
                            connected(n, it->number) && !nodes_[n]->frozen;
             if (answers) {
                 it->silent.erase(name);
+                it->answered.insert(name);
                 it->set_lost(name, false);
                 continue;
             }
             auto since = it->silent.emplace(name, loop.now()).first->second;
-            if (loop.now() - since >= silence_limit)
+            bool is_new = it->answered.count(name) == 0;
+            if (is_new || loop.now() - since >= silence_limit)
                 it->set_lost(name, true);
         }
     }
@@ -207,14 +235,22 @@
 void token_fleet::freeze(std::size_t number)
 {
     nodes_[number]->frozen = true;
+    nodes_[number]->own_loop.pause();
 }
 
 void token_fleet::thaw(std::size_t number)
 {
     nodes_[number]->frozen = false;
+    nodes_[number]->own_loop.resume();
 }
 
 void token_fleet::restart(std::size_t number)
+{
+    freeze(number);
+    loop.call_after(restart_time, [this, number] { replace(number); });
+}
+
+void token_fleet::replace(std::size_t number)
 {
     auto incarnation = nodes_[number]->view.self().incarnation + 1;
     nodes_[number] = make_node(number, incarnation, false);
--- a/tests/sidecar/support/token_fleet.hpp
+++ b/tests/sidecar/support/token_fleet.hpp
@@ -37,7 +37,8 @@
     // A frozen node neither runs timers nor answers until it is thawed.
     void freeze(std::size_t node);
     void thaw(std::size_t node);
-    // Replaces the node by a new incarnation that knows the fleet.
+    // Kills the node; a new incarnation, which knows the fleet, takes its place
+    // soon afterwards.
     void restart(std::size_t node);
 
     // Sends `rate` requests a second, spread over the nodes in turn; frozen
@@ -61,6 +62,7 @@
 private:
     struct node;
 
+    void replace(std::size_t node);
     bool connected(std::size_t from, std::size_t to) const;
     // Updates what each node knows about the reachability of the others.
     void check_links();
--- a/tests/sidecar/test_rates_and_retries.cpp
+++ b/tests/sidecar/test_rates_and_retries.cpp
@@ -15,6 +15,11 @@
 namespace
 {
 
+bool is_owner(const std::string&)
+{
+    return true;
+}
+
 // Several nodes that ask one home, over a network of 1 ms.
 class rate_world
 {
@@ -51,6 +56,10 @@
                                           world.reserved, wanted));
             });
         }
+        void report_spent(const rate::spent_tokens& it) override
+        {
+            world.home.charge(it, world.limit, world.reserved);
+        }
         double fallback_share() const override
         {
             return 1.0 / static_cast<double>(world.members.size());
@@ -142,7 +151,7 @@
     rate::token_bucket_table first(loop, true);
     CHECK(first.take("w", {100, 100}, 0, 1000).tokens == 100);
     loop.advance(seconds(60));
-    first.owners_changed();
+    first.owners_changed(is_owner);
     CHECK(first.take("other", {100, 100}, 0, 1000).tokens <= 25);
 }
 
@@ -153,10 +162,10 @@
     rate::token_bucket_table home(loop, true);
     // The nodes find each other.
     loop.advance(seconds(1));
-    home.owners_changed();
+    home.owners_changed(is_owner);
     CHECK(home.take("w", {100, 100}, 0, 1000).tokens == 100);
     loop.advance(seconds(9));
-    home.owners_changed();
+    home.owners_changed(is_owner);
     CHECK(home.take("other", {100, 100}, 0, 1000).tokens <= 25);
 }
 
@@ -179,7 +188,7 @@
     loop.advance(seconds(60));
     CHECK(home.take("w", limit, 0, 20).tokens == 20);
     // Another node may have granted the burst of any other workspace.
-    home.owners_changed();
+    home.owners_changed(is_owner);
     CHECK(home.take("v", limit, 0, 20).tokens <= 1);
 }
 
