--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -69,7 +69,6 @@
     it->backend = std::make_unique<scripted_server>(loop, std::move(handle));
     if (all.empty() || own_store)
         it->store = std::make_unique<fake_object_store>(loop);
-    auto& store = it->store ? *it->store : *all.front()->store;
     auto host = host_ + std::to_string(all.size() + 1);
     auto& to = it->settings;
     to.name = host;
@@ -88,15 +87,29 @@
     to.isolation_limit = isolation_limit;
     for (const auto& other : all)
         to.seeds.push_back(other->settings.announce_address);
-    it->node = std::make_unique<process::sidecar::sidecar_node>(
-        loop, adapter, store, it->counts,
-        object_names{policy_name, "instances/"}, to, 100, all.size() + 1);
-    REQUIRE(it->node->start().empty());
+    start_node(*it);
     all.push_back(std::move(it));
     announce(*all.back(), "ready");
     return *all.back();
 }
 
+void small_fleet::start_node(instance& at)
+{
+    auto& store = at.store ? *at.store : *all.front()->store;
+    at.node = std::make_unique<process::sidecar::sidecar_node>(
+        loop, adapter, store, at.counts,
+        object_names{policy_name, "instances/"}, at.settings, at.incarnation,
+        all.size() + 1);
+    REQUIRE(at.node->start().empty());
+}
+
+void small_fleet::restart(instance& at)
+{
+    at.node.reset();
+    ++at.incarnation;
+    start_node(at);
+}
+
 void small_fleet::write_policy(int revision,
                                const std::vector<std::string>& services,
                                const std::string& kind, const std::string& key,
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -38,6 +38,7 @@
         std::uint64_t beats = 0;
         // Start time of the backend server; a later one is a new start.
         int born = 1;
+        std::uint64_t incarnation = 100;
     };
 
     small_fleet();
@@ -54,6 +55,8 @@
     // Waits until all nodes know all backend servers and the policy.
     void settle(int revision);
 
+    // Replaces the node by a new process, which waits for announcements.
+    void restart(instance& at);
     void announce(instance& at, const std::string& state);
     caller_answer request(instance& at, const std::string& service,
                           const std::string& key = "key",
@@ -79,6 +82,7 @@
     std::vector<std::unique_ptr<instance>> all;
 
 private:
+    void start_node(instance& at);
     caller_answer call(const process::peer_address& to,
                        const connection::http::request_head& head,
                        const std::string& body);
--- /dev/null
+++ b/tests/sidecar/test_server_notices.cpp
@@ -0,0 +1,131 @@
+#include "sidecar/support/live_loop.hpp"
+#include "sidecar/support/small_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace shallotwood::test
+{
+
+namespace
+{
+
+constexpr double limit = 5;
+
+// Adds a header to the answer of a well-behaved backend server.
+std::string answer_with(const std::string& head, const std::string& header)
+{
+    auto text = good_answer(head, "whole");
+    return text.insert(text.find("\r\n") + 2, header + "\r\n");
+}
+
+void serve(scripted_connection& from, const std::string& head,
+           const std::string&)
+{
+    from.send(good_answer(head, "whole"));
+}
+
+void serve_limited(scripted_connection& from, const std::string& head,
+                   const std::string&)
+{
+    from.send(answer_with(head, "Server-Limit: 5.0"));
+}
+
+void serve_leaving(scripted_connection& from, const std::string& head,
+                   const std::string&)
+{
+    from.send(answer_with(head, "Server-Leaving: 1"));
+}
+
+class ignored_answers final : public connection::http::call_events
+{
+public:
+    void on_response(connection::http::response_head&&,
+                     const connection::http::message_info&) override
+    {
+    }
+    void on_response_body(std::string_view) override {}
+    void on_response_end() override {}
+    void on_failure(const connection::http::call_failure&) override {}
+};
+
+// Requests that the platform lets a backend server get in this time.
+std::size_t allowed(process::duration elapsed)
+{
+    return static_cast<std::size_t>(
+        1.5 * limit * std::chrono::duration<double>(elapsed).count() + 5);
+}
+
+} // namespace
+
+TEST_CASE("a backend server gets no more requests than the limit it has named")
+{
+    small_fleet fleet;
+    auto& one = fleet.add("front", serve);
+    auto& two = fleet.add("front", serve);
+    auto& limited = fleet.add("s", serve_limited);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    fleet.request(one, "s");
+    auto before = limited.backend->heads.size();
+    auto start = fleet.loop.now();
+    int refused = 0;
+    for (int n = 0; n < 30; ++n) {
+        auto answer = fleet.request(n % 2 == 0 ? one : two, "s");
+        refused += answer.status == 503 ? 1 : 0;
+        if (answer.status == 503)
+            CHECK(answer.headers.find("Retry-After") != nullptr);
+    }
+    auto elapsed = fleet.loop.now() - start;
+    CHECK(limited.backend->heads.size() - before <= allowed(elapsed));
+    CHECK(limited.backend->heads.size() - before +
+              static_cast<std::size_t>(refused) ==
+          30);
+}
+
+TEST_CASE("a named limit outlasts a restart of the node beside its server")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    bool silent = false;
+    auto& limited =
+        fleet.add("s", [&](scripted_connection& from, const std::string& head,
+                           const std::string& body) {
+            if (!silent)
+                serve_limited(from, head, body);
+        });
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    fleet.request(entry, "s");
+    silent = true;
+    fleet.restart(limited);
+    fleet.announce(limited, "ready");
+    fleet.settle(1);
+    auto before = limited.backend->heads.size();
+    auto start = fleet.loop.now();
+    ignored_answers events;
+    std::vector<std::shared_ptr<connection::http::client_connection>> calls;
+    for (int n = 0; n < 10; ++n)
+        calls.push_back(fleet.start_request(entry, "s", events));
+    run_for(fleet.loop, std::chrono::milliseconds(100));
+    CHECK(limited.backend->heads.size() - before <=
+          allowed(fleet.loop.now() - start));
+}
+
+TEST_CASE("a backend server that says it leaves gets no further request")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& leaving = fleet.add("s", serve_leaving);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    CHECK(fleet.request(entry, "s").status == 200);
+    CHECK(fleet.request(entry, "s").status == 503);
+    // Its node restarts, and one of its announcements arrives late.
+    fleet.restart(leaving);
+    fleet.announce(leaving, "ready");
+    fleet.settle(1);
+    CHECK(fleet.request(entry, "s").status == 503);
+    CHECK(leaving.backend->heads.size() == 1);
+}
+
+} // namespace shallotwood::test
