Follow what a backend server says of itself in its responses

Cause: the node read from a response only whether the request had run. Class of fault: a signal of the other side that no code takes in.

Fix: the node beside the backend server, which alone reaches it, takes the limit and the notice of leaving from each response. The admission control spaces out the starts by the limit: calls wait by importance as before, and a refusal names when to come back. The limit of the load report follows, so that other nodes choose this one less. A leaving backend server counts as draining. A node that restarts forgets both; the other nodes remember the notice of the latest response, with a key of that start of the backend server, and send it along, and none of them chooses a backend server that has said that it leaves.

--- a/src/process/fleet/instance.cpp
+++ b/src/process/fleet/instance.cpp
@@ -1,6 +1,7 @@
 #include "process/fleet/instance.hpp"
 
 #include <array>
+#include <xxhash.h>
 
 namespace shallotwood::process::fleet
 {
@@ -35,6 +36,12 @@
 
 } // namespace
 
+std::uint64_t backend_key(const std::string& backend_id,
+                          std::uint64_t started_at_ms)
+{
+    return XXH64(backend_id.data(), backend_id.size(), started_at_ms);
+}
+
 std::string_view name_of(backend_state state)
 {
     return state_names.at(static_cast<std::size_t>(state));
@@ -51,6 +58,8 @@
     to["leaving"] = it.leaving;
     to["service"] = it.service;
     to["backend"] = it.backend_id;
+    if (it.backend_started_at_ms != 0)
+        to["backend_started_ms"] = Json::UInt64(it.backend_started_at_ms);
     to["state"] = std::string(name_of(it.state));
     to["slots"] = it.slots;
     return to;
@@ -72,6 +81,11 @@
     it.leaving = from["leaving"].asBool();
     it.service = from["service"].asString();
     it.backend_id = from["backend"].asString();
+    // Nodes of earlier versions don't send it.
+    if (const auto& started = from["backend_started_ms"]; started.isUInt64())
+        it.backend_started_at_ms = started.asUInt64();
+    else if (!started.isNull())
+        return std::nullopt;
     it.state = *state;
     it.slots = from["slots"].asInt();
     return it;
--- a/src/process/fleet/instance.hpp
+++ b/src/process/fleet/instance.hpp
@@ -22,6 +22,10 @@
     gone,
 };
 
+// Identifies one start of a backend server.
+std::uint64_t backend_key(const std::string& backend_id,
+                          std::uint64_t started_at_ms);
+
 struct instance {
     // Address at which other nodes reach this one; identifies the instance.
     peer_address peer;
@@ -38,9 +42,14 @@
     // Id of the backend server; each start has a new id, or a later start time
     // under the same id.
     std::string backend_id;
+    std::uint64_t backend_started_at_ms = 0;
     backend_state state = backend_state::unknown;
     int slots = 0;
 
+    std::uint64_t backend_key() const
+    {
+        return fleet::backend_key(backend_id, backend_started_at_ms);
+    }
     std::string name() const
     {
         return peer.host + ':' + std::to_string(peer.port);
@@ -58,7 +67,8 @@
     auto fields() const
     {
         return std::tie(peer, failure_domain, incarnation, sequence, leaving,
-                        service, backend_id, state, slots);
+                        service, backend_id, backend_started_at_ms, state,
+                        slots);
     }
     friend bool operator==(const instance& a, const instance& b)
     {
--- a/src/process/load/admission_controller.cpp
+++ b/src/process/load/admission_controller.cpp
@@ -43,7 +43,33 @@
 
 void admission_controller::observe()
 {
-    controller_.observe(clock_.now(), running_, limit_, waiting_.size());
+    controller_.observe(clock_.now(), running_, limit(), waiting_.size());
+}
+
+bool admission_controller::has_room() const
+{
+    return running_ < limit_ && pacer_.may_start(clock_.now());
+}
+
+int admission_controller::limit() const
+{
+    if (!pacer_.rate())
+        return limit_;
+    double paced =
+        *pacer_.rate() * std::chrono::duration<double>(service_time_).count();
+    return std::clamp(static_cast<int>(std::ceil(paced)), 1, limit_);
+}
+
+duration admission_controller::retry_after() const
+{
+    return std::max(service_time_,
+                    pacer_.wait_for(waiting_.size() + 1, clock_.now()));
+}
+
+void admission_controller::set_rate_limit(std::optional<double> per_second)
+{
+    pacer_.set_rate(per_second);
+    run_waiting();
 }
 
 void admission_controller::set_slots(int slots)
@@ -58,8 +84,9 @@
 {
     controller_.arrived(it.key);
     set_period_timer();
-    if (running_ < limit_ && waiting_.empty()) {
+    if (has_room() && waiting_.empty()) {
         ++running_;
+        pacer_.started(clock_.now());
         observe();
         done(admission_decision::run);
         return;
@@ -110,16 +137,18 @@
 
 duration admission_controller::expected_wait(const admission_request& it) const
 {
-    if (running_ < limit_ && waiting_.empty())
+    if (has_room() && waiting_.empty())
         return duration(0);
     auto ahead = std::distance(waiting_.begin(),
                                waiting_.lower_bound(queue_position_of(it)));
-    return service_time_ * (ahead + 1) / limit_;
+    auto place = static_cast<std::size_t>(ahead) + 1;
+    return std::max(service_time_ * (ahead + 1) / limit_,
+                    pacer_.wait_for(place, clock_.now()));
 }
 
 void admission_controller::run_waiting()
 {
-    while (running_ < limit_ && !waiting_.empty()) {
+    while (has_room() && !waiting_.empty()) {
         auto first = waiting_.begin();
         auto it = std::move(first->second);
         queue_positions_.erase(std::get<2>(first->first));
@@ -129,6 +158,7 @@
             continue;
         }
         ++running_;
+        pacer_.started(clock_.now());
         it.done(admission_decision::run);
     }
     observe();
@@ -142,6 +172,7 @@
     timer_ = timers_.call_after(expiry_period, [this] {
         timer_set_ = false;
         expire();
+        run_waiting();
         set_timer();
     });
 }
--- a/src/process/load/admission_controller.hpp
+++ b/src/process/load/admission_controller.hpp
@@ -6,15 +6,18 @@
 // queueing delay, and all are made before the call has run.
 //
 // The limit is a part of the slots that the backend server announces: backend
-// servers slow down when nearly all of their slots are taken.
+// servers slow down when nearly all of their slots are taken. A backend server
+// may also limit the rate at which calls start.
 #pragma once
 
 #include "process/event_loop.hpp"
 #include "process/load/shed_threshold_controller.hpp"
+#include "process/load/start_pacer.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -56,6 +59,10 @@
     admission_controller& operator=(const admission_controller&) = delete;
 
     void set_slots(int slots);
+    // Limits the calls that start in a second; nothing for no limit.
+    void set_rate_limit(std::optional<double> per_second);
+    // An admitted call is sent to the backend server once more.
+    void resent() { pacer_.started(clock_.now()); }
 
     void arrive(const admission_request& it, decision done);
     // Removes a queued call; its decision callback isn't called.
@@ -67,7 +74,8 @@
     void refuse_all();
 
     int running() const { return running_; }
-    int limit() const { return limit_; }
+    // Calls that can execute at once, within the slots and the rate limit.
+    int limit() const;
     std::size_t waiting() const { return waiting_.size(); }
     // Time until such a call would start if it arrived now.
     duration expected_wait(const admission_request& it) const;
@@ -75,6 +83,8 @@
     shed_key shed_threshold() const { return controller_.shed_threshold(); }
     // Mean time of a call on the backend server.
     duration service_time() const { return service_time_; }
+    // When a call that is refused now may come back.
+    duration retry_after() const;
 
 private:
     struct entry {
@@ -85,6 +95,7 @@
     using queue_position = std::tuple<bool, shed_key, std::uint64_t>;
     static queue_position queue_position_of(const admission_request& it);
 
+    bool has_room() const;
     void observe();
     void run_waiting();
     void expire();
@@ -97,6 +108,7 @@
     int slots_ = 1;
     int limit_ = 1;
     int running_ = 0;
+    start_pacer pacer_;
     std::map<queue_position, entry> waiting_;
     std::unordered_map<std::uint64_t, queue_position> queue_positions_;
     duration service_time_{};
--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -66,6 +66,9 @@
         const auto& stats = stats_[*name];
         if (!stats.reachable)
             continue;
+        // Its node may have restarted since and not know it.
+        if (stats.notice.leaving && stats.notice.backend == it->backend_key())
+            continue;
         candidates.push_back({it, &stats});
         double time = recent_latency(stats, route);
         if (time > 0 && (fastest <= 0 || time < fastest))
@@ -184,6 +187,8 @@
 {
     auto& stats = stats_[name];
     stats.last_report = it;
+    if (it.notice.backend != 0)
+        stats.notice = it.notice;
     if (it.failure_rate > decayed_failure_rate(stats)) {
         stats.failure_rate = it.failure_rate;
         stats.failure_rate_at = clock_.now();
@@ -192,6 +197,12 @@
     stats.in_flight_at_report = stats.in_flight;
 }
 
+backend_notice load_balancer::notice_of(const std::string& name) const
+{
+    auto it = stats_.find(name);
+    return it == stats_.end() ? backend_notice{} : it->second.notice;
+}
+
 void load_balancer::set_reachable(const std::string& name, bool reachable)
 {
     stats_[name].reachable = reachable;
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -17,6 +17,7 @@
 #include "process/fleet/fleet_view.hpp"
 #include "process/load/shed_key.hpp"
 #include "process/random_source.hpp"
+#include "process/routing/backend_notice.hpp"
 
 #include <string>
 #include <unordered_map>
@@ -36,6 +37,7 @@
     // Requests of the call's route with this shed key or a higher one are shed
     // at the instance or further down the call graph.
     load::shed_key shed_threshold = load::no_shed_threshold;
+    backend_notice notice{};
 };
 
 enum class attempt_outcome {
@@ -69,6 +71,8 @@
     void ended(const std::string& name, const std::string& route,
                attempt_outcome how, duration elapsed);
     void report(const std::string& name, const load_report& it);
+    // The latest notice of the instance's backend server.
+    backend_notice notice_of(const std::string& name) const;
 
     // Records whether the node of the instance responds.
     void set_reachable(const std::string& name, bool reachable);
@@ -81,6 +85,7 @@
     struct instance_stats {
         int in_flight = 0;
         load_report last_report;
+        backend_notice notice;
         time_point reported_at{};
         // in_flight when the last report arrived.
         int in_flight_at_report = 0;
--- a/src/process/sidecar/local_backend.cpp
+++ b/src/process/sidecar/local_backend.cpp
@@ -47,6 +47,14 @@
     return effect::changed;
 }
 
+local_backend::effect local_backend::handle_leaving()
+{
+    if (state_ != backend_state::ready)
+        return effect::none;
+    state_ = backend_state::draining;
+    return effect::changed;
+}
+
 local_backend::effect local_backend::unreachable()
 {
     if (unreachable_ || state_ != backend_state::ready)
--- a/src/process/sidecar/local_backend.hpp
+++ b/src/process/sidecar/local_backend.hpp
@@ -31,6 +31,8 @@
 
     effect handle_announcement(const announcement& it);
     effect handle_departure(const departure& it);
+    // Call when a response says that the backend server leaves.
+    effect handle_leaving();
     // Call when nothing listens at the address.
     effect unreachable();
     // True if the announcement comes from a later incarnation although the
@@ -38,6 +40,13 @@
     bool indicates_crash(const announcement& it) const;
 
     const std::string& id() const { return id_; }
+    // Start time of this incarnation, by the platform's clock.
+    std::uint64_t started_at_ms() const { return started_at_ms_; }
+    // 0 until the backend server has announced itself.
+    std::uint64_t key() const
+    {
+        return id_.empty() ? 0 : fleet::backend_key(id_, started_at_ms_);
+    }
     const std::string& service() const { return service_; }
     const peer_address& address() const { return address_; }
     int slots() const { return slots_; }
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -113,6 +113,11 @@
 
 void local_executor::backend_changed()
 {
+    if (notice_.backend != backend_.key()) {
+        notice_ = {backend_.key(), 0, false};
+        notice_recorded_ = false;
+        admission_controller_.set_rate_limit(std::nullopt);
+    }
     pool_.set_address(backend_.address());
     if (backend_.slots() > 0)
         admission_controller_.set_slots(backend_.slots());
@@ -128,7 +133,8 @@
             admission_controller_.service_time(),
             failure_rate_,
             std::min(admission_controller_.shed_threshold(),
-                     shed_thresholds_.downstream_threshold(route))};
+                     shed_thresholds_.downstream_threshold(route)),
+            notice_};
 }
 
 void local_executor::record_outcome(bool failed)
@@ -167,6 +173,42 @@
     return it == running_requests_.end() ? nullptr : &it->second;
 }
 
+void local_executor::record_notice(const routing::backend_notice& it)
+{
+    notice_recorded_ = true;
+    apply_notice(it);
+}
+
+void local_executor::adopt_notice(const routing::backend_notice& it)
+{
+    if (!notice_recorded_ && it.backend != 0 && it.backend == notice_.backend &&
+        (it.rate_limit > 0 || it.leaving))
+        apply_notice(it);
+}
+
+void local_executor::apply_notice(const routing::backend_notice& it)
+{
+    if (it.rate_limit != notice_.rate_limit) {
+        notice_.rate_limit = it.rate_limit;
+        if (telemetry::allow(decision::state))
+            SHALLOTWOOD_LOG(info)
+                << "event=backend_limited" << field("backend", backend_.id())
+                << field("rate", it.rate_limit)
+                << field("from", notice_recorded_ ? "backend" : "peer")
+                << field("running", admission_controller_.running())
+                << field("waiting", admission_controller_.waiting());
+        admission_controller_.set_rate_limit(
+            it.rate_limit > 0 ? std::optional<double>(it.rate_limit)
+                              : std::nullopt);
+    }
+    if (!it.leaving || notice_.leaving)
+        return;
+    notice_.leaving = true;
+    if (backend_.handle_leaving() == local_backend::effect::changed &&
+        backend_listener_)
+        backend_listener_("leaving");
+}
+
 std::optional<reason> local_executor::refusal() const
 {
     if (leaving_)
@@ -207,6 +249,7 @@
         refuse(reason::no_backend_server);
         return;
     }
+    owner_.adopt_notice(request_.notice);
     if (auto why = owner_.refusal()) {
         refuse(*why);
         return;
@@ -229,7 +272,7 @@
 {
     if (it == load::admission_decision::refused) {
         auto why = owner_.refusal().value_or(reason::overload);
-        refuse(why, owner_.admission_controller_.service_time());
+        refuse(why, owner_.admission_controller_.retry_after());
         return;
     }
     if (remaining() < min_execution_time) {
@@ -301,6 +344,9 @@
 {
     auto self = shared_from_this();
     const auto& adapter = owner_.adapter_;
+    if (!adapter.is_misdirected_response(head) &&
+        head.headers.find(adapter.echo_header()) != nullptr)
+        owner_.record_notice(adapter.read_notice(head));
     if (adapter.is_misdirected_response(head) ||
         adapter.is_not_run_response(head)) {
         misdirected_ = adapter.is_misdirected_response(head);
@@ -373,6 +419,7 @@
         request_.body->replayable() && remaining() > min_execution_time) {
         resent_ = true;
         ++owner_.counts_.at("backend_idle_closes");
+        owner_.admission_controller_.resent();
         send();
         return;
     }
@@ -381,8 +428,8 @@
     if (why.unsent) {
         if (owner_.backend_.unreachable() == local_backend::effect::changed)
             owner_.handle_backend_crash();
-        if (owner_.backend_lost_listener_)
-            owner_.backend_lost_listener_();
+        if (owner_.backend_listener_)
+            owner_.backend_listener_("unreachable");
         refuse(reason::connection_failed);
         return;
     }
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -80,10 +80,10 @@
     std::size_t running_attempts() const { return running_; }
     std::uint64_t connections_opened() const { return pool_.opened(); }
 
-    // Called when nothing listens at the backend server's address.
-    void on_backend_lost(std::function<void()> lost)
+    // Called when a call has shown that the backend server is gone or leaves.
+    void on_backend_changed(std::function<void(std::string_view cause)> changed)
     {
-        backend_lost_listener_ = std::move(lost);
+        backend_listener_ = std::move(changed);
     }
 
     // Called with the requests that were in flight when the backend server
@@ -95,6 +95,12 @@
 private:
     friend class local_attempt;
     std::optional<request::reason> refusal() const;
+    // The backend server's latest response says so.
+    void record_notice(const routing::backend_notice& it);
+    // Another node knows of an earlier response, which this node may have
+    // forgotten in a restart.
+    void adopt_notice(const routing::backend_notice& it);
+    void apply_notice(const routing::backend_notice& it);
     void forget(const std::string& attempt_id);
     void record_outcome(bool failed);
     void record_broken_attempt(load::fingerprint request_fingerprint);
@@ -108,7 +114,7 @@
     settings settings_;
     load::admission_controller admission_controller_;
     connection::http::client_pool pool_;
-    std::function<void()> backend_lost_listener_;
+    std::function<void(std::string_view)> backend_listener_;
     crash_listener crash_listener_;
     // Attempts whose connections broke within the last seconds, oldest first.
     struct broken_attempt {
@@ -117,6 +123,9 @@
     };
     std::deque<broken_attempt> broken_attempts_;
     bool leaving_ = false;
+    routing::backend_notice notice_;
+    // True once the backend server has answered this process.
+    bool notice_recorded_ = false;
     std::size_t running_ = 0;
     // Moving average over recent calls: 1 for a failure of the backend server,
     // 0 for a success.
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "process/sidecar/peer_codec.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cctype>
 #include <cmath>
 
@@ -70,6 +72,35 @@
     return to;
 }
 
+// Rate limits are sent in thousandths of a request per second.
+constexpr double rate_scale = 1000;
+
+std::string to_text(const routing::backend_notice& it)
+{
+    return std::to_string(it.backend) + ' ' +
+           std::to_string(std::llround(it.rate_limit * rate_scale)) + ' ' +
+           (it.leaving ? '1' : '0');
+}
+
+// Missing or unreadable numbers are 0.
+template <std::size_t Count>
+std::array<std::uint64_t, Count> numbers_in(std::string_view text)
+{
+    std::array<std::uint64_t, Count> numbers{};
+    for (auto& n : numbers) {
+        auto space = std::min(text.find(' '), text.size());
+        n = connection::http::parse_number(text.substr(0, space)).value_or(0);
+        text.remove_prefix(std::min(space + 1, text.size()));
+    }
+    return numbers;
+}
+
+routing::backend_notice notice_from(const std::string& text)
+{
+    auto [backend, rate, leaving] = numbers_in<3>(text);
+    return {backend, static_cast<double>(rate) / rate_scale, leaving != 0};
+}
+
 std::string text_in(const header_list& headers, const char* name)
 {
     const auto* it = headers.find(name);
@@ -114,6 +145,8 @@
     to.add("sw-remaining", to_text(what.remaining));
     to.add("sw-patience", to_text(what.max_queue_time));
     to.add("sw-policy", std::to_string(what.policy_revision));
+    if (what.notice.rate_limit > 0 || what.notice.leaving)
+        to.add("sw-notice", to_text(what.notice));
     if (what.body->length())
         to.add("sw-length", std::to_string(*what.body->length()));
     add_message_headers(to, what.head.headers);
@@ -145,6 +178,7 @@
     what.remaining = time_in(headers, "sw-remaining");
     what.max_queue_time = time_in(headers, "sw-patience");
     what.policy_revision = number_in(headers, "sw-policy").value_or(0);
+    what.notice = notice_from(text_in(headers, "sw-notice"));
     what.body =
         std::make_shared<request::upload>(number_in(headers, "sw-length"));
     what.head.headers = message_headers(headers);
@@ -164,6 +198,7 @@
                std::to_string(reply.load.shed_threshold) + ' ' +
                std::to_string(
                    std::lround(reply.load.failure_rate * failure_rate_scale)));
+    to.add("sw-notice", to_text(reply.load.notice));
     to.add("sw-incarnation", std::to_string(reply.incarnation));
     to.add("sw-policy", std::to_string(reply.policy_revision));
     if (reply.failure) {
@@ -187,13 +222,7 @@
 process::routing::load_report load_from(const std::string& text)
 {
     process::routing::load_report it;
-    std::uint64_t numbers[6] = {};
-    std::string_view rest = text;
-    for (auto& n : numbers) {
-        auto space = std::min(rest.find(' '), rest.size());
-        n = connection::http::parse_number(rest.substr(0, space)).value_or(0);
-        rest.remove_prefix(std::min(space + 1, rest.size()));
-    }
+    auto numbers = numbers_in<6>(text);
     it.running = static_cast<int>(numbers[0]);
     it.waiting = static_cast<int>(numbers[1]);
     it.limit = static_cast<int>(numbers[2]);
@@ -212,6 +241,7 @@
         return std::nullopt;
     attempt_reply reply;
     reply.load = load_from(text_in(headers, "sw-load"));
+    reply.load.notice = notice_from(text_in(headers, "sw-notice"));
     reply.incarnation = number_in(headers, "sw-incarnation").value_or(0);
     reply.policy_revision = number_in(headers, "sw-policy").value_or(0);
     if (const auto* text = headers.find("sw-verdict")) {
--- a/src/process/sidecar/protocol_adapter.hpp
+++ b/src/process/sidecar/protocol_adapter.hpp
@@ -7,6 +7,7 @@
 #include "connection/http/message.hpp"
 #include "process/event_loop.hpp"
 #include "process/fleet/instance.hpp"
+#include "process/routing/backend_notice.hpp"
 #include "request/attempt.hpp"
 #include "version/policy.hpp"
 
@@ -88,6 +89,10 @@
     virtual bool
     is_from_backend(const connection::http::response_head& head) const = 0;
 
+    // What the backend server says of itself; the backend's key is not set.
+    virtual routing::backend_notice
+    read_notice(const connection::http::response_head& head) const = 0;
+
     // Response to a caller whose request was refused or failed.
     virtual connection::http::response_head
     failure_response(const request::attempt_failure& why) const = 0;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -148,7 +148,8 @@
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     feed_.on_store_state(
         [this](bool lost) { exchange_.announce_store_state(lost); });
-    executor_.on_backend_lost([this] { backend_changed("unreachable"); });
+    executor_.on_backend_changed(
+        [this](std::string_view cause) { backend_changed(cause); });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
         backend_crashed(in_flight);
     });
@@ -330,6 +331,7 @@
         it.leaving = left_fleet_;
         it.service = backend_.service();
         it.backend_id = backend_.id();
+        it.backend_started_at_ms = backend_.started_at_ms();
         it.slots = backend_.slots();
         it.state = backend_.state();
         if (it.state == fleet::backend_state::ready && !backend_.takes_calls())
--- a/src/request/attempt.hpp
+++ b/src/request/attempt.hpp
@@ -44,6 +44,9 @@
     process::duration remaining{};
     // Longest time that it may wait in the queue of the instance.
     process::duration max_queue_time{};
+    // What this node knows of the backend server, for an executing node that
+    // has restarted since.
+    process::routing::backend_notice notice;
     // Revision of the policy under which it was routed.
     std::uint64_t policy_revision = 0;
     connection::http::request_head head;
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -301,7 +301,7 @@
 }
 
 attempt_request
-entry_call::make_attempt_request(const process::fleet::instance&)
+entry_call::make_attempt_request(const process::fleet::instance& at)
 {
     attempt_request what;
     what.request_id = request_id_;
@@ -318,6 +318,7 @@
     what.is_retry = parent_is_retry_ || delivered_attempts_ > 0;
     what.remaining = remaining();
     what.max_queue_time = max_queue_time();
+    what.notice = node_.load_balancer().notice_of(at.name());
     what.policy_revision = policy_->revision();
     what.head = head_;
     what.body = request_body_;
--- a/tests/sidecar/test_gate.cpp
+++ b/tests/sidecar/test_gate.cpp
@@ -3,6 +3,7 @@
 #include "process/random_source.hpp"
 #include "support/virtual_loop.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
@@ -100,6 +101,44 @@
     CHECK(admission_controller.waiting() == 0);
 }
 
+TEST_CASE("calls start no faster than the backend server's rate limit")
+{
+    constexpr double rate = 10;
+    virtual_loop loop;
+    load::admission_controller admission_controller(loop, loop, {1.0, 2});
+    admission_controller.set_slots(20);
+    admission_controller.set_rate_limit(rate);
+    std::vector<time_point> starts;
+    int refused = 0;
+    for (std::uint64_t n = 0; n < 800; ++n) {
+        admission_controller.arrive(
+            call(n, loop, milliseconds(200)), [&](admission_decision it) {
+                if (it == admission_decision::refused) {
+                    ++refused;
+                    return;
+                }
+                starts.push_back(loop.now());
+                loop.call_after(milliseconds(50), [&] {
+                    admission_controller.finished(milliseconds(50));
+                });
+            });
+        // A limit that is lifted for a moment grants no second burst.
+        if (n % 50 == 49) {
+            admission_controller.set_rate_limit(std::nullopt);
+            admission_controller.set_rate_limit(rate);
+        }
+        loop.advance(milliseconds(10));
+    }
+    for (auto first = starts.begin(); first != starts.end(); ++first) {
+        auto last = std::upper_bound(first, starts.end(), *first + seconds(4));
+        REQUIRE(last - first <= 1.5 * rate * 4 + 5);
+    }
+    CHECK(starts.size() >= 0.9 * rate * 8);
+    CHECK(admission_controller.limit() == 1);
+    admission_controller.set_rate_limit(std::nullopt);
+    CHECK(admission_controller.limit() == 20);
+}
+
 TEST_CASE("a call that left gets no decision")
 {
     virtual_loop loop;
