Tell a late refusal of a backend server from the answer in shallotwoodd

What callers would see: "not run" for a request that the backend server was running, and a second run at another server. Fix: a refusal that names the token of its execution is believed if it is this one; without a token only the first response on a connection is believed. The stand-in names the token, as a backend server should. Ruled out, by a test that passed before: a response that breaks off in its head gives no success.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -75,13 +75,13 @@
 
 http_client::~http_client() = default;
 
-SoupSession* http_client::session_for(const std::string& host,
-                                      std::uint16_t port)
+http_client::host_session& http_client::session_for(const std::string& host,
+                                                    std::uint16_t port)
 {
     auto& it = sessions_[{host, port}];
     it.used = g_get_monotonic_time();
     if (it.session)
-        return it.session.get();
+        return it;
     it.session.reset(soup_session_new_with_options(
         "max-conns", limits_.connections_per_host, "max-conns-per-host",
         limits_.connections_per_host, "idle-timeout", limits_.idle_seconds,
@@ -90,7 +90,7 @@
     for (auto type : {SOUP_TYPE_CONTENT_DECODER, SOUP_TYPE_AUTH_MANAGER,
                       SOUP_TYPE_WEBSOCKET_EXTENSION_MANAGER})
         soup_session_remove_feature_by_type(it.session.get(), type);
-    return it.session.get();
+    return it;
 }
 
 void http_client::discard_idle(const std::string& host, std::uint16_t port)
@@ -113,14 +113,17 @@
                                                 client_handlers handlers)
 {
     std::shared_ptr<client_call> it(new client_call());
-    it->start(session_for(request.host, request.port), request,
+    const auto& to = session_for(request.host, request.port);
+    it->start(to.session.get(), to.newest_connection, request,
               std::move(handlers));
     return it;
 }
 
-void client_call::start(SoupSession* session, const client_request& request,
-                        client_handlers handlers)
+void client_call::start(SoupSession* session,
+                        std::shared_ptr<guint64> newest_connection,
+                        const client_request& request, client_handlers handlers)
 {
+    newest_connection_ = std::move(newest_connection);
     handlers_ = std::make_shared<client_handlers>(std::move(handlers));
     session_.reset(SOUP_SESSION(g_object_ref(session)));
     cancellable_.reset(g_cancellable_new());
@@ -199,6 +202,10 @@
     internal.verdict =
         single_header(headers, header_name::verdict).value_or("");
     internal.reason = single_header(headers, header_name::reason).value_or("");
+    internal.token = single_header(headers, header_name::token).value_or("");
+    auto connection = soup_message_get_connection_id(message_.get());
+    internal.on_kept_connection = connection <= *newest_connection_;
+    *newest_connection_ = std::max(*newest_connection_, connection);
     auto handlers = handlers_;
     handlers->on_head(std::move(head), internal);
 }
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -56,6 +56,11 @@
     std::string feedback;
     std::string verdict;
     std::string reason;
+    // Token of the execution that the response belongs to.
+    std::string token;
+    // Not the first response on its connection: an earlier one may have been
+    // written once more.
+    bool on_kept_connection = false;
 };
 
 // Called on the loop; no more calls after on_end, on_failure or cancel().
@@ -82,8 +87,8 @@
 private:
     friend class http_client;
     client_call() = default;
-    void start(SoupSession* session, const client_request& request,
-               client_handlers handlers);
+    void start(SoupSession* session, std::shared_ptr<guint64> newest_connection,
+               const client_request& request, client_handlers handlers);
     static void sent(GObject* session, GAsyncResult* result, gpointer data);
     static gboolean readable(GObject* stream, gpointer data);
     static void starting(SoupMessage* message, gpointer data);
@@ -96,6 +101,8 @@
 
     // Declared first, so that the session outlives what it made.
     object_handle<SoupSession> session_;
+    // The newest connection of the session that has carried a response.
+    std::shared_ptr<guint64> newest_connection_;
     object_handle<SoupMessage> message_;
     object_handle<GInputStream> stream_;
     object_handle<GCancellable> cancellable_;
@@ -129,9 +136,11 @@
 private:
     struct host_session {
         object_handle<SoupSession> session;
+        std::shared_ptr<guint64> newest_connection =
+            std::make_shared<guint64>(0);
         gint64 used = 0;
     };
-    SoupSession* session_for(const std::string& host, std::uint16_t port);
+    host_session& session_for(const std::string& host, std::uint16_t port);
     static gboolean expire(gpointer data);
 
     client_limits limits_;
--- a/src/process/http/http_execution.cpp
+++ b/src/process/http/http_execution.cpp
@@ -127,6 +127,7 @@
     it.on_failure = [self](const client_failure& failure) {
         self->failed(failure.written);
     };
+    token_ = permit.token;
     backend_address_ = connection::listen_address{permit.host, permit.port};
     client_ = in_.client.start(make_request(permit), std::move(it));
     deadline_timer_.start(permit.remaining, [self] {
@@ -141,8 +142,15 @@
                                    const internal_headers& internal)
 {
     status_ = head.status;
-    if (head.status == SOUP_STATUS_SERVICE_UNAVAILABLE &&
-        internal.verdict == name_of(execution::not_run)) {
+    bool is_refusal = head.status == SOUP_STATUS_SERVICE_UNAVAILABLE &&
+                      internal.verdict == name_of(execution::not_run);
+    bool is_foreign = internal.token.empty() ? internal.on_kept_connection
+                                             : internal.token != token_;
+    if (is_refusal && is_foreign) {
+        failed(true);
+        return;
+    }
+    if (is_refusal) {
         backend_refusal_ = refusal{{execution::not_run, reason::overload},
                                    SOUP_STATUS_SERVICE_UNAVAILABLE,
                                    {}};
--- a/src/process/http/http_execution.hpp
+++ b/src/process/http/http_execution.hpp
@@ -56,6 +56,8 @@
     std::optional<std::uint64_t> length_;
     std::uint64_t relayed_bytes_ = 0;
     int status_ = 0;
+    // Names this execution to the backend server.
+    std::string token_;
     bool running_ = false;
     bool finished_ = false;
 };
--- a/standins/backend_standin.cpp
+++ b/standins/backend_standin.cpp
@@ -496,7 +496,8 @@
 void job::refuse(const char* why)
 {
     exchange_->respond(SOUP_STATUS_SERVICE_UNAVAILABLE,
-                       {{connection::header_name::verdict, "not-run"},
+                       {{connection::header_name::token, token_},
+                        {connection::header_name::verdict, "not-run"},
                         {connection::header_name::reason, why}},
                        "");
     end();
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -6,9 +6,13 @@
 #include "support/child_process.hpp"
 #include "support/raw_http.hpp"
 
+#include <arpa/inet.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace shallotwood;
 using request::call;
@@ -132,6 +136,88 @@
     }
 };
 
+// A backend server that answers each request on one connection with the next
+// of the given texts. Then it closes the connection, or goes on sending the
+// last text until the other end does.
+class raw_backend
+{
+public:
+    explicit raw_backend(std::vector<std::string> answers, bool endless = false)
+        : listener_(socket(AF_INET, SOCK_STREAM, 0)),
+          answers_(std::move(answers)), endless_(endless)
+    {
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof any;
+        auto* address = reinterpret_cast<sockaddr*>(&any);
+        REQUIRE(bind(listener_, address, size) == 0);
+        REQUIRE(listen(listener_, 8) == 0);
+        REQUIRE(getsockname(listener_, address, &size) == 0);
+        port_ = ntohs(any.sin_port);
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~raw_backend()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+    raw_backend(const raw_backend&) = delete;
+    raw_backend& operator=(const raw_backend&) = delete;
+
+    std::uint16_t port() const { return port_; }
+    int requests() const { return requests_; }
+    // The other end has closed the connection.
+    bool was_closed() const { return was_closed_; }
+
+private:
+    // More than this is taken for reading without end.
+    static constexpr std::size_t max_sent_bytes = std::size_t{1} << 30;
+
+    void send_on(int fd)
+    {
+        const auto& text = answers_.back();
+        for (std::size_t sent = 0; sent < max_sent_bytes && !was_closed_;
+             sent += text.size())
+            was_closed_ = send(fd, text.data(), text.size(), MSG_NOSIGNAL) < 0;
+    }
+
+    void serve()
+    {
+        int fd = accept(listener_, nullptr, nullptr);
+        if (fd < 0)
+            return;
+        std::string input;
+        for (const auto& answer : answers_) {
+            char buf[4096];
+            ssize_t n = 1;
+            while (input.find("\r\n\r\n") == std::string::npos && n > 0) {
+                n = recv(fd, buf, sizeof buf, 0);
+                input.append(buf, n > 0 ? static_cast<std::size_t>(n) : 0);
+            }
+            if (n <= 0)
+                break;
+            ++requests_;
+            input.clear();
+            send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+            if (endless_)
+                break;
+        }
+        if (endless_)
+            send_on(fd);
+        close(fd);
+    }
+
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::vector<std::string> answers_;
+    bool endless_;
+    std::atomic<int> requests_{0};
+    std::atomic<bool> was_closed_{false};
+    std::thread thread_;
+};
+
 } // namespace
 
 // Guards against a caller that has a response of which no record exists: its
@@ -228,6 +314,35 @@
     CHECK(node.policy.left[0].what.run == execution::ran);
 }
 
+TEST_CASE("a late refusal is not the answer to the next request", "[process]")
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nShallotwood-Verdict: "
+                                "not-run\r\nContent-Length: 0\r\n\r\n";
+    raw_backend backend({refusal, refusal});
+    controlled_node node;
+    node.pass_through.set_backend("127.0.0.1", backend.port());
+    CHECK(node.get("/x").header("Shallotwood-Verdict") == "not-run");
+    // The server runs this one, but first writes the earlier refusal again.
+    auto it = node.get("/x");
+    REQUIRE(backend.requests() == 2);
+    CHECK(it.header("Shallotwood-Verdict") == "may-have-run");
+}
+
+TEST_CASE("a response that breaks off in its head is no success", "[process]")
+{
+    for (const std::string part :
+         {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+          "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        raw_backend backend({part});
+        controlled_node node;
+        node.pass_through.set_backend("127.0.0.1", backend.port());
+        auto it = node.get("/x");
+        CAPTURE(part);
+        CHECK(it.status == 502);
+        CHECK(it.header("Shallotwood-Verdict") == "may-have-run");
+    }
+}
+
 // Guards against a node that ends because the JSON parser throws beyond its
 // nesting limit.
 TEST_CASE("a deeply nested announcement gets an error", "[process]")
