End a call whose backend server sends interim responses without end

What callers would see: no answer from a node of the product at all, as long as one backend server sends "100 Continue" again and again. Cause: libsoup reads interim responses while there are any and does not return to the loop, so no timer and no other connection is served. Class of fault: a loop whose end the other side decides. Fix: the call is cancelled after 16 interim responses; it may have run.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -13,6 +13,9 @@
 // transit holds in memory.
 constexpr std::size_t read_bytes = std::size_t{64} * 1024;
 
+// A server sends one or two, if any.
+constexpr int max_interim_responses = 16;
+
 std::string uri_of(const client_request& it)
 {
     bool v6 = it.host.find(':') != std::string::npos;
@@ -148,6 +151,8 @@
                    request.headers);
     g_signal_connect(message_.get(), "starting",
                      G_CALLBACK(&client_call::starting), this);
+    g_signal_connect(message_.get(), "got-informational",
+                     G_CALLBACK(&client_call::got_informational), this);
     g_signal_connect(message_.get(), "restarted",
                      G_CALLBACK(&client_call::restarted), this);
     soup_session_send_async(
@@ -161,6 +166,15 @@
     static_cast<client_call*>(data)->written_ = true;
 }
 
+// libsoup reads interim responses as long as there are any, without returning
+// to the loop.
+void client_call::got_informational(SoupMessage* /*unused*/, gpointer data)
+{
+    auto* self = static_cast<client_call*>(data);
+    if (++self->interim_responses_ > max_interim_responses)
+        g_cancellable_cancel(self->cancellable_.get());
+}
+
 // libsoup sends an idempotent request again when a reused connection closes.
 void client_call::restarted(SoupMessage* /*unused*/, gpointer data)
 {
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -92,6 +92,7 @@
     static void sent(GObject* session, GAsyncResult* result, gpointer data);
     static gboolean readable(GObject* stream, gpointer data);
     static void starting(SoupMessage* message, gpointer data);
+    static void got_informational(SoupMessage* message, gpointer data);
     static void restarted(SoupMessage* message, gpointer data);
     void head_received();
     void fail(const std::string& message);
@@ -110,6 +111,7 @@
     // Shared, so that a handler may end the call that runs it.
     std::shared_ptr<client_handlers> handlers_;
     std::vector<char> buffer_;
+    int interim_responses_ = 0;
     bool written_ = false;
     bool ended_ = false;
     // A read was asked for and has not been answered yet.
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -343,6 +343,32 @@
     }
 }
 
+TEST_CASE("bytes without end do not keep a connection open", "[process]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string many_bytes(std::size_t{16} * 1024, 'x');
+    const std::vector<std::vector<std::string>> streams = {
+        {head, "X-More: " + many_bytes + "\r\n"},
+        {head + "X-More: ", many_bytes},
+        {head + "\r\n", many_bytes},
+        {head + "Content-Length: 2\r\n\r\nok", many_bytes},
+        {"HTTP/1.1 100 Continue\r\n\r\n"},
+        {many_bytes}};
+    for (const auto& texts : streams) {
+        raw_backend backend(texts, true);
+        controlled_node node;
+        node.pass_through.set_backend("127.0.0.1", backend.port());
+        auto it = node.get("/x");
+        CAPTURE(texts.front());
+        if (it.status == 200)
+            CHECK(it.body == "ok");
+        else
+            CHECK(it.header("Shallotwood-Verdict") == "may-have-run");
+        node.get("/y");
+        CHECK(support::eventually([&] { return backend.was_closed(); }));
+    }
+}
+
 // Guards against a node that ends because the JSON parser throws beyond its
 // nesting limit.
 TEST_CASE("a deeply nested announcement gets an error", "[process]")
