Check in the soak that a workspace above its rate gets no more than its rate

Cause: no soak run sent more than a workspace's rate, so a fault of the rate could not show there. A second workspace now sends 100 requests a second at a rate of 40; the requests that ran are counted over the whole run, because a pause of the soak's own process moves what it sees in time.

--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,5 +1,7 @@
 #include "soak/ledger.hpp"
 
+#include <algorithm>
+
 namespace shallotwood::soak
 {
 
@@ -64,6 +66,14 @@
         violation("said not to have run, but ran: " + it.what.id);
 }
 
+std::size_t ledger::requests_run(const std::string& workspace) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(requests_.begin(), requests_.end(), [&](const auto& it) {
+            return it.second.what.workspace == workspace && it.second.runs > 0;
+        }));
+}
+
 std::size_t ledger::count(int status) const
 {
     auto it = statuses_.find(status);
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -37,6 +37,8 @@
     const std::set<std::string>& violations() const { return violations_; }
     std::size_t requests() const { return requests_.size(); }
     std::size_t runs() const { return runs_; }
+    // Requests of the workspace that have run, however often.
+    std::size_t requests_run(const std::string& workspace) const;
     std::size_t count(int status) const;
 
 private:
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -21,6 +21,16 @@
 const std::array<std::string, 2> services{"a", "b"};
 constexpr const char* workspace = "w";
 
+// A workspace that sends more than its rate.
+constexpr const char* busy_workspace = "busy";
+constexpr const char* busy_key = "busy-key";
+constexpr double busy_rate = 40;
+constexpr double busy_burst = 40;
+
+// What the platform tolerates above a rate.
+constexpr double rate_excess = 0.1;
+constexpr double rate_slack = 20;
+
 // Keys that hold at the same time; the oldest one is withdrawn with each
 // change of keys.
 constexpr std::size_t keys_at_once = 3;
@@ -64,6 +74,15 @@
     return it;
 }
 
+Json::Value tenant(const char* name, double rate, double burst)
+{
+    auto it = entry("tenants", name);
+    it["spec"]["rate_per_s"] = rate;
+    it["spec"]["burst"] = burst;
+    it["spec"]["api_keys"] = Json::Value(Json::arrayValue);
+    return it;
+}
+
 } // namespace
 
 // One request on one connection, which goes back to its pool.
@@ -182,12 +201,13 @@
         for (const auto& service : services)
             for (bool once : {false, true})
                 all["resources"].append(route(service, once, n));
-    auto tenant = entry("tenants", workspace);
+    auto usual = tenant(workspace, 10'000, 10'000);
     for (std::size_t n = 0; n < keys_at_once; ++n)
-        tenant["spec"]["api_keys"].append(key_text(first_key_ + n));
-    tenant["spec"]["rate_per_s"] = 10'000;
-    tenant["spec"]["burst"] = 10'000;
-    all["resources"].append(tenant);
+        usual["spec"]["api_keys"].append(key_text(first_key_ + n));
+    all["resources"].append(usual);
+    auto busy = tenant(busy_workspace, busy_rate, busy_burst);
+    busy["spec"]["api_keys"].append(busy_key);
+    all["resources"].append(busy);
     store_.put("config", "main", all);
 }
 
@@ -195,25 +215,27 @@
 {
     auto count = settings_.rate * std::chrono::duration<double>(send_period) /
                  seconds(1);
+    auto key = key_text(first_key_ + keys_at_once - 1);
     for (int n = 0; n < static_cast<int>(count); ++n)
-        send_one();
+        send_one({workspace, key});
+    send_one({busy_workspace, busy_key});
     if (playing_)
         loop_.call_after(send_period, [this] { send_requests(); });
 }
 
-void soak_run::send_one()
+void soak_run::send_one(const credentials& who)
 {
     auto& at = *instances_[random_.below(instances_.size())];
     const auto& service = services.at(random_.below(services.size()));
     bool once = random_.below(2) == 0;
     auto revision = 1 + static_cast<int>(random_.below(revision_));
-    request(at, service, once, revision, first_key_ + keys_at_once - 1);
+    request(at, service, once, revision, who);
 }
 
 std::shared_ptr<soak_run::outcome> soak_run::request(instance& at,
                                                      const std::string& service,
                                                      bool once, int revision,
-                                                     std::size_t key)
+                                                     const credentials& who)
 {
     auto id = "s" + std::to_string(settings_.seed) + '-' +
               std::to_string(++last_request_);
@@ -223,8 +245,8 @@
     head.headers.add("Host", host_of(service, once));
     head.headers.add("X-Request-Id", id);
     head.headers.add("X-Request-Timeout-Ms", "4000");
-    head.headers.add("Authorization", "Token " + key_text(key));
-    seen_.sent({id, once, workspace, body_for(id)});
+    head.headers.add("Authorization", "Token " + who.key);
+    seen_.sent({id, once, who.workspace, body_for(id)});
     auto result = std::make_shared<outcome>();
     auto done = [this, &at, result, revision, starts = at.starts,
                  served = at.served_revision](int status) {
@@ -440,6 +462,7 @@
         return;
     }
     playing_ = true;
+    auto started = loop_.now();
     ends_at_ = loop_.now() + settings_.length;
     next_fault();
     send_requests();
@@ -447,6 +470,18 @@
     playing_ = false;
     end_faults();
     check_service();
+    check_rate(loop_.now() - started);
+}
+
+// Over the whole run: a pause of this process moves what it sees in time.
+void soak_run::check_rate(duration elapsed)
+{
+    auto seconds = std::chrono::duration<double>(elapsed).count();
+    auto most = (busy_rate * seconds + busy_burst) * (1 + rate_excess);
+    if (auto runs = seen_.requests_run(busy_workspace);
+        static_cast<double>(runs) > most + rate_slack)
+        seen_.violation("above its rate: " + std::to_string(runs) + " in " +
+                        std::to_string(seconds) + " s");
 }
 
 void soak_run::end_faults()
@@ -488,7 +523,8 @@
 bool soak_run::served(instance& at, const std::string& service, bool once,
                       std::size_t key)
 {
-    auto result = request(at, service, once, revision_, key);
+    auto result =
+        request(at, service, once, revision_, {workspace, key_text(key)});
     wait_until([&] { return result->ended; });
     return result->status == 200;
 }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -65,11 +65,17 @@
         int status = 0;
     };
 
+    struct credentials {
+        std::string workspace;
+        std::string key;
+    };
+
     void write_configuration();
     void send_requests();
-    void send_one();
+    void send_one(const credentials& who);
     std::shared_ptr<outcome> request(instance& at, const std::string& service,
-                                     bool once, int revision, std::size_t key);
+                                     bool once, int revision,
+                                     const credentials& who);
 
     void next_fault();
     void start_fault();
@@ -84,6 +90,7 @@
     void watch_processes();
     void end_faults();
     void check_service();
+    void check_rate(process::duration elapsed);
     bool wait_until(const std::function<bool()>& done);
     bool served(instance& at, const std::string& service, bool once,
                 std::size_t key);
