Follow the linter in two new test files

A parameter hid a member of the fleet in the test, and a vector grew in a loop. No check changes; the test cases of both files pass before and after.

--- a/tests/sidecar/support/token_fleet.cpp
+++ b/tests/sidecar/support/token_fleet.cpp
@@ -41,7 +41,7 @@
     }
 
     void call(const peer_address& to, std::string_view path,
-              const std::string& body, duration limit,
+              const std::string& body, duration time_limit,
               reply_handler done) override
     {
         auto peer = static_cast<std::size_t>(to.port);
@@ -53,7 +53,7 @@
             }
         };
         auto alive = std::weak_ptr<bool>(life);
-        world.loop.call_after(limit, [alive, finish] {
+        world.loop.call_after(time_limit, [alive, finish] {
             if (!alive.expired())
                 finish(std::nullopt);
         });
--- a/tests/sidecar/test_server_notices.cpp
+++ b/tests/sidecar/test_server_notices.cpp
@@ -103,9 +103,9 @@
     auto before = limited.backend->heads.size();
     auto start = fleet.loop.now();
     ignored_answers events;
-    std::vector<std::shared_ptr<connection::http::client_connection>> calls;
-    for (int n = 0; n < 10; ++n)
-        calls.push_back(fleet.start_request(entry, "s", events));
+    std::vector<std::shared_ptr<connection::http::client_connection>> calls(10);
+    for (auto& it : calls)
+        it = fleet.start_request(entry, "s", events);
     run_for(fleet.loop, std::chrono::milliseconds(100));
     CHECK(limited.backend->heads.size() - before <=
           allowed(fleet.loop.now() - start));
