--- a/src/process/rate/token_bucket_table.cpp
+++ b/src/process/rate/token_bucket_table.cpp
@@ -57,18 +57,18 @@
     auto now = loop_.now();
     owners_stable_since_ = now;
     std::vector<spent_tokens> closed;
-    for (auto it = buckets_.begin(); it != buckets_.end();) {
-        if (owned(it->first)) {
-            ++it;
-            continue;
-        }
-        auto tokens = static_cast<int>(it->second.granted.value(now));
+    for (const auto& [workspace, entry] : buckets_)
+        if (!owned(workspace))
+            closed.push_back(
+                {workspace, static_cast<int>(entry.granted.value(now))});
+    for (const auto& it : closed) {
         if (telemetry::allow(telemetry::decision::state))
             SHALLOTWOOD_LOG(info)
-                << "event=rate_bucket_closed" << field("workspace", it->first)
-                << field("level", it->second.level) << field("granted", tokens);
-        closed.push_back({it->first, tokens});
-        it = buckets_.erase(it);
+                << "event=rate_bucket_closed"
+                << field("workspace", it.workspace)
+                << field("level", buckets_.at(it.workspace).level)
+                << field("granted", it.tokens);
+        buckets_.erase(it.workspace);
     }
     return closed;
 }
--- a/src/process/sidecar/token_exchange.cpp
+++ b/src/process/sidecar/token_exchange.cpp
@@ -122,7 +122,7 @@
 
 bool token_exchange::owns(const std::string& workspace)
 {
-    const auto& it = owner_of(workspace);
+    auto it = owner_of(workspace);
     return it.owner == fleet_.self().name() &&
            std::all_of(it.dead.begin(), it.dead.end(),
                        [this](const std::string& name) {
--- a/tests/sidecar/test_server_notices.cpp
+++ b/tests/sidecar/test_server_notices.cpp
@@ -57,6 +57,24 @@
 
 } // namespace
 
+TEST_CASE("only a positive decimal number is a limit")
+{
+    auto limit_in = [](const std::string& text) {
+        connection::http::response_head head;
+        head.headers.add("Server-Limit", text);
+        return platform::platform_protocol_adapter()
+            .read_notice(head)
+            .rate_limit;
+    };
+    CHECK(limit_in("9.25") == 9.25);
+    CHECK(limit_in("40") == 40);
+    for (const auto* text :
+         {"", "0", "-3", "nan", "inf", "1e400", "abc", "5 5"})
+        CHECK(limit_in(text) == 0);
+    CHECK(limit_in("1e300") <= 1e6);
+    CHECK(limit_in("1e-300") > 0);
+}
+
 TEST_CASE("a backend server gets no more requests than the limit it has named")
 {
     small_fleet fleet;
