Leave no timer or attempt behind when a node is destroyed

Cause: timers and store callbacks of the fleet exchange, and timers and attempts of the executor, kept a pointer to a node that had been destroyed while the loop went on. A process ends with its node, so callers never saw it; tests that restart a node do. Class of fault: a callback that outlives its target. Fix: a guard turns such callbacks off, and the executor ends its attempts. Ruled out: load; the trace names the timer of the node that the test had replaced.

--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -95,25 +95,25 @@
     const auto& self = dependencies_.fleet.self();
     dependencies_.store.put(
         entry_prefix_ + self.name(), write_json(to_json(self)), any_version,
-        [this](const put_result& result) {
+        guard_.wrap([this](const put_result& result) {
             entry_writing_ = false;
             entry_written_ = std::holds_alternative<std::uint64_t>(result) &&
                              !entry_changed_;
             if (!entry_written_)
-                dependencies_.loop.call_after(store_pause,
-                                              [this] { write_entry(); });
-        });
+                dependencies_.loop.call_after(
+                    store_pause, guard_.wrap([this] { write_entry(); }));
+        }));
 }
 
 void fleet_exchange::read_entries()
 {
     dependencies_.store.list_stale(
-        entry_prefix_, [this](const list_result& result) {
+        entry_prefix_, guard_.wrap([this](const list_result& result) {
             handle_entries(result);
             if (dependencies_.fleet.size() == 1)
-                dependencies_.loop.call_after(store_pause,
-                                              [this] { read_entries(); });
-        });
+                dependencies_.loop.call_after(
+                    store_pause, guard_.wrap([this] { read_entries(); }));
+        }));
 }
 
 void fleet_exchange::handle_entries(const list_result& result)
@@ -146,7 +146,7 @@
         return;
     send_scheduled_ = true;
     dependencies_.loop.call_after(update_batch_delay,
-                                  [this] { send_updates(); });
+                                  guard_.wrap([this] { send_updates(); }));
 }
 
 void fleet_exchange::send_updates()
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -11,6 +11,7 @@
 // no other node yet.
 #pragma once
 
+#include "process/callback_guard.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/fleet/isolation_detector.hpp"
 #include "process/fleet/watcher_election.hpp"
@@ -102,6 +103,7 @@
     bool entry_changed_ = false;
     bool entry_written_ = false;
     timer_id compare_timer_{};
+    callback_guard guard_;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -80,7 +80,11 @@
     pool_.set_address(backend.address());
 }
 
-local_executor::~local_executor() = default;
+local_executor::~local_executor()
+{
+    for (const auto& [id, it] : attempts_)
+        it->abandon();
+}
 
 std::shared_ptr<request::attempt> local_executor::start(
     const request::attempt_request& what,
@@ -105,8 +109,9 @@
         return it->second;
     if (it == attempts_.end()) {
         fenced_.emplace(attempt_id, loop_.now() + outcome_retention);
-        loop_.call_after(outcome_retention,
-                         [this, attempt_id] { fenced_.erase(attempt_id); });
+        loop_.call_after(outcome_retention, guard_.wrap([this, attempt_id] {
+            fenced_.erase(attempt_id);
+        }));
     }
     return nullptr;
 }
@@ -465,6 +470,18 @@
     owner_.admission_controller_.finished(took);
 }
 
+void local_attempt::abandon()
+{
+    receiver_.reset();
+    request_.body->on_more({});
+    if (state_ == state::running) {
+        owner_.loop_.cancel(timer_);
+        if (connection_)
+            connection_->close();
+    }
+    state_ = state::ended;
+}
+
 void local_attempt::refuse(reason why, std::optional<duration> retry_after)
 {
     auto self = shared_from_this();
@@ -520,7 +537,8 @@
     }
     owner_.loop_.call_after(
         outcome_retention,
-        [&owner = owner_, id = request_.attempt_id] { owner.forget(id); });
+        owner_.guard_.wrap(
+            [&owner = owner_, id = request_.attempt_id] { owner.forget(id); }));
 }
 
 void local_attempt::expire()
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "connection/http/client_pool.hpp"
+#include "process/callback_guard.hpp"
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
 #include "process/load/crash_suspects.hpp"
@@ -135,6 +136,7 @@
     std::unordered_map<std::string, std::shared_ptr<local_attempt>> attempts_;
     // Attempts that must not start any more, with the expiry of each entry.
     std::unordered_map<std::string, time_point> fenced_;
+    callback_guard guard_;
 };
 
 // One attempt on the local backend server.
@@ -172,6 +174,8 @@
     // The response can't be told to belong to this request.
     void reject_response();
     void release_backend();
+    // The executor is being destroyed.
+    void abandon();
     void end();
     void expire();
     duration remaining() const;
