Log when a node begins or stops to watch the store, and why

The logs could not tell whether no node watched the store or nodes watched and their calls hung. watch_started and watch_stopped give what decided: the nodes ahead in the election, how many of these are skipped, how many are wanted. The metric store_watching counts 1 on a node that watches.

--- a/src/process/fleet/watcher_election.cpp
+++ b/src/process/fleet/watcher_election.cpp
@@ -42,28 +42,30 @@
     return it != unreachable_until_.end() && it->second > clock_.now();
 }
 
-bool watcher_election::is_watcher() const
+watcher_election::result watcher_election::elect() const
 {
     auto self = fleet_.self().name();
     auto own = rendezvous_weight(object_, self);
+    result outcome;
+    outcome.wanted = std::max(min_watchers, fleet_.size() / nodes_per_watcher);
     std::size_t able = 0;
-    std::size_t before = 0;
-    std::size_t before_any = 0;
     for (const auto* it : fleet_.all()) {
         auto name = it->name();
         if (it->leaving || (name != self && !reachable_(name)))
             continue;
-        bool answered = !store_unreachable_from(name);
+        bool skipped = store_unreachable_from(name);
         bool first = rendezvous_weight(object_, name) > own;
-        before_any += first;
-        able += answered;
-        before += first && answered;
+        able += !skipped;
+        outcome.ahead += first;
+        outcome.skipped += first && skipped;
     }
-    auto wanted = std::max(min_watchers, fleet_.size() / nodes_per_watcher);
     // While no node reaches the store, the first in order keep trying.
     if (able == 0)
-        return before_any < wanted;
-    return !store_unreachable_from(self) && before < wanted;
+        outcome.chosen = outcome.ahead < outcome.wanted;
+    else
+        outcome.chosen = !store_unreachable_from(self) &&
+                         outcome.ahead - outcome.skipped < outcome.wanted;
+    return outcome;
 }
 
 } // namespace shallotwood::process::fleet
--- a/src/process/fleet/watcher_election.hpp
+++ b/src/process/fleet/watcher_election.hpp
@@ -34,7 +34,18 @@
     void store_reachable(const std::string& name);
     bool store_unreachable_from(const std::string& name) const;
 
-    bool is_watcher() const;
+    // The outcome for this node, and what decided it.
+    struct result {
+        bool chosen = false;
+        // Nodes that come before this one, and how many of these are skipped
+        // because the store does not respond to them.
+        std::size_t ahead = 0;
+        std::size_t skipped = 0;
+        // Number of nodes that are to watch.
+        std::size_t wanted = 0;
+    };
+    result elect() const;
+    bool is_watcher() const { return elect().chosen; }
 
 private:
     const clock& clock_;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -433,13 +433,29 @@
             << field("unreachable", links_.unreachable())
             << field("ready", ready() ? 1 : 0);
     }
-    feed_.set_watching(!feed_.current() || isolated_ ||
-                       watcher_election_.is_watcher());
+    update_store_watch();
     log_load();
     periodic_check_timer_ = loop_.call_after(periodic_check_interval,
                                              [this] { run_periodic_checks(); });
 }
 
+void sidecar_node::update_store_watch()
+{
+    auto election = watcher_election_.elect();
+    bool watch = !feed_.current() || isolated_ || election.chosen;
+    if (watch == feed_.watching())
+        return;
+    if (telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=" << (watch ? "watch_started" : "watch_stopped")
+            << field("ahead", election.ahead)
+            << field("skipped", election.skipped)
+            << field("wanted", election.wanted)
+            << field("policy", feed_.revision())
+            << field("isolated", isolated_ ? 1 : 0);
+    feed_.set_watching(watch);
+}
+
 // Logs the load if anything was refused or shed since the last check.
 void sidecar_node::log_load()
 {
@@ -516,6 +532,7 @@
     }
     auto load = executor_.load({});
     counts_.at("policy_revision") = feed_.revision();
+    counts_.at("store_watching") = feed_.watching() ? 1 : 0;
     counts_.at("instances_known") = fleet_.size();
     counts_.at("peers_unreachable") = links_.unreachable();
     counts_.at("calls_in_flight") = calls_;
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -117,6 +117,8 @@
     std::optional<rate::rate_limit>
     rate_limit_of(const std::string& workspace) const;
     void run_periodic_checks();
+    // Starts or stops watching the store as the election says.
+    void update_store_watch();
     void log_load();
     void apply_membership_change();
     void leave_fleet();
