--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -169,17 +169,6 @@
         send_to_random_nodes(fan_out, scope::failure_domain, make_message({}));
 }
 
-void fleet_exchange::announce_store_state(bool lost)
-{
-    auto self = dependencies_.fleet.self().name();
-    if (!lost) {
-        dependencies_.watcher_election.store_reachable(self);
-        return;
-    }
-    dependencies_.watcher_election.store_unreachable(self);
-    send_to_random_nodes(origin_fan_out, scope::fleet, make_message({}));
-}
-
 void fleet_exchange::send_to_random_nodes(std::size_t count, scope where,
                                           const Json::Value& message)
 {
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -62,9 +62,6 @@
     // Announces that this node has a new policy; `first_hand` if it came from
     // the store.
     void announce_policy(bool first_hand);
-    // Announces that this node has lost contact to the store; regained contact
-    // is only recorded.
-    void announce_store_state(bool lost);
 
     // Returns the reply to another node's message.
     std::string handle_message(const Json::Value& message);
--- a/src/process/sidecar/peer_channel.hpp
+++ b/src/process/sidecar/peer_channel.hpp
@@ -31,6 +31,8 @@
                       const std::string& body, duration limit,
                       reply_handler done) = 0;
 
+    // False if the node was found unreachable.
+    virtual bool reachable(const std::string& name) const = 0;
     // True if the node has answered lately.
     virtual bool answers(const std::string& name) const = 0;
     // True if the node has not answered for presumed_dead_time. A shorter loss
--- a/src/process/sidecar/peer_codec.hpp
+++ b/src/process/sidecar/peer_codec.hpp
@@ -23,6 +23,8 @@
 constexpr std::string_view tokens = "/tokens";
 // Asks whether the node reaches another one.
 constexpr std::string_view probe = "/probe";
+// Says whether the store answers the node.
+constexpr std::string_view watch = "/watch";
 // Reports the requests that were in flight when a backend server crashed.
 constexpr std::string_view crash = "/crash";
 } // namespace peer_path
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -65,7 +65,7 @@
     // the node has arrived.
     void reconnect_now(const std::string& name);
 
-    bool reachable(const std::string& name) const;
+    bool reachable(const std::string& name) const override;
     bool answers(const std::string& name) const override;
     bool presumed_dead(const std::string& name) const override;
     std::uint64_t liveness_revision() const override
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -109,6 +109,8 @@
       watcher_election_(
           loop, fleet_, names.policy,
           [this](const std::string& name) { return links_.reachable(name); }),
+      store_watch_({loop, random_, fleet_, watcher_election_, links_, feed_},
+                   [this] { return isolation_detector_.isolated(); }),
       probes_(loop, random_, fleet_, links_),
       token_buckets_(loop, settings.fleet_is_new),
       tokens_(
@@ -146,8 +148,6 @@
     });
     links_.on_liveness([this] { tokens_.owners_changed(); });
     probes_.on_refuted([this] { tokens_.owners_changed(); });
-    feed_.on_store_state(
-        [this](bool lost) { exchange_.announce_store_state(lost); });
     executor_.on_backend_changed(
         [this](std::string_view cause) { backend_changed(cause); });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
@@ -186,7 +186,7 @@
                           << field("domain", settings_.failure_domain)
                           << field("incarnation", fleet_.self().incarnation);
     apply_membership_change();
-    feed_.set_watching(true);
+    store_watch_.start();
     exchange_.start(settings_.seeds);
     run_periodic_checks();
     return {};
@@ -399,6 +399,8 @@
         return "{}";
     if (path == peer_path::fleet)
         return exchange_.handle_message(*message);
+    if (path == peer_path::watch)
+        store_watch_.handle_message(*message);
     if (path == peer_path::tokens)
         return write_json(tokens_.handle_message(*message));
     if (path == peer_path::probe)
@@ -433,29 +435,11 @@
             << field("unreachable", links_.unreachable())
             << field("ready", ready() ? 1 : 0);
     }
-    update_store_watch();
     log_load();
     periodic_check_timer_ = loop_.call_after(periodic_check_interval,
                                              [this] { run_periodic_checks(); });
 }
 
-void sidecar_node::update_store_watch()
-{
-    auto election = watcher_election_.elect();
-    bool watch = !feed_.current() || isolated_ || election.chosen;
-    if (watch == feed_.watching())
-        return;
-    if (telemetry::allow(decision::state))
-        SHALLOTWOOD_LOG(info)
-            << "event=" << (watch ? "watch_started" : "watch_stopped")
-            << field("ahead", election.ahead)
-            << field("skipped", election.skipped)
-            << field("wanted", election.wanted)
-            << field("policy", feed_.revision())
-            << field("isolated", isolated_ ? 1 : 0);
-    feed_.set_watching(watch);
-}
-
 // Logs the load if anything was refused or shed since the last check.
 void sidecar_node::log_load()
 {
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -20,6 +20,7 @@
 #include "process/sidecar/peer_links.hpp"
 #include "process/sidecar/peer_server.hpp"
 #include "process/sidecar/policy_feed.hpp"
+#include "process/sidecar/store_watch.hpp"
 #include "process/sidecar/token_exchange.hpp"
 #include "request/entry_call.hpp"
 
@@ -117,8 +118,6 @@
     std::optional<rate::rate_limit>
     rate_limit_of(const std::string& workspace) const;
     void run_periodic_checks();
-    // Starts or stops watching the store as the election says.
-    void update_store_watch();
     void log_load();
     void apply_membership_change();
     void leave_fleet();
@@ -144,6 +143,7 @@
     peer_server peers_;
     policy_feed feed_;
     fleet::watcher_election watcher_election_;
+    store_watch store_watch_;
     indirect_probes probes_;
     rate::token_bucket_table token_buckets_;
     token_exchange tokens_;
--- /dev/null
+++ b/src/process/sidecar/store_watch.hpp
@@ -0,0 +1,60 @@
+// Has some nodes of the fleet watch the platform's store on behalf of all.
+//
+// A node that watches passes each new policy on to the others. If the store
+// stops answering it, it tells other nodes, so that the next ones in the
+// election watch instead.
+#pragma once
+
+#include "process/callback_guard.hpp"
+#include "process/event_loop.hpp"
+#include "process/fleet/fleet_view.hpp"
+#include "process/fleet/watcher_election.hpp"
+#include "process/random_source.hpp"
+#include "process/sidecar/peer_channel.hpp"
+#include "process/sidecar/policy_feed.hpp"
+
+#include <functional>
+#include <json/json.h>
+
+namespace shallotwood::process::sidecar
+{
+
+class store_watch
+{
+public:
+    // All referenced objects must outlive the watch.
+    struct dependencies {
+        event_loop& loop;
+        random_source& random;
+        const fleet::fleet_view& fleet;
+        fleet::watcher_election& election;
+        peer_channel& peers;
+        policy_feed& feed;
+    };
+
+    // `isolated` tells whether this node has lost contact with all others; it
+    // then watches the store whoever else does.
+    store_watch(const dependencies& with, std::function<bool()> isolated);
+    ~store_watch();
+    store_watch(const store_watch&) = delete;
+    store_watch& operator=(const store_watch&) = delete;
+
+    // Watches until the first policy has arrived, then as the election says.
+    void start();
+
+    // Handles another node's message about its watch.
+    void handle_message(const Json::Value& message);
+
+private:
+    void run_check();
+    void update();
+    void announce_store_state(bool lost);
+    void send(const fleet::instance& to, const Json::Value& message);
+
+    dependencies dependencies_;
+    std::function<bool()> isolated_;
+    timer_id check_timer_{};
+    callback_guard guard_;
+};
+
+} // namespace shallotwood::process::sidecar
--- a/tests/sidecar/support/token_fleet.cpp
+++ b/tests/sidecar/support/token_fleet.cpp
@@ -79,6 +79,10 @@
         });
     }
 
+    bool reachable(const std::string& name) const override
+    {
+        return lost.count(name) == 0;
+    }
     bool answers(const std::string& name) const override
     {
         return lost.count(name) == 0;
