Let watchers of the store report to the nodes that are to follow them

Callers got a 404 for a route that had been confirmed 2.9 s before, and answers of the service that a route had been moved away from (CONFIG), while the store answered most nodes.

Cause: a node watched only if it believed that fewer than five nodes before it in the election could watch, and it believed so of each node of which it had not heard the contrary. A loss was told to 16 random nodes, a node that had vanished or was frozen told nobody, and a poll that the store left without an answer was noticed after 5 s. So all watchers could be gone without any other node knowing. Class: a duty that is given up is passed on by news that may not arrive, with nothing that shows that somebody holds it.

Now a watcher that the store answers reports every 0.4 s to the candidates, the first 20 nodes in the order. A candidate skips a watcher from which it has not heard for 1.1 s, or which says that the store does not answer it, and watches at once if its turn has come. A node is skipped for 2 s instead of 5 s. A watch begins with what the store holds now, so that its first answer is reported. The cost does not grow with the fleet: one watcher for 2,000 nodes, five at least.

Ruled out: calls that hang (answered within 10 ms), policies that are not passed on (all nodes have one within 50 ms).

The test that has changed, "a node that the store does not answer is passed over for a while", lets its watchers report meanwhile; its checks are the same.

--- a/src/process/fleet/watcher_election.hpp
+++ b/src/process/fleet/watcher_election.hpp
@@ -2,11 +2,16 @@
 // fleet.
 //
 // Each call to the store costs money, so a few nodes watch it and notify the
-// rest. Each node derives the watchers by rendezvous hashing from its fleet
-// view; a brief disagreement between nodes only costs extra calls. A node that
-// gets no response from the store reports this and is skipped for a while.
+// rest. Each node orders the nodes that it can reach by rendezvous hashing; the
+// first ones that the store answers watch. A brief disagreement between nodes
+// only costs extra calls.
 //
-// Bounded: one timestamp per known instance.
+// A change would go unnoticed if every node believed that others watch.
+// Therefore the first nodes of the order, the candidates, rely on reports only:
+// a watcher says regularly that the store answers it, and says at once if it
+// doesn't. A watcher that is not heard from is skipped, whatever the reason.
+//
+// Bounded: one record per known instance.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -15,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace shallotwood::process::fleet
 {
@@ -22,6 +28,12 @@
 class watcher_election
 {
 public:
+    // A node to which the store did not respond is skipped for this time.
+    static constexpr duration unreachable_hold_time = std::chrono::seconds(2);
+
+    // A watcher is skipped if it was not heard from for this time.
+    static constexpr duration silence_limit = std::chrono::milliseconds(1100);
+
     // False if the node was found unreachable.
     using reachability = std::function<bool(const std::string& name)>;
 
@@ -29,31 +41,63 @@
     watcher_election(const clock& time, const fleet_view& fleet,
                      std::string object, reachability reachable);
 
-    // Records that the store does not respond to the node `name`.
-    void store_unreachable(const std::string& name);
+    // Records that the node `name` watches the store, which answers it.
+    void record_watcher(const std::string& name);
+    // Records that the store does not respond to the node `name`, which is
+    // skipped for `hold`.
+    void store_unreachable(const std::string& name,
+                           duration hold = unreachable_hold_time);
     void store_reachable(const std::string& name);
-    bool store_unreachable_from(const std::string& name) const;
+    bool store_unreachable_from(const std::string& name) const
+    {
+        return skipped_for(name) > duration(0);
+    }
+    // How much longer the node is skipped.
+    duration skipped_for(const std::string& name) const;
 
     // The outcome for this node, and what decided it.
     struct result {
         bool chosen = false;
-        // Nodes that come before this one, and how many of these are skipped
-        // because the store does not respond to them.
+        // Nodes that come before this one, as far as they were counted, and
+        // how many of these are skipped.
         std::size_t ahead = 0;
         std::size_t skipped = 0;
         // Number of nodes that are to watch.
         std::size_t wanted = 0;
     };
-    result elect() const;
-    bool is_watcher() const { return elect().chosen; }
+    result elect();
+    bool is_watcher() { return elect().chosen; }
+
+    // The first nodes in the order, to which watchers report.
+    std::vector<std::string> candidates();
 
 private:
+    struct record {
+        time_point skipped_until{};
+        time_point heard_at{};
+        // Since when the node is expected to report.
+        time_point expected_since{};
+        // Number of the election in which it was expected last.
+        std::uint64_t expected_in = 0;
+    };
+
+    bool present(const std::string& name) const;
+    void update_order();
+    // Of a node that should be watching.
+    bool is_silent(const std::string& name);
+    result elect_among(const std::vector<std::string>& names, bool reports);
+
     const clock& clock_;
     const fleet_view& fleet_;
     std::string object_;
     reachability reachable_;
-    // Time until which a node is skipped.
-    std::map<std::string, time_point> unreachable_until_;
+    std::map<std::string, record> records_;
+    // All nodes that are not leaving, in the order of the election.
+    std::vector<std::string> order_;
+    // Membership revision of the fleet for which the order was made.
+    std::uint64_t order_membership_ = 0;
+    // Starts above expected_in + 1 of a record that was never expected.
+    std::uint64_t elections_ = 1;
 };
 
 } // namespace shallotwood::process::fleet
--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -293,7 +293,9 @@
     if (!from)
         return;
     const auto& lost = message["store_lost"];
-    if (lost.isBool() && lost.asBool())
+    // Does not extend the time for which the sender is skipped already.
+    if (lost.isBool() && lost.asBool() &&
+        !dependencies_.watcher_election.store_unreachable_from(from->name()))
         dependencies_.watcher_election.store_unreachable(from->name());
     if (message["policy"].isUInt64())
         dependencies_.feed.handle_peer_revision(from->name(),
--- a/src/process/sidecar/policy_feed.cpp
+++ b/src/process/sidecar/policy_feed.cpp
@@ -53,9 +53,10 @@
         store_answers_ = false;
         return;
     }
-    watch_ =
-        store_.watch(object_name_, object_version_,
-                     [this](const get_result& result) { changed(result); });
+    // From version 0, so that the first answer is reported though nothing has
+    // changed.
+    watch_ = store_.watch(
+        object_name_, 0, [this](const get_result& result) { changed(result); });
 }
 
 void policy_feed::set_store_lost(bool lost)
@@ -83,9 +84,7 @@
     if (store_lost_ && telemetry::allow(telemetry::decision::state))
         SHALLOTWOOD_LOG(info) << "event=store_regained";
     set_store_lost(false);
-    const auto& object = std::get<stored_object>(result);
-    object_version_ = object.version;
-    adopt(object.value, origin::store, "store");
+    adopt(std::get<stored_object>(result).value, origin::store, "store");
 }
 
 void policy_feed::handle_peer_revision(const std::string& name,
@@ -104,6 +103,8 @@
 bool policy_feed::adopt(const std::string& text, origin from,
                         std::string_view name)
 {
+    if (current_ && text == text_)
+        return false;
     auto parsed = adapter_.parse_policy(text);
     if (const auto* why = std::get_if<parse_failure>(&parsed)) {
         ++counts_.at("policies_unreadable");
--- a/src/process/sidecar/policy_feed.hpp
+++ b/src/process/sidecar/policy_feed.hpp
@@ -70,7 +70,6 @@
     listener adopted_;
     store_listener store_state_;
     std::optional<watch_id> watch_;
-    std::uint64_t object_version_ = 0;
     version::policy_ptr current_;
     std::string text_;
     bool pulling_ = false;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -109,7 +109,7 @@
       watcher_election_(
           loop, fleet_, names.policy,
           [this](const std::string& name) { return links_.reachable(name); }),
-      store_watch_({loop, random_, fleet_, watcher_election_, links_, feed_},
+      store_watch_({loop, fleet_, watcher_election_, links_, feed_},
                    [this] { return isolation_detector_.isolated(); }),
       probes_(loop, random_, fleet_, links_),
       token_buckets_(loop, settings.fleet_is_new),
--- a/src/process/sidecar/store_watch.cpp
+++ b/src/process/sidecar/store_watch.cpp
@@ -15,14 +15,13 @@
 
 using telemetry::decision;
 
-constexpr duration check_interval = std::chrono::seconds(1);
+// Interval at which a watcher reports, and at which the election is held. A
+// report that is lost does not make the watcher silent.
+constexpr duration check_interval = std::chrono::milliseconds(400);
 
 // Time limit for the reply of another node.
 constexpr duration message_timeout = std::chrono::milliseconds(500);
 
-// Number of nodes that are told that the store does not answer this one.
-constexpr std::size_t fan_out = 16;
-
 } // namespace
 
 store_watch::store_watch(const dependencies& with,
@@ -30,7 +29,7 @@
     : dependencies_(with), isolated_(std::move(isolated))
 {
     dependencies_.feed.on_store_state(
-        [this](bool lost) { announce_store_state(lost); });
+        [this](bool lost) { handle_store_state(lost); });
 }
 
 store_watch::~store_watch()
@@ -48,6 +47,7 @@
 void store_watch::run_check()
 {
     update();
+    report();
     check_timer_ =
         dependencies_.loop.call_after(check_interval, [this] { run_check(); });
 }
@@ -71,37 +71,56 @@
     feed.set_watching(watch);
 }
 
-void store_watch::announce_store_state(bool lost)
+void store_watch::report()
+{
+    if (!dependencies_.feed.watching() || !dependencies_.feed.store_answers())
+        return;
+    Json::Value message;
+    message["from"] = dependencies_.fleet.self().name();
+    message["store_answers"] = true;
+    send_to_candidates(message);
+}
+
+void store_watch::handle_store_state(bool lost)
 {
-    const auto& fleet = dependencies_.fleet;
-    auto self = fleet.self().name();
+    auto self = dependencies_.fleet.self().name();
     if (!lost) {
         dependencies_.election.store_reachable(self);
+        report();
         return;
     }
     dependencies_.election.store_unreachable(self);
     Json::Value message;
     message["from"] = self;
-    message["store_lost"] = true;
-    for (std::size_t n = 0; n < fan_out && fleet.size() > 1; ++n)
-        send(fleet.other(dependencies_.random.below(fleet.size() - 1)),
-             message);
+    message["store_answers"] = false;
+    send_to_candidates(message);
 }
 
-void store_watch::send(const fleet::instance& to, const Json::Value& message)
+void store_watch::send_to_candidates(const Json::Value& message)
 {
-    if (dependencies_.peers.reachable(to.name()))
-        dependencies_.peers.call(to.peer, peer_path::watch, write_json(message),
-                                 message_timeout,
-                                 [](const std::optional<std::string>&) {});
+    auto text = write_json(message);
+    for (const auto& name : dependencies_.election.candidates()) {
+        const auto* it = dependencies_.fleet.find(name);
+        if (it != nullptr && it != &dependencies_.fleet.self())
+            dependencies_.peers.call(it->peer, peer_path::watch, text,
+                                     message_timeout,
+                                     [](const std::optional<std::string>&) {});
+    }
 }
 
 void store_watch::handle_message(const Json::Value& message)
 {
     const auto& from = message["from"];
-    const auto& lost = message["store_lost"];
-    if (from.isString() && lost.isBool() && lost.asBool())
-        dependencies_.election.store_unreachable(from.asString());
+    const auto& answers = message["store_answers"];
+    if (!from.isString() || !answers.isBool() ||
+        dependencies_.fleet.find(from.asString()) == nullptr)
+        return;
+    if (answers.asBool()) {
+        dependencies_.election.record_watcher(from.asString());
+        return;
+    }
+    dependencies_.election.store_unreachable(from.asString());
+    update();
 }
 
 } // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/store_watch.hpp
+++ b/src/process/sidecar/store_watch.hpp
@@ -1,15 +1,14 @@
 // Has some nodes of the fleet watch the platform's store on behalf of all.
 //
-// A node that watches passes each new policy on to the others. If the store
-// stops answering it, it tells other nodes, so that the next ones in the
-// election watch instead.
+// A node that watches passes each new policy on to the others. As long as the
+// store answers it, it reports to the candidates of the election; if the store
+// stops answering, it tells them, and the next ones watch at once. The cost is
+// independent of the number of nodes.
 #pragma once
 
-#include "process/callback_guard.hpp"
 #include "process/event_loop.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/fleet/watcher_election.hpp"
-#include "process/random_source.hpp"
 #include "process/sidecar/peer_channel.hpp"
 #include "process/sidecar/policy_feed.hpp"
 
@@ -25,7 +24,6 @@
     // All referenced objects must outlive the watch.
     struct dependencies {
         event_loop& loop;
-        random_source& random;
         const fleet::fleet_view& fleet;
         fleet::watcher_election& election;
         peer_channel& peers;
@@ -48,13 +46,13 @@
 private:
     void run_check();
     void update();
-    void announce_store_state(bool lost);
-    void send(const fleet::instance& to, const Json::Value& message);
+    void report();
+    void handle_store_state(bool lost);
+    void send_to_candidates(const Json::Value& message);
 
     dependencies dependencies_;
     std::function<bool()> isolated_;
     timer_id check_timer_{};
-    callback_guard guard_;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/tests/sidecar/support/watch_fleet.cpp
+++ b/tests/sidecar/support/watch_fleet.cpp
@@ -159,10 +159,9 @@
 };
 
 struct watch_fleet::node final : sidecar::peer_channel {
-    node(watch_fleet& owner, std::size_t its_number, std::uint64_t seed)
+    node(watch_fleet& owner, std::size_t its_number)
         : world(owner), number(its_number), own_loop(owner.loop),
-          view(owner.entry(its_number)), random(seed),
-          store(owner, own_loop, its_number),
+          view(owner.entry(its_number)), store(owner, own_loop, its_number),
           feed(
               store, adapter, counts, policy_name,
               [this](const std::string& name, auto done) {
@@ -171,8 +170,7 @@
               [this](const version::policy&, auto) { spread(); }),
           election(own_loop, view, policy_name,
                    [this](const std::string& name) { return reachable(name); }),
-          watch({own_loop, random, view, election, *this, feed},
-                [] { return false; })
+          watch({own_loop, view, election, *this, feed}, [] { return false; })
     {
     }
 
@@ -216,7 +214,6 @@
     counters counts;
     platform::platform_protocol_adapter adapter;
     fleet::fleet_view view;
-    random_source random;
     node_store store;
     sidecar::policy_feed feed;
     fleet::watcher_election election;
@@ -227,10 +224,10 @@
     bool frozen = false;
 };
 
-watch_fleet::watch_fleet(std::size_t size, std::uint64_t seed)
+watch_fleet::watch_fleet(std::size_t size, std::uint64_t seed) : seed_(seed)
 {
     for (std::size_t n = 0; n < size; ++n)
-        nodes_.push_back(std::make_unique<node>(*this, n, seed * size + n + 1));
+        nodes_.push_back(std::make_unique<node>(*this, n));
     for (auto& it : nodes_)
         for (std::size_t n = 0; n < size; ++n)
             it->view.learn(entry(n));
@@ -247,7 +244,8 @@
 fleet::instance watch_fleet::entry(std::size_t number) const
 {
     fleet::instance it;
-    it.peer = {"10.0.0.1", static_cast<std::uint16_t>(number)};
+    it.peer = {"10.0.0." + std::to_string(seed_),
+               static_cast<std::uint16_t>(number)};
     it.incarnation = 1;
     it.service = "s";
     it.state = fleet::backend_state::ready;
--- a/tests/sidecar/support/watch_fleet.hpp
+++ b/tests/sidecar/support/watch_fleet.hpp
@@ -30,10 +30,7 @@
 
     // How the store treats all nodes, or one node.
     void set_store(fault how) { store_ = how; }
-    void set_store(std::size_t number, fault how)
-    {
-        store_for_[number] = how;
-    }
+    void set_store(std::size_t number, fault how) { store_for_[number] = how; }
     void heal_store();
     // A frozen node neither runs timers nor answers until it is thawed.
     void freeze(std::size_t number);
@@ -69,6 +66,8 @@
     // Records for each revision when the last calm node has it.
     void observe();
 
+    // Selects the addresses, and so the order of the election.
+    std::uint64_t seed_;
     std::vector<std::unique_ptr<node>> nodes_;
     fault store_ = fault::none;
     std::map<std::size_t, fault> store_for_;
--- a/tests/sidecar/test_duties.cpp
+++ b/tests/sidecar/test_duties.cpp
@@ -48,6 +48,17 @@
         return all;
     }
 
+    // Watchers report to all nodes meanwhile.
+    void advance(duration span)
+    {
+        for (auto end = loop.now() + span; loop.now() < end;) {
+            for (auto n : is_watcher())
+                for (auto& it : duties)
+                    it->record_watcher(views[n]->self().name());
+            loop.advance(std::chrono::milliseconds(500));
+        }
+    }
+
     // All nodes hear that the store does not answer this one.
     void lose_store(std::size_t n)
     {
@@ -77,7 +88,7 @@
     auto after = it.is_watcher();
     CHECK(after.size() == before.size());
     CHECK(after != before);
-    it.loop.advance(std::chrono::seconds(6));
+    it.advance(std::chrono::seconds(6));
     CHECK(it.is_watcher() == before);
 }
 
--- a/tests/sidecar/test_store_watch.cpp
+++ b/tests/sidecar/test_store_watch.cpp
@@ -91,4 +91,54 @@
     }
 }
 
+TEST_CASE("a change is in force in time while watchers freeze in turn")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        watch_fleet fleet(30, seed);
+        for (int round = 0; round < 3; ++round) {
+            auto frozen = fleet.watchers();
+            for (auto n : frozen)
+                fleet.freeze(n);
+            change_each(fleet, milliseconds(700), seconds(3));
+            for (auto n : frozen)
+                fleet.thaw(n);
+            change_each(fleet, milliseconds(700), seconds(2));
+        }
+        fleet.advance(apply_limit);
+        CHECK(fleet.slowest().count() < apply_limit.count());
+    }
+}
+
+TEST_CASE("few nodes watch the store, however large the fleet is")
+{
+    for (auto size : {std::size_t{15}, std::size_t{76}, std::size_t{300}}) {
+        CAPTURE(size);
+        watch_fleet fleet(size, 1);
+        fleet.advance(seconds(10));
+        CHECK(fleet.watchers().size() == 5);
+        auto calls = fleet.calls();
+        fleet.advance(seconds(20));
+        CHECK(fleet.watchers().size() == 5);
+        CHECK(fleet.calls() - calls <= 5 * 20 + 5);
+    }
+}
+
+TEST_CASE("calls to a store that is away don't grow with the fleet")
+{
+    auto how = GENERATE(fault::refuse, fault::silent);
+    std::vector<std::size_t> calls;
+    for (auto size : {std::size_t{30}, std::size_t{300}}) {
+        watch_fleet fleet(size, 1);
+        fleet.advance(seconds(5));
+        auto before = fleet.calls();
+        fleet.set_store(how);
+        fleet.advance(seconds(60));
+        calls.push_back(fleet.calls() - before);
+    }
+    CAPTURE(calls[0]);
+    CHECK(calls[1] <= calls[0] * 5 / 4);
+    CHECK(calls[0] <= 60 * 25);
+}
+
 } // namespace shallotwood::test
