--- a/src/connection/http/fetch.cpp
+++ b/src/connection/http/fetch.cpp
@@ -47,6 +47,7 @@
 void fetch::on_response(response_head&& head, const message_info&)
 {
     answer_.status = head.status;
+    answer_.headers = std::move(head.headers);
 }
 
 void fetch::on_response_body(std::string_view bytes)
--- a/src/connection/http/fetch.hpp
+++ b/src/connection/http/fetch.hpp
@@ -16,6 +16,7 @@
 
 struct fetched {
     int status = 0;
+    header_list headers;
     std::string body;
 };
 
--- a/src/process/object_store.hpp
+++ b/src/process/object_store.hpp
@@ -91,6 +91,11 @@
                            std::function<void(get_result)> on_change) = 0;
 
     virtual void cancel(watch_id id) = 0;
+
+    // Rises when the store was restored from an older copy; 0 if unknown. Writes
+    // that were acknowledged in an earlier era may be lost, and their versions
+    // are given out again. Watches go on, and report the current version anew.
+    virtual std::uint64_t era() const { return 0; }
 };
 
 } // namespace shallotwood::process
