Compare versions of the store within one era only

Cause: a watch dropped each version of the object that was not above the last one it had seen, and went on from the last revision of the store. After a restore the store gives lower numbers out again: the watch saw no change until the store had passed its old revision, and a poll from a revision that was given out again skipped the changes below it without an error. Class: a counter of another party that is compared beyond the life of what it counts.

Now the store's era is part of the position of a watch (store_position.hpp, no I/O). A poll that is answered in another era is discarded, and the objects are listed anew; versions of another era are not compared. A response that was sent before a known restore counts as lost.

--- a/src/process/store_position.hpp
+++ b/src/process/store_position.hpp
@@ -85,6 +85,9 @@
 private:
     void enter(std::uint64_t era)
     {
+        // The first era that is named is that of the versions seen so far.
+        if (era != era_ && era_ != 0)
+            last_version_ = 0;
         era_ = era;
     }
 
--- a/tests/sidecar/support/object_api.cpp
+++ b/tests/sidecar/support/object_api.cpp
@@ -2,8 +2,10 @@
 
 #include "process/json_text.hpp"
 
+#include <algorithm>
 #include <sstream>
 #include <stdexcept>
+#include <tuple>
 
 namespace shallotwood::test
 {
@@ -49,7 +51,8 @@
 };
 
 object_api::object_api(process::loop::reactor& loop)
-    : server_(loop, [this](const connection_ptr& from, request_head&& head,
+    : loop_(loop),
+      server_(loop, [this](const connection_ptr& from, request_head&& head,
                            const message_info&) {
           return std::make_shared<call>(*this, from, std::move(head));
       })
@@ -70,6 +73,12 @@
     wake();
 }
 
+void object_api::restore()
+{
+    std::tie(revision_, kinds_) = copy_;
+    ++era_;
+}
+
 void object_api::handle(const connection_ptr& to, const request_head& head,
                         const std::string& body)
 {
@@ -111,11 +120,16 @@
     }
     if (auto it = query.find("watch"); it != query.end()) {
         auto from = std::stoull(it->second);
-        if (from < history_from_) {
+        if (from < history_from_ || from > revision_) {
             answer(to, 410, Json::Value());
             return;
         }
-        watches_.push_back({kind, from, to});
+        watches_.push_back({kind, from, ++last_watch_, to});
+        if (auto wait = query.find("wait_ms"); wait != query.end())
+            loop_.call_after(
+                std::chrono::milliseconds(std::stoll(wait->second)),
+                guard_.wrap(
+                    [this, number = last_watch_] { end_watch(number); }));
         wake();
         return;
     }
@@ -175,6 +189,7 @@
     response_head head;
     head.status = status;
     head.headers.add("Content-Type", "application/json");
+    head.headers.add("Store-Era", std::to_string(era_));
     to->respond(std::move(head), process::write_json(body));
 }
 
@@ -206,6 +221,23 @@
     return events;
 }
 
+void object_api::end_watch(std::uint64_t number)
+{
+    auto it =
+        std::find_if(watches_.begin(), watches_.end(),
+                     [&](const auto& one) { return one.number == number; });
+    if (it == watches_.end())
+        return;
+    auto to = it->to.lock();
+    watches_.erase(it);
+    if (!to || !to->is_open())
+        return;
+    Json::Value body;
+    body["events"] = Json::Value(Json::arrayValue);
+    body["at_rev"] = Json::UInt64(revision_);
+    answer(to, 200, body);
+}
+
 void object_api::wake()
 {
     auto waiting = std::move(watches_);
--- a/tests/sidecar/support/object_api.hpp
+++ b/tests/sidecar/support/object_api.hpp
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "connection/http/server_connection.hpp"
+#include "process/callback_guard.hpp"
 
 #include <json/json.h>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace shallotwood::test
@@ -35,6 +37,11 @@
     // What somebody else writes; false if the text is no JSON.
     void put(const std::string& kind, const std::string& name,
              const Json::Value& spec);
+    // Keeps a copy of all objects, from which the store is restored later: what
+    // was written since is gone, and its revisions are given out again. Watches
+    // that wait go on.
+    void take_copy() { copy_ = {revision_, kinds_}; }
+    void restore();
     // Watches from before now get 410.
     void drop_history() { history_from_ = revision_ + 1; }
 
@@ -50,6 +57,7 @@
     struct waiting_watch {
         std::string kind;
         std::uint64_t from = 0;
+        std::uint64_t number = 0;
         std::weak_ptr<connection::http::server_connection> to;
     };
     class call;
@@ -68,12 +76,19 @@
     Json::Value to_json(const std::string& name, const object& of) const;
     Json::Value events_since(const std::string& kind, std::uint64_t from) const;
     void wake();
+    // Answers a watch that has waited long enough.
+    void end_watch(std::uint64_t number);
 
+    process::loop::reactor& loop_;
     connection::http::server server_;
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
     std::map<std::string, std::map<std::string, object>> kinds_;
     std::vector<waiting_watch> watches_;
+    std::pair<std::uint64_t, decltype(kinds_)> copy_;
+    std::uint64_t era_ = 1;
+    std::uint64_t last_watch_ = 0;
+    process::callback_guard guard_;
 };
 
 } // namespace shallotwood::test
--- a/tests/sidecar/test_store.cpp
+++ b/tests/sidecar/test_store.cpp
@@ -1,5 +1,6 @@
 #include "platform/store.hpp"
 #include "process/json_text.hpp"
+#include "process/store_position.hpp"
 #include "sidecar/support/live_loop.hpp"
 #include "sidecar/support/object_api.hpp"
 
@@ -193,6 +194,69 @@
     }
 }
 
+TEST_CASE("a watch sees what is written after the store was restored")
+{
+    fixture it;
+    it.api.put("config", "main", value(1));
+    follower follows(it);
+    REQUIRE(follows.sees(1));
+    it.api.take_copy();
+    for (int n = 2; n < 6; ++n)
+        it.api.put("config", "main", value(n));
+    REQUIRE(follows.sees(5));
+    it.api.restore();
+    CHECK(follows.sees(1));
+    it.api.put("config", "main", value(6));
+    CHECK(follows.sees(6));
+}
+
+TEST_CASE("a watch misses no change whose revision was given out twice")
+{
+    fixture it;
+    it.api.put("config", "main", value(1));
+    follower follows(it);
+    REQUIRE(follows.sees(1));
+    it.api.take_copy();
+    it.api.put("config", "main", value(2));
+    REQUIRE(follows.sees(2));
+    it.api.restore();
+    it.api.put("config", "main", value(3));
+    it.api.put("other", "object", value(1));
+    CHECK(follows.sees(3));
+}
+
+TEST_CASE("a version is compared only with versions of the same era")
+{
+    watch_position it(0);
+    it.continue_from(60, 1);
+    CHECK(it.take(50, 1));
+    CHECK_FALSE(it.take(50, 1));
+    CHECK_FALSE(it.take(49, 1));
+    CHECK(it.is_valid_in(1));
+    CHECK_FALSE(it.is_valid_in(2));
+    it.continue_from(45, 2);
+    CHECK(it.revision() == 45);
+    CHECK(it.take(40, 2));
+    CHECK_FALSE(it.take(40, 2));
+    CHECK(it.take(50, 2));
+    it.record_error();
+    CHECK(it.take(50, 2));
+    CHECK_FALSE(it.take(41, 2));
+}
+
+TEST_CASE("an era that goes back marks a response that was overtaken")
+{
+    using response = store_era::response;
+    store_era it;
+    CHECK(it.observe(std::nullopt) == response::current);
+    CHECK(it.observe(7) == response::current);
+    CHECK(it.observe(8) == response::restored);
+    CHECK(it.observe(7) == response::outdated);
+    CHECK(it.observe(std::nullopt) == response::current);
+    CHECK(it.observe(8) == response::current);
+    CHECK(it.value() == 8);
+}
+
 TEST_CASE("a cancelled watch is quiet")
 {
     fixture it;
