Write an instance's entry again after the store was restored

A node that starts and knows no other node finds the fleet by the entries in the store. An entry that was written after the copy from which the store was restored is gone, and its node never wrote it again, because it had been acknowledged. Class: an acknowledged write that is taken as final.

Each message between nodes names the latest era of the store that its sender knows, since few nodes call the store. A node whose entry was written in an earlier era writes it once more, within 10 ms times the number of nodes.

Found by reading the places that depend on the store, not by a run. Without the change, the new test finds no entry (it is the only writer).

--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -4,6 +4,7 @@
 #include "process/log.hpp"
 #include "process/telemetry/decision_log.hpp"
 
+#include <algorithm>
 #include <numeric>
 #include <utility>
 
@@ -37,6 +38,10 @@
 // Pause before a request to the store is retried.
 constexpr duration store_pause = std::chrono::milliseconds(500);
 
+// After a restore of the store, all nodes write their entries again. This time
+// per node spreads the writes; the store allows several hundred a second.
+constexpr duration rewrite_time_per_node = std::chrono::milliseconds(10);
+
 } // namespace
 
 fleet_exchange::fleet_exchange(const dependencies& with,
@@ -95,8 +100,9 @@
     const auto& self = dependencies_.fleet.self();
     dependencies_.store.put(
         entry_prefix_ + self.name(), write_json(to_json(self)), any_version,
-        guard_.wrap([this](const put_result& result) {
+        guard_.wrap([this, known = store_era_](const put_result& result) {
             entry_writing_ = false;
+            entry_era_ = std::max(known, dependencies_.store.era());
             entry_written_ = std::holds_alternative<std::uint64_t>(result) &&
                              !entry_changed_;
             if (!entry_written_)
@@ -105,6 +111,27 @@
         }));
 }
 
+void fleet_exchange::record_store_era(std::uint64_t era)
+{
+    store_era_ = std::max(store_era_, era);
+    if (!entry_written_ || rewrite_scheduled_ || entry_era_ >= store_era_)
+        return;
+    rewrite_scheduled_ = true;
+    auto spread = rewrite_time_per_node.count() *
+                  static_cast<duration::rep>(dependencies_.fleet.size());
+    auto delay = duration(static_cast<duration::rep>(
+        dependencies_.random.unit() * static_cast<double>(spread)));
+    dependencies_.loop.call_after(delay, guard_.wrap([this] {
+        rewrite_scheduled_ = false;
+        entry_written_ = false;
+        if (telemetry::allow(decision::state))
+            SHALLOTWOOD_LOG(info)
+                << "event=entry_rewritten" << field("era", store_era_)
+                << field("before", entry_era_);
+        write_entry();
+    }));
+}
+
 void fleet_exchange::read_entries()
 {
     dependencies_.store.list_stale(
@@ -201,6 +228,8 @@
     message["digest"] = Json::UInt64(dependencies_.fleet.digest());
     message["store_lost"] =
         dependencies_.watcher_election.store_unreachable_from(self.name());
+    message["store_era"] =
+        Json::UInt64(std::max(store_era_, dependencies_.store.era()));
     message["entries"] = Json::Value(Json::arrayValue);
     for (const auto& name : names)
         if (const auto* it = dependencies_.fleet.find(name))
@@ -297,6 +326,8 @@
     if (lost.isBool() && lost.asBool() &&
         !dependencies_.watcher_election.store_unreachable_from(from->name()))
         dependencies_.watcher_election.store_unreachable(from->name());
+    if (message["store_era"].isUInt64())
+        record_store_era(message["store_era"].asUInt64());
     if (message["policy"].isUInt64())
         dependencies_.feed.handle_peer_revision(from->name(),
                                                 message["policy"].asUInt64());
@@ -304,6 +335,7 @@
 
 void fleet_exchange::compare_views()
 {
+    record_store_era(dependencies_.store.era());
     send_to_random_nodes(1, scope::fleet, make_comparison());
     compare_timer_ = dependencies_.loop.call_after(compare_period,
                                                    [this] { compare_views(); });
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -57,7 +57,8 @@
 
     // Spreads this instance's entry after a change.
     void publish_own_entry();
-    // Writes this instance's entry to the store and retries until it succeeds.
+    // Writes this instance's entry to the store and retries until it succeeds;
+    // again after a restore of the store, which may have lost it.
     void write_entry();
     // Announces that this node has a new policy; `first_hand` if it came from
     // the store.
@@ -89,6 +90,8 @@
                 std::size_t differing_before);
     void compare_views();
     void read_entries();
+    // Records an era of the store, from its own responses or from another node.
+    void record_store_era(std::uint64_t era);
     void handle_entries(const list_result& result);
 
     dependencies dependencies_;
@@ -99,6 +102,11 @@
     bool entry_writing_ = false;
     bool entry_changed_ = false;
     bool entry_written_ = false;
+    // Latest era of the store that this node knows, and the one in which its
+    // entry was written; 0 if unknown.
+    std::uint64_t store_era_ = 0;
+    std::uint64_t entry_era_ = 0;
+    bool rewrite_scheduled_ = false;
     timer_id compare_timer_{};
     callback_guard guard_;
 };
--- a/tests/sidecar/test_fleet_exchange.cpp
+++ b/tests/sidecar/test_fleet_exchange.cpp
@@ -147,6 +147,25 @@
 }
 
 // Traffic between failure domains would grow with the square of the fleet.
+TEST_CASE("a node writes its entry again after the store was restored")
+{
+    loop::reactor loop;
+    talker one(loop);
+    talker two(loop);
+    auto own = "instances/" + one.self().name();
+    one.exchange->write_entry();
+    REQUIRE(run_until(loop, [&] { return one.store.holds(own); }));
+    // Only another node knows of the restore.
+    one.store.lose(own);
+    auto writes = one.store.writes;
+    two.store.current_era = one.store.current_era;
+    one.store.current_era = 1;
+    auto message = two.reply_to(Json::Value(Json::objectValue));
+    one.reply_to(message);
+    CHECK(run_until(loop, [&] { return one.store.holds(own); }));
+    CHECK(one.store.writes == writes + 1);
+}
+
 TEST_CASE("news from elsewhere is passed on within the failure domain only")
 {
     loop::reactor loop;
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -32,6 +32,20 @@
     // Tells each watch of an error, as when the platform has become silent.
     void fail_watches(process::store_error why);
 
+    std::uint64_t era() const override { return current_era; }
+    // Removes the object, and goes to the next era, as a restore from a copy
+    // that does not hold it.
+    void lose(const std::string& name)
+    {
+        objects_.erase(name);
+        ++current_era;
+    }
+    bool holds(const std::string& name) const
+    {
+        return objects_.count(name) != 0;
+    }
+
+    std::uint64_t current_era = 1;
     // While true, every call ends as `unavailable` and watches are quiet.
     bool down = false;
     // The next writes take effect and answer `unknown_outcome`.
