Read the objects of the store one by one

Another writer may leave an odd entry in a list. One that was nested too deeply or held a number out of range made the whole list unreadable: nodes that watch it then stopped following the configuration. One whose metadata was not an object threw an exception that nobody caught, so that the process ended, and again after each restart. Class: one parse, or one access without a check of the type, for what several programs wrote.

The elements of items and events are found without parsing them and parsed one by one; one that can't be parsed is counted and left out. A list whose page holds no readable name ends instead of being read again for ever. Ports and numbers of slots out of range name no instance.

Weighed: a parser of Debian's that does not recurse (rapidjson) still rejects a document for one number out of range.

--- a/src/process/fleet/instance.cpp
+++ b/src/process/fleet/instance.cpp
@@ -20,6 +20,9 @@
     return std::nullopt;
 }
 
+// Larger numbers are not of a backend server.
+constexpr int max_slots = 1'000'000;
+
 bool has_fields(const Json::Value& from)
 {
     if (!from.isObject())
@@ -31,7 +34,8 @@
         if (!from[name].isUInt64())
             return false;
     return from["port"].isUInt() && from["port"].asUInt() <= 65535 &&
-           from["slots"].isInt() && from["leaving"].isBool();
+           from["slots"].isInt() && from["slots"].asInt() >= 0 &&
+           from["slots"].asInt() <= max_slots && from["leaving"].isBool();
 }
 
 } // namespace
--- a/tests/sidecar/support/object_api.cpp
+++ b/tests/sidecar/support/object_api.cpp
@@ -145,7 +145,13 @@
         }
         body["items"].append(to_json(it->first, it->second));
     }
-    answer(to, 200, body);
+    auto text = process::write_json(body);
+    if (auto item = texts_.find(kind); item != texts_.end()) {
+        const std::string start = "\"items\":[";
+        text.insert(text.find(start) + start.size(),
+                    item->second + (body["items"].empty() ? "" : ","));
+    }
+    answer_text(to, 200, text);
 }
 
 void object_api::write(const connection_ptr& to, const std::string& method,
@@ -183,6 +189,12 @@
 
 void object_api::answer(const connection_ptr& to, int status,
                         const Json::Value& body)
+{
+    answer_text(to, status, process::write_json(body));
+}
+
+void object_api::answer_text(const connection_ptr& to, int status,
+                             const std::string& body)
 {
     if (now == fault::answer_lost)
         return;
@@ -190,7 +202,7 @@
     head.status = status;
     head.headers.add("Content-Type", "application/json");
     head.headers.add("Store-Era", std::to_string(era_));
-    to->respond(std::move(head), process::write_json(body));
+    to->respond(std::move(head), body);
 }
 
 Json::Value object_api::to_json(const std::string& name, const object& of) const
--- a/tests/sidecar/support/object_api.hpp
+++ b/tests/sidecar/support/object_api.hpp
@@ -37,6 +37,12 @@
     // What somebody else writes; false if the text is no JSON.
     void put(const std::string& kind, const std::string& name,
              const Json::Value& spec);
+    // An item that another writer left in the list, as JSON text; it comes
+    // first.
+    void put_text(const std::string& kind, const std::string& item)
+    {
+        texts_[kind] = item;
+    }
     // Keeps a copy of all objects, from which the store is restored later: what
     // was written since is gone, and its revisions are given out again. Watches
     // that wait go on.
@@ -73,6 +79,8 @@
                const std::string& kind, std::string name,
                const std::string& body);
     void answer(const connection_ptr& to, int status, const Json::Value& body);
+    void answer_text(const connection_ptr& to, int status,
+                     const std::string& body);
     Json::Value to_json(const std::string& name, const object& of) const;
     Json::Value events_since(const std::string& kind, std::uint64_t from) const;
     void wake();
@@ -84,6 +92,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
     std::map<std::string, std::map<std::string, object>> kinds_;
+    std::map<std::string, std::string> texts_;
     std::vector<waiting_watch> watches_;
     std::pair<std::uint64_t, decltype(kinds_)> copy_;
     std::uint64_t era_ = 1;
--- a/tests/sidecar/test_fleet.cpp
+++ b/tests/sidecar/test_fleet.cpp
@@ -94,6 +94,16 @@
         CHECK_FALSE(instance_from_json(broken));
     }
     CHECK_FALSE(instance_from_json(Json::Value("text")));
+    for (const auto& slots : {Json::Value(-1), Json::Value(2'000'000'000)}) {
+        auto odd = json;
+        odd["slots"] = slots;
+        CHECK_FALSE(instance_from_json(odd));
+    }
+    for (auto port : {-1, 70000}) {
+        auto odd = json;
+        odd["port"] = port;
+        CHECK_FALSE(instance_from_json(odd));
+    }
 }
 
 TEST_CASE("a late announcement of an earlier incarnation says nothing")
--- a/tests/sidecar/test_store.cpp
+++ b/tests/sidecar/test_store.cpp
@@ -135,6 +135,62 @@
     CHECK(it.list("empty/").empty());
 }
 
+TEST_CASE("an odd entry keeps nobody from reading the others")
+{
+    const std::string deep =
+        std::string(200'000, '[') + std::string(200'000, ']');
+    auto item = GENERATE_COPY(
+        R"({"metadata":{"name":"x","rev":2},"spec":{"a":)" + deep + "}}",
+        R"({"metadata":{"name":"x","rev":2},"spec":{"a":1e999}})",
+        R"({"metadata":{"name":"x","rev":1e999},"spec":{"port":-1e999}})",
+        R"({"metadata":{"name":"x","rev":-99999999999999999999999},"spec":{}})",
+        R"({"metadata":"x","spec":{}})", R"({"metadata":["x"],"spec":"y"})",
+        R"({"metadata":{"name":{}},"spec":{"port":70000}})", R"("text")",
+        R"([[]])", R"(null)", R"(17)");
+    CAPTURE(item.substr(0, 80));
+    fixture it;
+    it.api.put("config", "main", value(1));
+    it.api.put("k", "a", value(1));
+    it.api.put_text("config", item);
+    it.api.put_text("k", item);
+    bool found = false;
+    for (const auto& object : it.list("k/"))
+        found |= object.name == "k/a" && object.value == write_json(value(1));
+    CHECK(found);
+    follower follows(it);
+    CHECK(follows.sees(1));
+    CHECK(follows.errors == 0);
+}
+
+TEST_CASE("a list that consists of odd entries is read once")
+{
+    fixture it;
+    it.api.page = 0;
+    it.api.put("k", "a", value(1));
+    it.api.put_text("k", "17");
+    CHECK(it.list("k/").empty());
+    CHECK(it.api.calls == 1);
+}
+
+TEST_CASE("elements are found in a text that ends anywhere")
+{
+    const std::string text =
+        R"({"a":"]}\"","items":[ {"x":[1,{"y":"}"}]} , 1e999,[[2]],"z" ],"n":7})";
+    auto all = parse_json_collection(text, {"items"});
+    REQUIRE(all);
+    CHECK((*all)["n"] == 7);
+    CHECK((*all)["a"] == "]}\"");
+    REQUIRE((*all)["items"].size() == 4);
+    CHECK((*all)["items"][0]["x"][1]["y"] == "}");
+    CHECK((*all)["items"][1].isNull());
+    CHECK((*all)["items"][2][0][0] == 2);
+    for (std::size_t n = 0; n < text.size(); ++n)
+        CHECK_FALSE(parse_json_collection(text.substr(0, n), {"items"}));
+    CHECK((*parse_json_collection(R"({"items":[]})", {"items"}))["items"]
+              .empty());
+    CHECK_FALSE(parse_json_collection("[]", {"items"}));
+}
+
 TEST_CASE("a watch sees an object that comes later, and each change")
 {
     fixture it;
