Refuse calls that arrive late in a shutdown

In a planned stop, a node closed its connections after their responses, but it still took new ones, and passed on what came until the process ended; calls that were not answered by then were cut, among them those that must not be repeated (LOST). It happens if something long keeps the node from being idle. Class: accepting work without asking whether it can be finished.

Calls of callers are refused as not run, with Retry-After, in the second half of the shutdown; calls that a backend server makes for a request under way are accepted until four fifths, because they are short and the request would be wasted.

After: it is refused with 503.

--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -41,6 +41,12 @@
 // Time reserved at the end of the shutdown to send the last responses.
 constexpr duration shutdown_margin = std::chrono::milliseconds(300);
 
+// Calls that arrive after this part of the shutdown are refused, since they
+// might be cut at its end; those that a backend server makes for a request that
+// it runs already are short, and accepted for longer.
+constexpr double last_call_share = 0.5;
+constexpr double last_child_call_share = 0.8;
+
 constexpr duration idle_check_period = std::chrono::milliseconds(50);
 
 response_head response_with_status(int status)
@@ -217,6 +223,16 @@
     return call;
 }
 
+bool sidecar_node::accepts_call(bool made_by_backend)
+{
+    if (!leaving_)
+        return true;
+    auto share = made_by_backend ? last_child_call_share : last_call_share;
+    std::chrono::duration<double> waited = loop_.now() - leaving_since_;
+    std::chrono::duration<double> limit = settings_.shutdown_limit;
+    return waited < limit * share;
+}
+
 std::optional<request::parent_call>
 sidecar_node::parent_of(const std::string& request_id, const std::string& route)
 {
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -162,6 +162,10 @@
             return false;
         }
     }
+    if (!node_.accepts_call(workspace_ == nullptr)) {
+        fail(not_run(reason::draining, default_retry_after));
+        return false;
+    }
     if (workspace_ != nullptr) {
         key_ = process::load::make_shed_key(workspace_->priority,
                                             route_->priority, request_id_);
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -210,6 +210,28 @@
     CHECK(events.ended);
 }
 
+TEST_CASE("a request late in a shutdown is refused instead of cut")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& beside = fleet.add("s", stay_silent);
+    fleet.write_policy(1, {"front", "s"}, "non_idempotent");
+    fleet.settle(1);
+    silent_events events;
+    auto caller = fleet.start_request(entry, "s", events);
+    REQUIRE(run_until(fleet.loop,
+                      [&] { return beside.backend->heads.size() == 1; }));
+    bool stopped = false;
+    entry.node->shut_down([&] { stopped = true; });
+    run_for(fleet.loop,
+            entry.settings.shutdown_limit / 2 + std::chrono::milliseconds(100));
+    REQUIRE_FALSE(stopped);
+    auto answer = fleet.request(entry, "s");
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.find("Retry-After") != nullptr);
+    CHECK(beside.backend->heads.size() == 1);
+}
+
 // Its backend server is needed until the callers of the node have left it.
 TEST_CASE("a node that is told to end goes on taking calls of others at first")
 {
