Let the soak restore the store and leave odd entries in it

Two kinds of trouble that the soak did not have: the store comes back from a copy, after which the operator writes the configuration again, and another writer leaves odd entries among the objects.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -83,6 +83,12 @@
     return it;
 }
 
+const std::array<std::string, 4> odd_entries{
+    std::string(100'000, '[') + std::string(100'000, ']'),
+    R"({"metadata":"x","spec":{"port":70000}})",
+    R"({"metadata":{"name":"x","rev":1e999},"spec":{"slots":-1e999}})",
+    R"({"metadata":{"name":"x","rev":1},"spec":{"host":7,"port":99999999999}})"};
+
 } // namespace
 
 // One request on one connection, which goes back to its pool.
@@ -195,6 +201,11 @@
 void soak_run::write_configuration()
 {
     ++revision_;
+    put_configuration();
+}
+
+void soak_run::put_configuration()
+{
     Json::Value all;
     all["version"] = "r" + std::to_string(revision_);
     for (int n = 1; n <= revision_; ++n)
@@ -383,12 +394,27 @@
     using fault = test::object_api::fault;
     constexpr std::array<fault, 4> kinds{fault::busy, fault::many, fault::reset,
                                          fault::answer_lost};
-    switch (random_.below(4)) {
+    switch (random_.below(6)) {
     case 0:
         note("store loses its history");
         store_.drop_history();
         return;
     case 1:
+        note("store is restored from a copy soon");
+        store_.take_copy();
+        later(some_time(500, 4000), [this] {
+            store_.restore();
+            // The operator finds the loss and writes the configuration again.
+            later(some_time(100, 1000), [this] { put_configuration(); });
+        });
+        return;
+    case 2:
+        note("another writer leaves odd entries in the store");
+        for (const auto* kind : {"config", "shallotwood-instances"})
+            store_.put_text(kind,
+                            odd_entries.at(random_.below(odd_entries.size())));
+        return;
+    case 3:
         note("store is silent");
         store_line_.set_line(line::silent);
         store_line_.silence_open();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -70,7 +70,10 @@
         std::string key;
     };
 
+    // Writes the next revision.
     void write_configuration();
+    // Writes the current revision.
+    void put_configuration();
     void send_requests();
     void send_one(const credentials& who);
     std::shared_ptr<outcome> request(instance& at, const std::string& service,
