Let others watch if the platform refuses the watchers in shallotwoodd

An answer that did not come was noticed after 7 s.

A watcher that the platform does not answer tells the next ones of its failure domain, which skip it for 2 s and watch at once. A poll without an answer is noticed after 2 s.

Not covered: watchers that vanish in all domains at once are replaced when the membership finds them dead, which takes longer than 4 s.

--- a/src/process/configuration/configuration_feed.cpp
+++ b/src/process/configuration/configuration_feed.cpp
@@ -12,6 +12,8 @@
 
 constexpr duration watch_check_period = std::chrono::seconds(1);
 constexpr int max_pull_failures = 20;
+// Number of nodes per watcher that are told if the platform does not answer it.
+constexpr std::size_t candidates_per_watcher = 4;
 // A node that has not joined after this long watches the platform itself.
 constexpr duration watch_without_join_delay = std::chrono::seconds(10);
 
@@ -45,6 +47,12 @@
             if (!alive.expired() && params.isObject() && params["r"].isUInt64())
                 on_announced_revision(from, params["r"].asUInt64());
         });
+    transport_.subscribe("configuration.watcher_lost",
+                         [this, alive = std::weak_ptr<bool>(alive_)](
+                             const peer_address&, const Json::Value& params) {
+                             if (!alive.expired())
+                                 on_watcher_lost(params);
+                         });
     auto own = [this, alive = std::weak_ptr<bool>(alive_)] {
         return alive.expired() ? 0 : revision();
     };
@@ -65,7 +73,7 @@
 void configuration_feed::start()
 {
     start_time_ = loop_.now();
-    update_watch();
+    check_watch();
     run_gossip_round();
 }
 
@@ -92,9 +100,16 @@
 
 // Platform.
 
+void configuration_feed::check_watch()
+{
+    after(watch_check_period, [this] { check_watch(); });
+    for (auto it = skipped_until_.begin(); it != skipped_until_.end();)
+        it = skipped(it->first) ? std::next(it) : skipped_until_.erase(it);
+    update_watch();
+}
+
 void configuration_feed::update_watch()
 {
-    after(watch_check_period, [this] { update_watch(); });
     bool wanted = should_watch();
     if (wanted && !watch_) {
         watch_ = store_.watch(head_object_name, 0,
@@ -116,16 +131,66 @@
 {
     if (!members_.joined())
         return loop_.now() - start_time_ > watch_without_join_delay;
+    auto all = watch_candidates();
+    auto first = all;
+    first.erase(std::remove_if(
+                    first.begin(), first.end(),
+                    [this](const member& it) { return skipped(it.instance); }),
+                first.end());
+    // While the platform answers no candidate, the first ones keep trying.
+    if (first.empty())
+        first = all;
+    first.resize(std::min(first.size(), settings_.watchers_per_domain));
+    const auto& self = members_.self();
+    return std::any_of(first.begin(), first.end(), [&self](const member& it) {
+        return it.instance == self.instance;
+    });
+}
+
+std::vector<member> configuration_feed::watch_candidates() const
+{
     const auto& self = members_.self();
-    auto first = rendezvous_order(
+    return rendezvous_order(
         members_.members(), head_object_name + self.failure_domain,
-        settings_.watchers_per_domain, [&self](const member& it) {
+        settings_.watchers_per_domain * candidates_per_watcher,
+        [&self](const member& it) {
             return it.failure_domain == self.failure_domain &&
                    it.state == member_state::active;
         });
-    return std::any_of(first.begin(), first.end(), [&self](const member& it) {
-        return it.instance == self.instance;
-    });
+}
+
+bool configuration_feed::skipped(const std::string& instance) const
+{
+    auto it = skipped_until_.find(instance);
+    return it != skipped_until_.end() && it->second > loop_.now();
+}
+
+void configuration_feed::on_platform_state(bool answers)
+{
+    const auto& self = members_.self().instance;
+    if (answers) {
+        skipped_until_.erase(self);
+        return;
+    }
+    if (!watch_ || skipped(self))
+        return;
+    SHALLOTWOOD_LOG(warning) << "event=platform-lost";
+    skipped_until_[self] = loop_.now() + settings_.skip_time;
+    Json::Value params;
+    params["instance"] = self;
+    for (const auto& it : watch_candidates())
+        if (it.instance != self)
+            transport_.send(it.peer, "configuration.watcher_lost", params);
+}
+
+void configuration_feed::on_watcher_lost(const Json::Value& params)
+{
+    if (!params.isObject() || !params["instance"].isString() ||
+        !members_.find(params["instance"].asString()))
+        return;
+    skipped_until_[params["instance"].asString()] =
+        loop_.now() + settings_.skip_time;
+    update_watch();
 }
 
 // True for watchers. A node that has heard from no peer for half the isolation
@@ -151,13 +216,14 @@
 
 void configuration_feed::on_head(const get_result& result)
 {
-    if (const auto* error = std::get_if<store_error>(&result)) {
-        // The platform answered, although it holds no configuration yet.
-        if (*error == store_error::not_found)
-            last_platform_reply_ = loop_.now();
+    const auto* error = std::get_if<store_error>(&result);
+    // The platform may answer although it holds no configuration yet.
+    bool answers = error == nullptr || *error == store_error::not_found;
+    on_platform_state(answers);
+    if (answers)
+        last_platform_reply_ = loop_.now();
+    if (error != nullptr)
         return;
-    }
-    last_platform_reply_ = loop_.now();
     loader_.load(std::get<stored_object>(result), current_configuration_,
                  [this, alive = std::weak_ptr<bool>(alive_)](
                      const std::optional<loaded_configuration>& newer) {
--- a/src/process/configuration/configuration_feed.hpp
+++ b/src/process/configuration/configuration_feed.hpp
@@ -1,10 +1,12 @@
 // Distributes each confirmed configuration to every node within seconds.
 //
-// In each failure domain two nodes, the watchers, watch the platform. A node
-// that adopts a revision gossips its number to a few random peers for a few
-// rounds; a peer with an older revision pulls the changes, so each change is
-// sent to each node once. The revision is also piggybacked on membership
-// probes, which reaches the nodes that the gossip missed.
+// In each failure domain two nodes, the watchers, watch the platform. A watcher
+// that the platform does not answer tells the nodes that come next, so that
+// these watch instead. A node that adopts a revision gossips its number to a
+// few random peers for a few rounds; a peer with an older revision pulls the
+// changes, so each change is sent to each node once. The revision is also
+// piggybacked on membership probes, which reaches the nodes that the gossip
+// missed.
 //
 // The current revision never decreases, whatever a peer or the platform sends.
 //
@@ -21,6 +23,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,6 +87,8 @@
     // How often a watcher also reads the head object. The watch reports
     // nothing while nothing changes; a read shows that the platform answers.
     duration poll_period = std::chrono::seconds(5);
+    // A watcher that the platform does not answer is skipped for this time.
+    duration skip_time = std::chrono::seconds(2);
     // A node that has heard from neither the platform nor peers for this long
     // is isolated: keys may have been withdrawn without its knowledge.
     duration isolation_limit = std::chrono::seconds(10);
@@ -135,8 +140,15 @@
     std::uint64_t revision() const;
 
     // Platform.
+    void check_watch();
     void update_watch();
     bool should_watch() const;
+    // The first nodes of this failure domain in the order in which they watch.
+    std::vector<member> watch_candidates() const;
+    bool skipped(const std::string& instance) const;
+    // Records whether the platform answers this node.
+    void on_platform_state(bool answers);
+    void on_watcher_lost(const Json::Value& params);
     bool should_poll() const;
     void poll();
     void on_head(const get_result& result);
@@ -176,6 +188,8 @@
     std::optional<time_point> last_platform_reply_;
     std::optional<watch_id> watch_;
     time_point last_poll_{};
+    // Until when nodes are skipped that the platform does not answer.
+    std::map<std::string, time_point> skipped_until_;
 
     int gossip_rounds_left_ = 0;
     bool skip_gossip_round_ = false;
--- a/src/process/platform_client.hpp
+++ b/src/process/platform_client.hpp
@@ -25,10 +25,10 @@
     duration call_timeout = std::chrono::seconds(5);
     // Long-poll time: the platform responds to a watch after this time at the
     // latest. An unresponsive platform is therefore detected within
-    // watch_wait + watch_grace, which is below the default isolation limit of
-    // 10 s.
-    duration watch_wait = std::chrono::seconds(5);
-    duration watch_grace = std::chrono::seconds(2);
+    // watch_wait + watch_grace, soon enough for another node to read a change
+    // that has to be in force within 4 s.
+    duration watch_wait = std::chrono::seconds(1);
+    duration watch_grace = std::chrono::seconds(1);
     // Least time between the starts of two polls of one watch. Bounds the
     // traffic of a watch on an object that changes often: 6 KB/s for a
     // configuration head of 3 KB.
--- a/tests/test_configuration_feed.cpp
+++ b/tests/test_configuration_feed.cpp
@@ -1,3 +1,4 @@
+#include "process/callback_guard.hpp"
 #include "support/fake_codec.hpp"
 #include "support/fleet.hpp"
 
@@ -9,6 +10,95 @@
 namespace
 {
 
+// The platform as one node sees it: may refuse the node's reads and watches.
+class refusable_store final : public process::object_store
+{
+public:
+    refusable_store(process::object_store& platform, process::event_loop& loop)
+        : platform_(platform), loop_(loop)
+    {
+    }
+
+    void get(const std::string& name,
+             std::function<void(process::get_result)> done) override
+    {
+        if (refused)
+            done(process::store_error::rate_limited);
+        else
+            platform_.get(name, std::move(done));
+    }
+    void put(const std::string& name, const std::string& value,
+             std::uint64_t expected_version,
+             std::function<void(process::put_result)> done) override
+    {
+        platform_.put(name, value, expected_version, std::move(done));
+    }
+    void remove(const std::string& name, std::uint64_t expected_version,
+                std::function<void(process::put_result)> done) override
+    {
+        platform_.remove(name, expected_version, std::move(done));
+    }
+    void list(const std::string& prefix,
+              std::function<void(process::list_result)> done) override
+    {
+        platform_.list(prefix, std::move(done));
+    }
+    process::watch_id
+    watch(const std::string& name, std::uint64_t after_version,
+          std::function<void(process::get_result)> on_change) override
+    {
+        auto tell = std::make_shared<decltype(on_change)>(std::move(on_change));
+        auto id = platform_.watch(name, after_version,
+                                  [this, tell](const process::get_result& it) {
+                                      if (!refused)
+                                          (*tell)(it);
+                                  });
+        watches_[id] = tell;
+        report_refusal(id);
+        return id;
+    }
+    void cancel(process::watch_id id) override
+    {
+        watches_.erase(id);
+        platform_.cancel(id);
+    }
+
+    bool refused = false;
+
+private:
+    // A watch polls about once a second.
+    void report_refusal(process::watch_id id)
+    {
+        loop_.call_after(std::chrono::seconds(1), guard_.wrap([this, id] {
+            auto it = watches_.find(id);
+            if (it == watches_.end())
+                return;
+            report_refusal(id);
+            auto tell = it->second;
+            if (refused)
+                (*tell)(process::store_error::rate_limited);
+        }));
+    }
+
+    process::object_store& platform_;
+    process::event_loop& loop_;
+    std::map<process::watch_id,
+             std::shared_ptr<std::function<void(process::get_result)>>>
+        watches_;
+    process::callback_guard guard_;
+};
+
+// A feed, and what it needs.
+struct node_feed {
+    node_feed(process::object_store& platform, process::event_loop& loop)
+        : store(platform, loop)
+    {
+    }
+
+    refusable_store store;
+    std::unique_ptr<process::configuration::configuration_feed> feed;
+};
+
 // A fleet whose nodes have a configuration feed.
 struct feed_test {
     explicit feed_test(std::uint64_t seed) : nodes(seed)
@@ -19,19 +109,22 @@
     void add_feed(fleet_node& node)
     {
         auto name = node.members->self().instance;
-        auto made =
-            std::make_shared<process::configuration::configuration_feed>(
-                node.loop, nodes.network.at(node.address), nodes.platform,
+        auto all = std::make_shared<node_feed>(nodes.platform, node.loop);
+        all->feed =
+            std::make_unique<process::configuration::configuration_feed>(
+                node.loop, nodes.network.at(node.address), all->store,
                 *node.members, codec, loader, node.counts,
                 process::configuration::configuration_feed_settings{});
-        feeds[name] = made.get();
+        auto* made = all->feed.get();
+        feeds[name] = made;
+        stores[name] = &all->store;
         seen[name] = 0;
         made->listen([this, name](const version::configuration_ptr& now) {
             reverted += now->revision <= seen[name] ? 1 : 0;
             seen[name] = now->revision;
         });
         made->start();
-        node.extra = made;
+        node.extra = all;
     }
 
     // Writes the head with so many changes; what the operator's node does.
@@ -75,6 +168,7 @@
     fake_codec codec;
     fake_loader loader;
     std::map<std::string, process::configuration::configuration_feed*> feeds;
+    std::map<std::string, refusable_store*> stores;
     std::map<std::string, std::uint64_t> seen;
     int reverted = 0;
     std::uint64_t head_version = 0;
@@ -113,6 +207,12 @@
         for (const auto& name : watching)
             nodes.kill(name);
     };
+    // The platform refuses the nodes that watch it, and answers all others.
+    table["refuse_watchers"] = [this](const words&) {
+        for (const auto& [name, it] : feeds)
+            if (it->is_watching_platform())
+                stores.at(name)->refused = true;
+    };
     table["count_platform_calls"] = [this](const words&) {
         calls_before = nodes.platform.reads + nodes.platform.writes;
     };
