Show by a test that shallotwoodd ignores changes after a restore

shallotwoodd orders configurations by their revision alone. If its platform is restored from a copy, the next commit gets a revision that was given out before: no node adopts it, and a node that has the old one of that number would apply later changes to it. The platform's API of the product names no era, so this needs a change of that API, of the stored head and of the messages between nodes.

--- a/tests/test_configuration_feed.cpp
+++ b/tests/test_configuration_feed.cpp
@@ -297,4 +297,24 @@
     CHECK(test.reverted == 0);
 }
 
+TEST_CASE("a change confirmed after the platform was restored is in force")
+{
+    feed_test test(1);
+    test.commit(5);
+    test.nodes.grow(6);
+    test.nodes.loop.advance(std::chrono::seconds(30));
+    REQUIRE(test.count_at(5) == 6);
+    // The copy holds three changes, and the operator confirms another one.
+    const auto* head =
+        process::configuration::configuration_feed::head_object_name;
+    test.nodes.platform.lose(head);
+    test.nodes.platform.put(head, "w1=1\nw2=1\nw3=1\nnew=1\n", 0,
+                            [](const process::put_result&) {});
+    test.nodes.loop.advance(std::chrono::seconds(4));
+    for (const auto& [name, it] : test.feeds) {
+        CAPTURE(name);
+        CHECK(it->current_configuration()->workspaces.count("new") == 1);
+    }
+}
+
 } // namespace shallotwood::test
