--- a/src/process/fleet/watcher_election.cpp
+++ b/src/process/fleet/watcher_election.cpp
@@ -35,13 +35,13 @@
 void watcher_election::record_watcher(const std::string& name)
 {
     auto& it = records_[name];
-    it.heard_at = clock_.now();
+    it.reported_at = clock_.now();
     it.skipped_until = {};
 }
 
-void watcher_election::store_unreachable(const std::string& name, duration hold)
+void watcher_election::store_unreachable(const std::string& name)
 {
-    records_[name].skipped_until = clock_.now() + hold;
+    records_[name].skipped_until = clock_.now() + unreachable_hold_time;
 }
 
 void watcher_election::store_reachable(const std::string& name)
@@ -50,12 +50,10 @@
         it->second.skipped_until = {};
 }
 
-duration watcher_election::skipped_for(const std::string& name) const
+bool watcher_election::store_unreachable_from(const std::string& name) const
 {
     auto it = records_.find(name);
-    return it == records_.end()
-               ? duration(0)
-               : std::max(duration(0), it->second.skipped_until - clock_.now());
+    return it != records_.end() && it->second.skipped_until > clock_.now();
 }
 
 bool watcher_election::present(const std::string& name) const
@@ -103,7 +101,7 @@
     if (it.expected_in + 1 != elections_)
         it.expected_since = now;
     it.expected_in = elections_;
-    return now - std::max(it.expected_since, it.heard_at) > silence_limit;
+    return now - std::max(it.expected_since, it.reported_at) > silence_limit;
 }
 
 watcher_election::result
--- a/src/process/fleet/watcher_election.hpp
+++ b/src/process/fleet/watcher_election.hpp
@@ -9,7 +9,7 @@
 // A change would go unnoticed if every node believed that others watch.
 // Therefore the first nodes of the order, the candidates, rely on reports only:
 // a watcher says regularly that the store answers it, and says at once if it
-// doesn't. A watcher that is not heard from is skipped, whatever the reason.
+// doesn't. A watcher that stops reporting is skipped, whatever the reason.
 //
 // Bounded: one record per known instance.
 #pragma once
@@ -31,7 +31,7 @@
     // A node to which the store did not respond is skipped for this time.
     static constexpr duration unreachable_hold_time = std::chrono::seconds(2);
 
-    // A watcher is skipped if it was not heard from for this time.
+    // A watcher is skipped if it has not reported for this time.
     static constexpr duration silence_limit = std::chrono::milliseconds(1100);
 
     // False if the node was found unreachable.
@@ -44,16 +44,11 @@
     // Records that the node `name` watches the store, which answers it.
     void record_watcher(const std::string& name);
     // Records that the store does not respond to the node `name`, which is
-    // skipped for `hold`.
-    void store_unreachable(const std::string& name,
-                           duration hold = unreachable_hold_time);
+    // skipped for a while.
+    void store_unreachable(const std::string& name);
     void store_reachable(const std::string& name);
-    bool store_unreachable_from(const std::string& name) const
-    {
-        return skipped_for(name) > duration(0);
-    }
-    // How much longer the node is skipped.
-    duration skipped_for(const std::string& name) const;
+    // True while the node is skipped.
+    bool store_unreachable_from(const std::string& name) const;
 
     // The outcome for this node, and what decided it.
     struct result {
@@ -74,7 +69,7 @@
 private:
     struct record {
         time_point skipped_until{};
-        time_point heard_at{};
+        time_point reported_at{};
         // Since when the node is expected to report.
         time_point expected_since{};
         // Number of the election in which it was expected last.
--- a/src/process/object_store.hpp
+++ b/src/process/object_store.hpp
@@ -92,9 +92,10 @@
 
     virtual void cancel(watch_id id) = 0;
 
-    // Rises when the store was restored from an older copy; 0 if unknown. Writes
-    // that were acknowledged in an earlier era may be lost, and their versions
-    // are given out again. Watches go on, and report the current version anew.
+    // Rises when the store was restored from an older copy; 0 if unknown.
+    // Writes that were acknowledged in an earlier era may be lost, and their
+    // versions are given out again. Watches go on, and report the current
+    // version anew.
     virtual std::uint64_t era() const { return 0; }
 };
 
