Order the configurations of shallotwoodd by era, then revision

Cause: after a restore of the platform from a copy, revisions are given out again. Nodes ordered configurations by revision alone, and took the first change after the restore for an old one. The platform's API named no era. Class: a counter of another party compared beyond the life of what it counts. Now every response of the platform names its era; the head names that of its last change; nodes order by (era, revision), in digests, pulls and probes too. What a restore lost stays in force until the next confirmed change; a log line names what that change undoes. Ruled out: the era of each object from the platform; its contract names one only for all answers.

--- a/src/process/configuration/configuration_feed.cpp
+++ b/src/process/configuration/configuration_feed.cpp
@@ -17,6 +17,13 @@
 // A node that has not joined after this long watches the platform itself.
 constexpr duration watch_without_join_delay = std::chrono::seconds(10);
 
+// Fields of the messages between nodes.
+constexpr const char* era_field = "e";
+constexpr const char* revision_field = "r";
+constexpr const char* base_era_field = "base_era";
+constexpr const char* base_field = "base";
+constexpr const char* have_field = "have";
+
 } // namespace
 
 configuration_feed::configuration_feed(
@@ -44,8 +51,11 @@
         "configuration.digest",
         [this, alive = std::weak_ptr<bool>(alive_)](const peer_address& from,
                                                     const Json::Value& params) {
-            if (!alive.expired() && params.isObject() && params["r"].isUInt64())
-                on_announced_revision(from, params["r"].asUInt64());
+            if (alive.expired())
+                return;
+            if (auto theirs =
+                    version::read_position(params, era_field, revision_field))
+                on_announced(from, *theirs);
         });
     transport_.subscribe("configuration.watcher_lost",
                          [this, alive = std::weak_ptr<bool>(alive_)](
@@ -54,13 +64,13 @@
                                  on_watcher_lost(params);
                          });
     auto own = [this, alive = std::weak_ptr<bool>(alive_)] {
-        return alive.expired() ? 0 : revision();
+        return alive.expired() ? version::position() : position();
     };
-    members_.piggyback_revision(
+    members_.piggyback_position(
         own, [this, alive = std::weak_ptr<bool>(alive_)](
-                 const peer_address& from, std::uint64_t theirs) {
+                 const peer_address& from, const version::position& theirs) {
             if (!alive.expired())
-                on_announced_revision(from, theirs);
+                on_announced(from, theirs);
         });
 }
 
@@ -93,9 +103,10 @@
     listeners_.push_back(std::move(on_change));
 }
 
-std::uint64_t configuration_feed::revision() const
+version::position configuration_feed::position() const
 {
-    return current_configuration_ ? current_configuration_->revision : 0;
+    return current_configuration_ ? current_configuration_->position()
+                                  : version::position();
 }
 
 // Platform.
@@ -238,7 +249,7 @@
 
 void configuration_feed::adopt(const loaded_configuration& newer)
 {
-    if (!newer.it || newer.it->revision <= revision())
+    if (!newer.it || newer.it->position() <= position())
         return;
     install(newer.it, newer.changes);
     send_digests();
@@ -264,17 +275,17 @@
 void configuration_feed::send_digests()
 {
     Json::Value params;
-    params["r"] = Json::UInt64(revision());
+    version::write_position(params, era_field, revision_field, position());
     for (const auto& it : members_.random_members(settings_.fan_out))
         transport_.send(it.peer, "configuration.digest", params);
 }
 
-void configuration_feed::on_announced_revision(const peer_address& from,
-                                               std::uint64_t their_revision)
+void configuration_feed::on_announced(const peer_address& from,
+                                      const version::position& theirs)
 {
-    if (their_revision <= revision() || their_revision < highest_announced_)
+    if (theirs <= position() || theirs < newest_announced_)
         return;
-    highest_announced_ = their_revision;
+    newest_announced_ = theirs;
     announcer_ = from;
     pull();
 }
@@ -283,7 +294,7 @@
 // changes that arrive faster are pulled together.
 void configuration_feed::pull()
 {
-    if (next_pull_ || !announcer_ || highest_announced_ <= revision())
+    if (next_pull_ || !announcer_ || newest_announced_ <= position())
         return;
     auto gap = pull_pending_ ? settings_.pull_timeout : settings_.pull_interval;
     auto elapsed = last_pull_ ? loop_.now() - *last_pull_ : gap;
@@ -292,8 +303,8 @@
         return;
     }
     if (pull_pending_ && ++pull_failures_ > max_pull_failures) {
-        // No peer provides the announced revision.
-        highest_announced_ = 0;
+        // No peer provides what was announced.
+        newest_announced_ = {};
         pull_pending_ = false;
         pull_failures_ = 0;
         return;
@@ -325,7 +336,7 @@
             from = others[0].peer;
     }
     Json::Value params;
-    params["have"] = Json::UInt64(revision());
+    version::write_position(params, era_field, have_field, position());
     transport_.send(from, "configuration.pull", params);
     ++counts_.at("configuration_pulls");
     last_pull_ = loop_.now();
@@ -335,20 +346,21 @@
 void configuration_feed::on_pull(const peer_address& from,
                                  const Json::Value& params)
 {
-    if (!params["have"].isUInt64() || !current_configuration_)
-        return;
-    auto base_revision = params["have"].asUInt64();
-    if (base_revision >= revision())
+    auto base = version::read_position(params, era_field, have_field);
+    if (!base || !current_configuration_ || position() <= *base)
         return;
-    auto missing = revision() - base_revision;
     Json::Value answer;
-    answer["r"] = Json::UInt64(revision());
+    version::write_position(answer, era_field, revision_field, position());
+    // Changes apply to a configuration of the same era only.
+    auto missing = base->era == position().era
+                       ? position().revision - base->revision
+                       : UINT64_MAX;
     if (missing > recent_changes_.size()) {
         answer["whole"] = codec_.write(*current_configuration_);
         transport_.send(from, "configuration.changes", answer);
         return;
     }
-    answer["base"] = Json::UInt64(base_revision);
+    version::write_position(answer, base_era_field, base_field, *base);
     std::size_t bytes = 0;
     for (auto n = recent_changes_.size() - missing; n < recent_changes_.size();
          ++n) {
@@ -363,16 +375,16 @@
 void configuration_feed::on_changes(const peer_address& from,
                                     const Json::Value& params)
 {
-    auto before = revision();
+    auto before = position();
     if (params["whole"].isString()) {
         auto complete = codec_.read(params["whole"].asString());
-        if (complete && complete->revision > revision())
+        if (complete && before < complete->position())
             install(complete, {});
-    } else if (params["base"].isUInt64() &&
-               params["base"].asUInt64() == revision()) {
+    } else if (version::read_position(params, base_era_field, base_field) ==
+               before) {
         apply_changes(params["changes"]);
     }
-    if (revision() == before) {
+    if (position() == before) {
         ++counts_.at("configuration_useless_answers");
         return;
     }
@@ -381,8 +393,8 @@
     if (next_pull_)
         loop_.cancel(*next_pull_);
     next_pull_.reset();
-    if (params["r"].isUInt64())
-        on_announced_revision(from, params["r"].asUInt64());
+    if (auto theirs = version::read_position(params, era_field, revision_field))
+        on_announced(from, *theirs);
     pull();
 }
 
@@ -408,7 +420,9 @@
 void configuration_feed::install(const version::configuration_ptr& newer,
                                  const std::vector<std::string>& changes)
 {
-    if (newer->revision != revision() + changes.size() ||
+    auto before = position();
+    if (newer->position() !=
+            version::position{before.era, before.revision + changes.size()} ||
         !current_configuration_) {
         recent_changes_.clear();
         recent_changes_bytes_ = 0;
@@ -430,7 +444,15 @@
     last_adoption_ = loop_.now();
     ++counts_.at("configuration_adopted");
     SHALLOTWOOD_LOG(info) << "event=configuration-adopted"
-                          << field("revision", newer->revision);
+                          << field("era", newer->era)
+                          << field("revision", newer->revision)
+                          << field("before_era", before.era)
+                          << field("before", before.revision);
+    // What was confirmed after the copy was made is no longer in force.
+    if (before.era < newer->era && newer->revision <= before.revision)
+        SHALLOTWOOD_LOG(warning) << "event=configuration-changes-undone"
+                                 << field("lost_after", newer->revision - 1)
+                                 << field("last_lost", before.revision);
     for (const auto& it : listeners_)
         it(newer);
 }
--- a/src/process/configuration/configuration_feed.hpp
+++ b/src/process/configuration/configuration_feed.hpp
@@ -8,7 +8,10 @@
 // piggybacked on membership probes, which reaches the nodes that the gossip
 // missed.
 //
-// The current revision never decreases, whatever a peer or the platform sends.
+// Configurations are ordered by the platform's era in which they were
+// confirmed, then by revision. The current one never goes back in this order,
+// whatever a peer or the platform sends: after a restore of the platform from
+// a copy it stays in force until an operator confirms a change.
 //
 // Bounds: fan_out digests per round whatever the rate of changes, one pull at a
 // time, history of max_recent_changes and max_recent_changes_bytes.
@@ -128,7 +131,7 @@
     bool is_watching_platform() const { return watch_.has_value(); }
 
     // Installs a configuration that this node has just committed or loaded, and
-    // announces it to peers at once. Ignored unless its revision is higher.
+    // announces it to peers at once. Ignored unless it is newer.
     void adopt(const loaded_configuration& newer);
 
     // Calls `on_change` after each change of current_configuration(). Listeners
@@ -137,7 +140,7 @@
     listen(std::function<void(const version::configuration_ptr&)> on_change);
 
 private:
-    std::uint64_t revision() const;
+    version::position position() const;
 
     // Platform.
     void check_watch();
@@ -156,8 +159,8 @@
     // Peers.
     void run_gossip_round();
     void send_digests();
-    void on_announced_revision(const peer_address& from,
-                               std::uint64_t their_revision);
+    void on_announced(const peer_address& from,
+                      const version::position& theirs);
     void pull();
     void schedule_pull(duration delay);
     void send_pull();
@@ -197,9 +200,9 @@
     // before.
     std::optional<time_point> last_adoption_;
     duration previous_adoption_interval_{0};
-    // The highest revision announced by peers, and the peer that last announced
+    // The newest position announced by peers, and the peer that last announced
     // it.
-    std::uint64_t highest_announced_ = 0;
+    version::position newest_announced_;
     std::optional<peer_address> announcer_;
     std::optional<time_point> last_pull_;
     // True while the last pull is unanswered.
--- a/src/process/configuration/configuration_source.cpp
+++ b/src/process/configuration/configuration_source.cpp
@@ -74,7 +74,7 @@
         return;
     }
     const auto& to = std::get<version::head>(decoded);
-    if (base && version::covers(to, base->revision)) {
+    if (base && base->era == to.era && version::covers(to, base->revision)) {
         auto result = version::catch_up(*base, to);
         if (auto* it = std::get_if<version::configuration>(&result)) {
             done(loaded_configuration{make_shared_configuration(std::move(*it)),
--- a/src/process/http/http_client.cpp
+++ b/src/process/http/http_client.cpp
@@ -19,7 +19,7 @@
              response_callback done)
         : owner_(&owner), id_(id), done_(std::move(done)),
           max_response_bytes_(request.max_response_bytes),
-          response_header_name_(request.response_header_name),
+          response_header_names_(request.response_header_names),
           cancellable_(g_cancellable_new()),
           message_(soup_message_new(request.method, request.uri.c_str()))
     {
@@ -120,12 +120,11 @@
         response_.status = soup_message_get_status(message_);
         if (size > 0)
             response_.body.assign(data, size);
-        if (!response_header_name_)
-            return;
-        const auto* value = soup_message_headers_get_one(
-            soup_message_get_response_headers(message_), response_header_name_);
-        if (value)
-            response_.header = value;
+        auto* headers = soup_message_get_response_headers(message_);
+        for (const auto* name : response_header_names_) {
+            if (const auto* value = soup_message_headers_get_one(headers, name))
+                response_.headers.emplace(name, value);
+        }
     }
 
     void end()
@@ -141,7 +140,7 @@
     std::uint64_t id_;
     response_callback done_;
     std::size_t max_response_bytes_;
-    const char* response_header_name_;
+    std::vector<const char*> response_header_names_;
     GCancellable* cancellable_;
     SoupMessage* message_;
     timer_id timer_{};
--- a/src/process/http/http_client.hpp
+++ b/src/process/http/http_client.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace shallotwood::process::http
 {
@@ -27,8 +28,8 @@
     std::size_t max_response_bytes = 65536;
     std::optional<std::pair<const char*, std::string>> header;
     std::string body;
-    // Response header to return in http_response::header; may be null.
-    const char* response_header_name = nullptr;
+    // Response headers to return in http_response::headers.
+    std::vector<const char*> response_header_names;
 };
 
 struct http_response {
@@ -38,7 +39,8 @@
     int sends = 0;
     // 0 if no complete response was received.
     unsigned status = 0;
-    std::optional<std::string> header;
+    // By the names that the request asked for; absent ones are left out.
+    std::map<std::string, std::string> headers;
     std::string body;
 };
 
--- a/src/process/http/node_status.cpp
+++ b/src/process/http/node_status.cpp
@@ -12,14 +12,13 @@
 constexpr int max_connections = 16;
 constexpr auto time_limit = std::chrono::seconds(3);
 
-std::optional<std::uint64_t> parse_revision(const http_response& response)
+std::optional<version::position> parse_position(const http_response& response)
 {
     if (response.status != SOUP_STATUS_OK)
         return std::nullopt;
     auto json = parse_json(response.body);
-    if (!json || !json->isObject() || !(*json)["revision"].isUInt64())
-        return std::nullopt;
-    return (*json)["revision"].asUInt64();
+    return json ? version::read_position(*json, "era", "revision")
+                : std::nullopt;
 }
 
 } // namespace
@@ -29,13 +28,13 @@
 {
 }
 
-void http_node_status_reader::read(const peer_address& local, on_revision done)
+void http_node_status_reader::read(const peer_address& local, on_position done)
 {
     http_request it;
     it.uri = "http://" + to_text(local) + "/status";
     it.time_limit = time_limit;
     client_.send(it, [done = std::move(done)](const http_response& response) {
-        done(parse_revision(response));
+        done(parse_position(response));
     });
 }
 
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -18,6 +18,9 @@
 // Bytes of updates piggybacked on a probe or an ack.
 constexpr std::size_t probe_update_bytes = 400;
 constexpr int dead_notice_copies = 8;
+// The sender's position in the configurations.
+constexpr const char* era_field = "e";
+constexpr const char* revision_field = "r";
 // Envelope, authentication and UDP/IP headers of a message.
 constexpr std::size_t message_overhead_bytes = 230;
 
@@ -118,11 +121,11 @@
     alive_.reset();
 }
 
-void membership::piggyback_revision(revision_source own,
-                                    revision_listener on_peer_revision)
+void membership::piggyback_position(position_source own,
+                                    position_listener on_peer_position)
 {
-    own_revision_ = std::move(own);
-    on_peer_revision_ = std::move(on_peer_revision);
+    own_position_ = std::move(own);
+    on_peer_position_ = std::move(on_peer_position);
 }
 
 std::vector<member> membership::random_members(std::size_t count)
@@ -172,8 +175,9 @@
         apply_entry(params["f"], update_source::gossip);
     if (params.isMember("u"))
         apply(params["u"], update_source::gossip);
-    if (on_peer_revision_ && params["r"].isUInt64())
-        on_peer_revision_(from, params["r"].asUInt64());
+    if (auto theirs = version::read_position(params, era_field, revision_field);
+        theirs && on_peer_position_)
+        on_peer_position_(from, *theirs);
     return true;
 }
 
@@ -498,15 +502,16 @@
     }
 }
 
-// The fields common to all probes and acks: this node's entry and revision,
+// The fields common to all probes and acks: this node's entry and position,
 // piggybacked updates, and the receiver's own entry if this node holds it
 // suspect or dead, so that it can refute.
 Json::Value membership::make_probe_params(const std::string& to)
 {
     Json::Value params;
     params["f"] = to_json(self_);
-    if (own_revision_)
-        params["r"] = Json::UInt64(own_revision_());
+    if (own_position_)
+        version::write_position(params, era_field, revision_field,
+                                own_position_());
     auto names = select_updates(probe_update_bytes, false);
     for (const auto& it : names)
         params["u"].append(to_json(*entry_of(it)));
--- a/src/process/membership.hpp
+++ b/src/process/membership.hpp
@@ -20,6 +20,7 @@
 #include "process/object_store.hpp"
 #include "process/peer_transport.hpp"
 #include "process/random_source.hpp"
+#include "version/position.hpp"
 
 #include <array>
 #include <deque>
@@ -132,13 +133,13 @@
         return last_message_time_;
     }
 
-    // Every probe and ack carries the value of `own()`; `on_peer_revision` is
+    // Every probe and ack carries the value of `own()`; `on_peer_position` is
     // called with the values received from peers.
-    using revision_source = std::function<std::uint64_t()>;
-    using revision_listener =
-        std::function<void(const peer_address& from, std::uint64_t revision)>;
-    void piggyback_revision(revision_source own,
-                            revision_listener on_peer_revision);
+    using position_source = std::function<version::position()>;
+    using position_listener = std::function<void(
+        const peer_address& from, const version::position& theirs)>;
+    void piggyback_position(position_source own,
+                            position_listener on_peer_position);
 
     // Up to `count` distinct random members, excluding this node and the dead.
     std::vector<member> random_members(std::size_t count);
@@ -283,8 +284,8 @@
     std::deque<std::string> own_suspects_;
     std::optional<timer_id> next_exchange_;
 
-    revision_source own_revision_;
-    revision_listener on_peer_revision_;
+    position_source own_position_;
+    position_listener on_peer_position_;
     std::vector<std::function<void(const member&)>> listeners_;
     // Callbacks of timers and platform calls hold it weakly and do nothing
     // once this object is stopped or destroyed.
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -112,7 +112,9 @@
     Json::Value it;
     const auto& current = feed_.current_configuration();
     it["instance"] = members_.self().instance;
-    it["revision"] = Json::UInt64(current ? current->revision : 0);
+    version::write_position(it, "era", "revision",
+                            current ? current->position()
+                                    : version::position());
     it["members"] = Json::UInt64(members_.members().size());
     it["isolated"] = feed_.isolated();
     it["draining"] = draining_;
--- a/src/process/operator_command.cpp
+++ b/src/process/operator_command.cpp
@@ -145,7 +145,7 @@
                 ", " + plural(value.workspaces.size(), "workspace") + ", " +
                 plural(value.keys.size(), "key") + ", " +
                 plural(value.servers.size(), "leaving backend server") + ".\n");
-            query_nodes(value.revision);
+            query_nodes(value.position());
         },
         [this] {
             json_output_["revision"] = Json::Value();
@@ -366,24 +366,24 @@
     fail(code, failure.message);
 }
 
-void operator_command::query_nodes(std::optional<std::uint64_t> committed)
+void operator_command::query_nodes(std::optional<version::position> committed)
 {
-    committed_revision_ = committed;
+    committed_position_ = committed;
     if (options_.nodes.empty()) {
         report_nodes();
         return;
     }
     pending_responses_ = options_.nodes.size();
     for (const auto& node : options_.nodes)
-        status_reader_.read(node, [this, node](auto revision) {
-            on_node_response(node, revision);
+        status_reader_.read(node, [this, node](auto position) {
+            on_node_response(node, position);
         });
 }
 
-void operator_command::on_node_response(const peer_address& node,
-                                        std::optional<std::uint64_t> revision)
+void operator_command::on_node_response(
+    const peer_address& node, std::optional<version::position> position)
 {
-    node_revisions_[node] = revision;
+    node_positions_[node] = position;
     if (--pending_responses_ == 0)
         report_nodes();
 }
@@ -392,24 +392,26 @@
 {
     bool behind = false;
     json_output_["nodes"] = Json::Value(Json::arrayValue);
-    for (const auto& [node, revision] : node_revisions_) {
-        bool current = revision && revision >= committed_revision_;
+    for (const auto& [node, position] : node_positions_) {
+        bool current = position && (!committed_position_ ||
+                                    *committed_position_ <= *position);
         behind = behind || !current;
         Json::Value entry(Json::objectValue);
         entry["address"] = to_text(node);
-        entry["revision"] =
-            revision ? Json::Value(Json::UInt64(*revision)) : Json::Value();
+        entry["revision"] = position
+                                ? Json::Value(Json::UInt64(position->revision))
+                                : Json::Value();
         entry["current"] = current;
         json_output_["nodes"].append(entry);
         auto line = to_text(node) + ": ";
-        if (!revision)
+        if (!position)
             line += "no answer";
         else
-            line += "revision " + std::to_string(*revision) + " in force" +
-                    (current ? "" : ", behind");
+            line += "revision " + std::to_string(position->revision) +
+                    " in force" + (current ? "" : ", behind");
         print_text(line + '\n');
     }
-    if (!committed_revision_)
+    if (!committed_position_)
         finish(exit_code::failed);
     else
         finish(behind ? exit_code::nodes_behind : exit_code::done);
--- a/src/process/operator_command.hpp
+++ b/src/process/operator_command.hpp
@@ -94,9 +94,9 @@
     void on_commit(const version::commit_result& result);
     void report_superseded(const version::superseded& conflict);
     void report_failure(const version::commit_failure& failure);
-    void query_nodes(std::optional<std::uint64_t> committed);
+    void query_nodes(std::optional<version::position> committed);
     void on_node_response(const peer_address& node,
-                          std::optional<std::uint64_t> revision);
+                          std::optional<version::position> position);
     void report_nodes();
 
     // Writes the text in text mode, and nothing in JSON mode.
@@ -116,8 +116,8 @@
     // Written at the end in JSON mode.
     Json::Value json_output_{Json::objectValue};
     time_point deadline_;
-    std::optional<std::uint64_t> committed_revision_;
-    std::map<peer_address, std::optional<std::uint64_t>> node_revisions_;
+    std::optional<version::position> committed_position_;
+    std::map<peer_address, std::optional<version::position>> node_positions_;
     std::size_t pending_responses_ = 0;
 };
 
--- a/src/process/platform_client.cpp
+++ b/src/process/platform_client.cpp
@@ -27,6 +27,7 @@
 
 constexpr const char* version_header = "Object-Version";
 constexpr const char* expected_header = "Expected-Version";
+constexpr const char* era_header = "Store-Era";
 
 std::string escaped(const std::string& text, const char* allowed)
 {
@@ -41,17 +42,25 @@
     return "/objects/" + escaped(name, "/");
 }
 
-std::optional<std::uint64_t> parse_version(const http::http_response& answer)
+// The header as a number above 0.
+std::optional<std::uint64_t> parse_header(const http::http_response& answer,
+                                          const char* name)
 {
-    if (!answer.header)
+    auto found = answer.headers.find(name);
+    if (found == answer.headers.end())
         return std::nullopt;
-    std::string_view all(*answer.header);
-    std::uint64_t version = 0;
+    std::string_view all(found->second);
+    std::uint64_t number = 0;
     const auto* end = all.data() + all.size();
-    auto [rest, ec] = std::from_chars(all.data(), end, version);
-    if (ec != std::errc() || rest != end || version == 0)
+    auto [rest, ec] = std::from_chars(all.data(), end, number);
+    if (ec != std::errc() || rest != end || number == 0)
         return std::nullopt;
-    return version;
+    return number;
+}
+
+std::optional<std::uint64_t> parse_version(const http::http_response& answer)
+{
+    return parse_header(answer, version_header);
 }
 
 std::optional<stored_object> parse_object(const Json::Value& json)
@@ -98,7 +107,7 @@
 
 struct platform_client::watch_state {
     std::string name;
-    std::uint64_t seen_version = 0;
+    watch_position position;
     std::function<void(get_result)> on_change;
     duration backoff{};
     time_point poll_started;
@@ -139,7 +148,7 @@
     it.uri = base_uri_ + path;
     it.time_limit = limit;
     it.max_response_bytes = max_response_bytes;
-    it.response_header_name = version_header;
+    it.response_header_names = {version_header, era_header};
     return it;
 }
 
@@ -148,12 +157,23 @@
 {
     calls_.send(request, [this, done = std::move(done)](
                              const http::http_response& response) {
-        if (response.status != 0)
-            last_response_time_ = loop_.now();
-        done(response);
+        done(accept(response));
     });
 }
 
+http::http_response platform_client::accept(const http::http_response& response)
+{
+    if (response.status == 0)
+        return response;
+    last_response_time_ = loop_.now();
+    if (era_.observe_and_log(parse_header(response, era_header)) !=
+        store_era::response::outdated)
+        return response;
+    http::http_response lost;
+    lost.sends = response.sends;
+    return lost;
+}
+
 get_result platform_client::to_get_result(const std::string& name,
                                           const http::http_response& response)
 {
@@ -299,12 +319,13 @@
         });
         return watch_id{id};
     }
-    watch_state it;
-    it.name = name;
-    it.seen_version = after_version;
-    it.on_change = std::move(on_change);
-    it.backoff = limits_.initial_backoff;
-    it.timer = loop_.call_after(duration(0), [this, id] { poll(id); });
+    watch_state it{name,
+                   watch_position(after_version),
+                   std::move(on_change),
+                   limits_.initial_backoff,
+                   {},
+                   0,
+                   loop_.call_after(duration(0), [this, id] { poll(id); })};
     watches_.emplace(id, std::move(it));
     return watch_id{id};
 }
@@ -327,7 +348,7 @@
     auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
         limits_.watch_wait);
     auto path = object_path(state.name) +
-                "?after=" + std::to_string(state.seen_version) +
+                "?after=" + std::to_string(state.position.last_version()) +
                 "&wait_ms=" + std::to_string(wait.count());
     state.poll_request_id = polls_.send(
         make_request(path, limits_.watch_wait + limits_.watch_grace),
@@ -337,24 +358,23 @@
 }
 
 void platform_client::on_poll_response(std::uint64_t id,
-                                       const http::http_response& response)
+                                       const http::http_response& received)
 {
-    if (response.status != 0)
-        last_response_time_ = loop_.now();
+    auto response = accept(received);
     auto& state = watches_.at(id);
     state.poll_request_id = 0;
     auto earliest = state.poll_started + limits_.watch_min_interval;
     auto wait = std::max(earliest - loop_.now(), duration(0));
     std::optional<get_result> event;
+    // In another era the next poll asks for any version.
+    state.position.enter(era_.value());
     if (response.status == SOUP_STATUS_NO_CONTENT) {
         state.backoff = limits_.initial_backoff;
     } else {
         event = to_get_result(state.name, response);
         if (auto* object = std::get_if<stored_object>(&*event)) {
             state.backoff = limits_.initial_backoff;
-            if (object->version > state.seen_version)
-                state.seen_version = object->version;
-            else
+            if (!state.position.take(object->version, era_.value()))
                 event.reset();
         } else {
             auto half = static_cast<double>(state.backoff.count()) / 2;
--- a/src/process/platform_client.hpp
+++ b/src/process/platform_client.hpp
@@ -11,6 +11,7 @@
 #include "process/object_store.hpp"
 #include "process/peer_transport.hpp"
 #include "process/random_source.hpp"
+#include "process/store_position.hpp"
 
 #include <map>
 #include <memory>
@@ -67,6 +68,7 @@
     watch_id watch(const std::string& name, std::uint64_t after_version,
                    std::function<void(get_result)> on_change) override;
     void cancel(watch_id id) override;
+    std::uint64_t era() const override { return era_.value(); }
 
     // When the platform last sent any response; empty before the first one.
     std::optional<time_point> last_response_time() const
@@ -92,12 +94,15 @@
                     std::function<void(put_result)> done);
     void send_request(const http::http_request& request,
                       http::http_client::response_callback done);
+    // Notes that the platform responded. A response from before a known restore
+    // counts as lost.
+    http::http_response accept(const http::http_response& response);
     void list_page(const std::string& prefix, const std::string& after,
                    std::vector<stored_object> found,
                    std::function<void(list_result)> done);
     void poll(std::uint64_t id);
     void on_poll_response(std::uint64_t id,
-                          const http::http_response& response);
+                          const http::http_response& received);
 
     std::string base_uri_;
     event_loop& loop_;
@@ -111,6 +116,7 @@
     std::size_t calls_in_progress_ = 0;
     std::map<std::uint64_t, watch_state> watches_;
     std::optional<time_point> last_response_time_;
+    store_era era_;
 };
 
 } // namespace shallotwood::process
--- a/src/process/store_position.hpp
+++ b/src/process/store_position.hpp
@@ -37,6 +37,9 @@
         return is_first ? response::current : response::restored;
     }
 
+    // As above, and logs what is not current.
+    response observe_and_log(std::optional<std::uint64_t> era);
+
     // 0 until a response has named it.
     std::uint64_t value() const { return value_; }
 
@@ -61,6 +64,15 @@
         revision_ = revision;
     }
 
+    // Forgets the versions seen in another era.
+    void enter(std::uint64_t era)
+    {
+        // The first era that is named is that of the versions seen so far.
+        if (era != era_ && era_ != 0)
+            last_version_ = 0;
+        era_ = era;
+    }
+
     // False if `revision()` is from another era, so that changes may have been
     // missed.
     bool is_valid_in(std::uint64_t era) const { return era == era_; }
@@ -80,17 +92,12 @@
 
     void record_error() { report_equal_ = true; }
 
+    // The newest version of the object seen in this era.
+    std::uint64_t last_version() const { return last_version_; }
+
     std::uint64_t revision() const { return revision_; }
 
 private:
-    void enter(std::uint64_t era)
-    {
-        // The first era that is named is that of the versions seen so far.
-        if (era != era_ && era_ != 0)
-            last_version_ = 0;
-        era_ = era;
-    }
-
     std::uint64_t last_version_;
     bool report_equal_ = false;
     std::uint64_t revision_ = 0;
--- a/src/version/codec.cpp
+++ b/src/version/codec.cpp
@@ -248,6 +248,11 @@
     return value.asUInt64();
 }
 
+std::uint64_t object_reader::optional_integer(const char* name)
+{
+    return json_.isMember(name) ? integer(name) : 0;
+}
+
 const Json::Value& object_reader::list(const char* name,
                                        std::size_t max_entries)
 {
@@ -410,7 +415,7 @@
 Json::Value to_json(const configuration& it)
 {
     Json::Value json(Json::objectValue);
-    json["revision"] = Json::UInt64(it.revision);
+    write_position(json, "era", "revision", it.position());
     for (const auto* list : {"routes", "workspaces", "keys", "leaving"})
         json[list] = Json::Value(Json::arrayValue);
     entry_list(it).for_each(
@@ -424,11 +429,15 @@
 configuration_from_json(const Json::Value& json)
 {
     object_reader reader(json, "configuration");
+    auto era = reader.optional_integer("era");
     auto revision = reader.integer("revision");
     entry_reader entries;
     if (auto error = entries.add(reader))
         return std::move(*error);
-    return entries.finish(revision);
+    auto result = entries.finish(revision);
+    if (auto* it = std::get_if<configuration>(&result))
+        it->era = era;
+    return result;
 }
 
 } // namespace shallotwood::version
--- a/src/version/codec.hpp
+++ b/src/version/codec.hpp
@@ -42,6 +42,8 @@
     bool flag(const char* name);
     double number(const char* name);
     std::uint64_t integer(const char* name);
+    // 0 if there is no such field.
+    std::uint64_t optional_integer(const char* name);
     // An empty array after a fault.
     const Json::Value& list(const char* name, std::size_t max_entries);
     const Json::Value& object(const char* name);
--- a/src/version/commit.cpp
+++ b/src/version/commit.cpp
@@ -157,7 +157,7 @@
         }
         base_ = std::get<loaded>(std::move(result));
         if (const auto* found = find_operation(base_.from, plan_.operation)) {
-            done_(committed{found->revision, !head_written_});
+            on_operation_found(found->revision);
             return;
         }
         if (base_.from.revision != plan_.base_revision) {
@@ -169,6 +169,7 @@
             return;
         }
         next_ = append(base_.from, plan_.operation, plan_.intent);
+        next_.era = current_era();
         if (!needs_snapshot(base_.from)) {
             write_head();
             return;
@@ -178,6 +179,26 @@
         read_chunk(0);
     }
 
+    // An operator has confirmed this plan since the restore, so a head from an
+    // earlier era that ends with it goes to the current one.
+    void on_operation_found(std::uint64_t revision)
+    {
+        if (revision != base_.from.revision ||
+            base_.from.era == current_era()) {
+            done_(committed{revision, !head_written_});
+            return;
+        }
+        next_ = base_.from;
+        next_.era = current_era();
+        write_head();
+    }
+
+    // That of the store, unless it is not known.
+    std::uint64_t current_era() const
+    {
+        return std::max(base_.from.era, owner_.store_.era());
+    }
+
     void on_superseded()
     {
         auto current = base_.from.revision;
@@ -252,6 +273,12 @@
     void on_head_written(const process::put_result& result)
     {
         if (std::holds_alternative<std::uint64_t>(result)) {
+            // Restored since the head was read; see commit.hpp.
+            if (owner_.store_.era() > next_.era) {
+                head_written_ = true;
+                retry();
+                return;
+            }
             done_(committed{next_.revision, false});
             return;
         }
--- a/src/version/commit.hpp
+++ b/src/version/commit.hpp
@@ -5,6 +5,10 @@
 // several operators who confirm plans against the same base exactly one
 // succeeds. The head lists the operation ids of recent changes; after a lost
 // answer the head is read and shows whether the update took effect.
+//
+// The head names the era of the store. A change that was committed as the store
+// was restored is written again with the new era, since nodes would take it for
+// one that the restore undid.
 #pragma once
 
 #include "process/event_loop.hpp"
--- a/src/version/configuration.hpp
+++ b/src/version/configuration.hpp
@@ -3,6 +3,7 @@
 
 #include "process/event_loop.hpp"
 #include "request/call_context.hpp"
+#include "version/position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -57,6 +58,8 @@
 enum class server_intent { join, leave };
 
 struct configuration {
+    // Of the platform, when the last change was confirmed; 0 if unknown.
+    std::uint64_t era = 0;
     // Counts the confirmed changes from 1; 0 is the empty configuration.
     std::uint64_t revision = 0;
     std::map<std::string, route> routes;
@@ -65,9 +68,11 @@
     std::map<std::string, std::string> keys;
     std::map<std::string, server_intent> servers;
 
+    version::position position() const { return {era, revision}; }
+
     auto fields() const
     {
-        return std::tie(revision, routes, workspaces, keys, servers);
+        return std::tie(era, revision, routes, workspaces, keys, servers);
     }
     friend bool operator==(const configuration& a, const configuration& b)
     {
--- a/src/version/head.cpp
+++ b/src/version/head.cpp
@@ -121,7 +121,7 @@
 {
     Json::Value json(Json::objectValue);
     json["format"] = head_format;
-    json["revision"] = Json::UInt64(it.revision);
+    write_position(json, "era", "revision", {it.era, it.revision});
     auto& snapshot = json["snapshot"];
     snapshot["revision"] = Json::UInt64(it.snapshot.revision);
     snapshot["slot"] = Json::UInt64(it.snapshot.slot);
@@ -144,6 +144,7 @@
     head it;
     if (reader.integer("format") != head_format)
         reader.fail("format is not known");
+    it.era = reader.optional_integer("era");
     it.revision = reader.integer("revision");
     object_reader reference(reader.object("snapshot"), "snapshot");
     it.snapshot = read_reference(reference);
@@ -270,6 +271,7 @@
                                ": " + error->message};
         base = std::get<configuration>(std::move(next));
     }
+    base.era = to.era;
     return base;
 }
 
--- a/src/version/head.hpp
+++ b/src/version/head.hpp
@@ -74,6 +74,8 @@
 };
 
 struct head {
+    // Of the platform, when the last change was committed; 0 if unknown.
+    std::uint64_t era = 0;
     std::uint64_t revision = 0;
     snapshot_reference snapshot;
     // The most recent ones, at most max_head_changes, in order and without
@@ -82,23 +84,23 @@
 
     friend bool operator==(const head& a, const head& b)
     {
-        return a.revision == b.revision && a.snapshot == b.snapshot &&
-               a.changes == b.changes;
+        return std::tie(a.era, a.revision, a.snapshot, a.changes) ==
+               std::tie(b.era, b.revision, b.snapshot, b.changes);
     }
 };
 
 std::string encode(const head& it);
 std::variant<head, codec_error> decode_head(std::string_view text);
 
-// True if the head lists every change after `revision`, so that a node that
-// has `revision` needs no snapshot.
+// True if the head lists every change after `revision`, so that whoever has
+// that revision of the same era needs no snapshot.
 bool covers(const head& it, std::uint64_t revision);
 
 // The change with this operation id, or null.
 const committed_change* find_operation(const head& it,
                                        std::string_view operation);
 
-// The head that follows, without a new snapshot.
+// The head that follows in the same era, without a new snapshot.
 head append(const head& base, const std::string& operation,
             const change& value);
 
@@ -137,8 +139,8 @@
     entry_reader entries_;
 };
 
-// Applies the changes after the configuration's revision. Fails if one does not
-// apply, or if the head does not cover the revision.
+// Applies the changes after the configuration's revision, and sets the era.
+// Fails if one does not apply, or if the head does not cover the revision.
 std::variant<configuration, codec_error> catch_up(configuration base,
                                                   const head& to);
 
--- a/standins/platform_standin.cpp
+++ b/standins/platform_standin.cpp
@@ -41,6 +41,7 @@
 
 constexpr const char* version_header = "Object-Version";
 constexpr const char* expected_header = "Expected-Version";
+constexpr const char* era_header = "Store-Era";
 
 enum class outage {
     none,
@@ -72,6 +73,9 @@
     outage down = outage::none;
     // Writes that take effect and whose connection is closed unanswered.
     std::uint64_t lose_answers = 0;
+    // Actions, which take effect once.
+    bool save_copy = false;
+    bool restore_copy = false;
     // Before a call is executed, and between execution and answer.
     milliseconds delay_before{0};
     milliseconds delay_after{0};
@@ -175,6 +179,20 @@
         return {SOUP_STATUS_OK, version};
     }
 
+    void save_copy() { copy_ = objects_; }
+
+    // Goes back to the last copy, or to no objects if there is none.
+    void restore_copy()
+    {
+        objects_ = copy_;
+        bytes_ = 0;
+        for (const auto& [name, it] : objects_)
+            bytes_ += it.value.size();
+        ++era_;
+    }
+
+    std::uint64_t era() const { return era_; }
+
     Json::Value list(const std::string& prefix, const std::string& after) const
     {
         Json::Value page(Json::objectValue);
@@ -208,6 +226,8 @@
 private:
     std::map<std::string, stored_object> objects_;
     std::size_t bytes_ = 0;
+    std::map<std::string, stored_object> copy_;
+    std::uint64_t era_ = 1;
 };
 
 // A message whose answer is due later. libsoup must not be asked to answer a
@@ -599,6 +619,9 @@
     {
         if (message->ended())
             return;
+        soup_message_headers_replace(
+            soup_server_message_get_response_headers(message->get()),
+            era_header, std::to_string(objects_.era()).c_str());
         if (behaviour_.delay_after.count() == 0) {
             message->resume();
             return;
@@ -650,6 +673,11 @@
                 return false;
         }
         bool was_refused = behaviour_.down == outage::refused;
+        if (next.save_copy)
+            objects_.save_copy();
+        if (next.restore_copy)
+            objects_.restore_copy();
+        next.save_copy = next.restore_copy = false;
         behaviour_ = next;
         apply_outage(was_refused);
         return true;
@@ -666,6 +694,12 @@
             to.down = it->second;
             return true;
         }
+        if (name == "copy" || name == "restore") {
+            if (!value.isBool())
+                return false;
+            (name == "copy" ? to.save_copy : to.restore_copy) = value.asBool();
+            return true;
+        }
         if (!value.isUInt())
             return false;
         auto number = value.asUInt();
@@ -703,6 +737,7 @@
     {
         Json::Value json(Json::objectValue);
         json["outage"] = name_of(behaviour_.down);
+        json["era"] = Json::UInt64(objects_.era());
         json["lose_answers"] = Json::UInt64(behaviour_.lose_answers);
         json["delay_before_ms"] = Json::UInt64(behaviour_.delay_before.count());
         json["delay_after_ms"] = Json::UInt64(behaviour_.delay_after.count());
--- a/tests/support/fake_codec.hpp
+++ b/tests/support/fake_codec.hpp
@@ -1,5 +1,6 @@
 // Configurations and changes in a form just rich enough for tests: a change
-// is "NAME=RATE" of a workspace; the platform's head holds all changes.
+// is "NAME=RATE" of a workspace; the platform's head holds the era and all
+// changes.
 #pragma once
 
 #include "process/configuration/configuration_feed.hpp"
@@ -15,7 +16,7 @@
     std::string write(const version::configuration& it) const override
     {
         std::ostringstream out;
-        out << it.revision << '\n';
+        out << it.era << ' ' << it.revision << '\n';
         for (const auto& [name, space] : it.workspaces)
             out << name << '=' << space.rate << '\n';
         return out.str();
@@ -26,7 +27,7 @@
         std::istringstream in(text);
         auto made = std::make_shared<version::configuration>();
         std::string line;
-        if (!(in >> made->revision) || !std::getline(in, line))
+        if (!(in >> made->era >> made->revision) || !std::getline(in, line))
             return nullptr;
         while (std::getline(in, line)) {
             if (!set(*made, line))
@@ -55,7 +56,8 @@
     }
 };
 
-// Reads heads whose lines are the changes, the first of them at revision 1.
+// Reads heads whose lines are the changes, the first of them at revision 1. A
+// first line "era NUMBER" is that of the head.
 class fake_loader final : public process::configuration::configuration_loader
 {
 public:
@@ -65,18 +67,23 @@
                   std::optional<process::configuration::loaded_configuration>)>
                   done) override
     {
-        version::configuration_ptr now =
-            std::make_shared<version::configuration>();
+        auto empty = std::make_shared<version::configuration>();
         process::configuration::loaded_configuration result;
         std::istringstream in(head.value);
         std::string line;
+        const std::string era = "era ";
+        if (head.value.compare(0, era.size(), era) == 0) {
+            std::getline(in, line);
+            empty->era = std::stoull(line.substr(era.size()));
+        }
+        version::configuration_ptr now = empty;
         while (std::getline(in, line)) {
             now = codec_.apply(*now, line);
             if (!now) {
                 done(std::nullopt);
                 return;
             }
-            if (base && now->revision > base->revision)
+            if (base && now->era == base->era && now->revision > base->revision)
                 result.changes.push_back(line);
         }
         result.it = now;
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -129,6 +129,27 @@
     on_change(object->second);
 }
 
+void fake_object_store::lose(const std::string& name)
+{
+    objects_.erase(name);
+    enter_next_era();
+}
+
+void fake_object_store::restore_copy()
+{
+    objects_ = copy_;
+    enter_next_era();
+}
+
+void fake_object_store::enter_next_era()
+{
+    ++current_era;
+    for (auto& [id, it] : watchers_) {
+        it.seen_version = 0;
+        timers_.call_after(delay, [this, id = id] { notify(id); });
+    }
+}
+
 void fake_object_store::fail_watches(process::store_error why)
 {
     auto all = watchers_;
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -35,11 +35,10 @@
     std::uint64_t era() const override { return current_era; }
     // Removes the object, and goes to the next era, as a restore from a copy
     // that does not hold it.
-    void lose(const std::string& name)
-    {
-        objects_.erase(name);
-        ++current_era;
-    }
+    void lose(const std::string& name);
+    // Copies all objects, and goes back to the last copy in the next era.
+    void save_copy() { copy_ = objects_; }
+    void restore_copy();
     bool holds(const std::string& name) const
     {
         return objects_.count(name) != 0;
@@ -66,9 +65,12 @@
     process::put_result write(const std::string& name, const std::string& value,
                               std::uint64_t expected_version);
     void notify(std::uint64_t id);
+    // Each watch reports the current version anew.
+    void enter_next_era();
 
     process::scheduler& timers_;
     std::map<std::string, process::stored_object> objects_;
+    std::map<std::string, process::stored_object> copy_;
     std::uint64_t last_watch_ = 0;
     std::map<std::uint64_t, watcher> watchers_;
 };
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -268,7 +268,12 @@
     it["heal"] = [this](const words&) { network_.heal(); };
     it["loss"] = [this](const words& n) { network_.loss = std::stod(n.at(0)); };
     it["platform"] = [this](const words& n) {
-        platform_.down = n.at(0) == "down";
+        if (n.at(0) == "copy")
+            platform_.save_copy();
+        else if (n.at(0) == "restore")
+            platform_.restore_copy();
+        else
+            platform_.down = n.at(0) == "down";
     };
     it["lose_answers"] = [this](const words& n) {
         platform_.answers_to_lose = std::stoi(n.at(0));
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -6,7 +6,7 @@
 //   key NAME WORKSPACE            issue a key; `withdraw NAME` withdraws it
 //   send LABEL NODE KEY PATH [count=N] [every=TIME] [id=KEY] [timeout=TIME]
 //   kill|freeze|thaw|crash|drain NODE, cut NODE... | NODE..., heal
-//   platform down|up, lose_answers N, drop_answers NODE on|off
+//   platform down|up|copy|restore, lose_answers N, drop_answers NODE on|off
 //   expect LABEL WHAT N           WHAT: sent, whole, refused, repeated, the
 //                                 name of a verdict or of a reason; N may be
 //                                 `3`, `>=3` or `<=3`
--- a/tests/test_configuration_feed.cpp
+++ b/tests/test_configuration_feed.cpp
@@ -308,7 +308,7 @@
     const auto* head =
         process::configuration::configuration_feed::head_object_name;
     test.nodes.platform.lose(head);
-    test.nodes.platform.put(head, "w1=1\nw2=1\nw3=1\nnew=1\n", 0,
+    test.nodes.platform.put(head, "era 2\nw1=1\nw2=1\nw3=1\nnew=1\n", 0,
                             [](const process::put_result&) {});
     test.nodes.loop.advance(std::chrono::seconds(4));
     for (const auto& [name, it] : test.feeds) {
@@ -317,4 +317,23 @@
     }
 }
 
+TEST_CASE("a restored platform without a new change takes nothing back")
+{
+    feed_test test(1);
+    test.commit(3);
+    test.nodes.grow(6);
+    test.nodes.loop.advance(std::chrono::seconds(30));
+    test.nodes.platform.save_copy();
+    test.commit(5);
+    test.nodes.loop.advance(std::chrono::seconds(4));
+    REQUIRE(test.count_at(5) == 6);
+    test.nodes.platform.restore_copy();
+    test.nodes.loop.advance(std::chrono::seconds(30));
+    CHECK(test.count_at(5) == 6);
+    // A node that starts now reads the copy, and has the rest from the others.
+    test.nodes.grow(7);
+    test.nodes.loop.advance(std::chrono::seconds(10));
+    CHECK(test.count_at(5) == 7);
+}
+
 } // namespace shallotwood::test
--- a/tests/test_operator_command.cpp
+++ b/tests/test_operator_command.cpp
@@ -29,9 +29,10 @@
 class fake_nodes final : public http::node_status_reader
 {
 public:
-    void read(const peer_address& local, on_revision done) override
+    void read(const peer_address& local, on_position done) override
     {
-        done(revisions.at(local));
+        const auto& it = revisions.at(local);
+        done(it ? std::optional(version::position{1, *it}) : std::nullopt);
     }
 
     std::map<peer_address, std::optional<std::uint64_t>> revisions;
@@ -340,8 +341,10 @@
 {
     struct {
         const char* body;
-        std::optional<std::uint64_t> expected;
-    } const cases[] = {{R"({"revision":7,"other":1})", 7},
+        std::optional<version::position> expected;
+    } const cases[] = {{R"({"revision":7,"other":1})", version::position{0, 7}},
+                       {R"({"era":2,"revision":7})", version::position{2, 7}},
+                       {R"({"era":"2","revision":7})", std::nullopt},
                        {R"({"revision":-7})", std::nullopt},
                        {R"({})", std::nullopt},
                        {"7", std::nullopt}};
@@ -367,15 +370,15 @@
             uris, [](gpointer uri) { g_uri_unref(static_cast<GUri*>(uri)); });
         glib_event_loop loop;
         http::http_node_status_reader reader(loop);
-        std::optional<std::uint64_t> revision;
+        std::optional<version::position> position;
         bool done = false;
         reader.read({"127.0.0.1", static_cast<std::uint16_t>(port)},
                     [&](auto found) {
-                        revision = found;
+                        position = found;
                         done = true;
                     });
         test::iterate_until([&] { return done; });
-        CHECK(revision == it.expected);
+        CHECK(position == it.expected);
         soup_server_disconnect(server);
         g_object_unref(server);
     }
--- a/tests/test_platform_client.cpp
+++ b/tests/test_platform_client.cpp
@@ -209,4 +209,28 @@
     }
 }
 
+TEST_CASE_METHOD(client_fixture,
+                 "a watch goes on after the platform was restored from a copy")
+{
+    REQUIRE(put("a", "1", 0) == put_result(std::uint64_t{1}));
+    REQUIRE(!platform.control(R"({"copy": true})").empty());
+    REQUIRE(put("a", "2", 1) == put_result(std::uint64_t{2}));
+    REQUIRE(put("a", "3", 2) == put_result(std::uint64_t{3}));
+    std::vector<stored_object> seen;
+    client.watch("a", 0, [&](const get_result& it) {
+        if (const auto* object = std::get_if<stored_object>(&it))
+            seen.push_back(*object);
+    });
+    test::iterate_until([&] { return !seen.empty(); });
+    CHECK(client.era() == 1);
+    REQUIRE(!platform.control(R"({"restore": true})").empty());
+    test::iterate_until([&] { return seen.size() == 2; });
+    CHECK(client.era() == 2);
+    // Version 2 is given out again, below the last one of the first era.
+    REQUIRE(put("a", "new", 1) == put_result(std::uint64_t{2}));
+    test::iterate_until([&] { return seen.size() == 3; });
+    CHECK(seen == std::vector<stored_object>{
+                      {"a", 3, "3"}, {"a", 1, "1"}, {"a", 2, "new"}});
+}
+
 } // namespace shallotwood::process
