Write whole log lines only, and count instances that are new

Cause of torn lines: output was written to the pipe as one block of up to 64 KB; a full pipe took a part of a line, and what followed was lost when the process was killed. Now lines go out in groups of at most PIPE_BUF bytes, which a pipe takes whole or not at all. The last turn's lines are written when the loop has ended. A node that starts learns the whole fleet, so instances that are new to it are counted in one line for each message; changes of known ones have a line each, as before.

--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -294,12 +294,17 @@
     exchange_with(to, message, differing);
 }
 
-void fleet_exchange::apply_entry(const Json::Value& entry)
+bool fleet_exchange::apply_entry(const Json::Value& entry)
 {
     auto it = fleet::instance_from_json(entry);
-    if (!it || !dependencies_.fleet.learn(*it))
-        return;
-    if (telemetry::allow(decision::state))
+    if (!it)
+        return false;
+    bool known = dependencies_.fleet.find(it->name()) != nullptr;
+    if (!dependencies_.fleet.learn(*it))
+        return false;
+    // An instance that is new to this node is only counted: a node that starts
+    // learns the whole fleet.
+    if (known && telemetry::allow(decision::state))
         SHALLOTWOOD_LOG(info)
             << "event=instance_learned" << field("instance", it->name())
             << field("service", it->service) << field("backend", it->backend_id)
@@ -309,16 +314,22 @@
             << field("sequence", it->sequence);
     dependencies_.links.reconnect_now(it->name());
     queue_update(it->name());
+    return !known;
 }
 
 void fleet_exchange::apply_message(const Json::Value& message)
 {
     dependencies_.isolation_detector.record_contact();
-    apply_entry(message["from"]);
+    int added = apply_entry(message["from"]) ? 1 : 0;
     for (const auto& it : message["entries"])
-        apply_entry(it);
+        added += apply_entry(it) ? 1 : 0;
     fleet_changed_();
     auto from = fleet::instance_from_json(message["from"]);
+    if (added > 0 && telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=instances_added" << field("count", added)
+            << field("known", dependencies_.fleet.size())
+            << field("source", from ? from->name() : std::string());
     if (!from)
         return;
     const auto& lost = message["store_lost"];
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -85,7 +85,8 @@
     Json::Value make_message(const std::set<std::string>& names) const;
     Json::Value make_comparison() const;
     void apply_message(const Json::Value& message);
-    void apply_entry(const Json::Value& entry);
+    // Returns whether the instance was not known before.
+    bool apply_entry(const Json::Value& entry);
     void repair(const peer_address& to, const Json::Value& digests,
                 std::size_t differing_before);
     void compare_views();
--- a/src/process/telemetry/decision_log.cpp
+++ b/src/process/telemetry/decision_log.cpp
@@ -1,6 +1,7 @@
 #include "process/telemetry/decision_log.hpp"
 
 #include "process/log.hpp"
+#include "process/telemetry/line_writer.hpp"
 
 #include <array>
 #include <boost/log/core.hpp>
@@ -9,7 +10,6 @@
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
-#include <cerrno>
 #include <fcntl.h>
 #include <string>
 #include <unistd.h>
@@ -23,9 +23,6 @@
 // Quotas by decision kind, in the order of the enum.
 constexpr std::array<int, 4> max_lines_per_second = {100, 60, 100, 100};
 
-// Limit of the buffered lines that standard output has not accepted yet.
-constexpr std::size_t max_pending_bytes = std::size_t{64} * 1024;
-
 constexpr duration report_interval = std::chrono::seconds(1);
 
 struct line_quotas {
@@ -40,20 +37,18 @@
     return it;
 }
 
-// Writes lines to standard output in batches, without blocking.
+// Standard output, flushed once in each turn of the loop.
 class output
 {
 public:
     void append(std::string_view line)
     {
-        if (pending_.size() + line.size() > max_pending_bytes) {
+        if (!lines_.append(line)) {
             ++quotas().dropped;
             return;
         }
-        pending_ += line;
-        pending_ += '\n';
         if (loop_ == nullptr) {
-            flush();
+            lines_.flush();
             return;
         }
         if (!flush_scheduled_) {
@@ -65,19 +60,14 @@
     void flush()
     {
         flush_scheduled_ = false;
-        auto n = ::write(STDOUT_FILENO, pending_.data(), pending_.size());
-        if (n > 0)
-            pending_.erase(0, static_cast<std::size_t>(n));
-        else if (n < 0 && errno != EAGAIN && errno != EINTR)
-            // The reader is gone, and there is no other place to report it.
-            pending_.clear();
+        lines_.flush();
     }
 
     void set_loop(loop::reactor* loop) { loop_ = loop; }
 
 private:
     loop::reactor* loop_ = nullptr;
-    std::string pending_;
+    line_writer lines_{STDOUT_FILENO};
     bool flush_scheduled_ = false;
 };
 
@@ -144,6 +134,12 @@
     report(loop);
 }
 
+void stop_log()
+{
+    standard_output().set_loop(nullptr);
+    standard_output().flush();
+}
+
 void reset_limits()
 {
     quotas() = line_quotas{};
--- a/src/process/telemetry/decision_log.hpp
+++ b/src/process/telemetry/decision_log.hpp
@@ -25,6 +25,10 @@
 // accept in time are dropped and counted.
 void start_log(loop::reactor& loop);
 
+// Writes the lines of the last turn of the loop, which has ended. Further lines
+// are written at once.
+void stop_log();
+
 // Resets all quotas and counts; for tests.
 void reset_limits();
 
