Send the end of a response to slow callers, and contain exceptions

Slow callers: a connection that ended after its response was closed 1 s later, whatever was unsent; a caller that read slowly got 3.9 of 33.5 MB (test red before). The linger time now begins when all is sent; a caller that takes nothing for 10 s is given up with a reset. Exceptions: one that left a callback ended the process, or passed through libnghttp2. They are caught at the event loops and at libnghttp2's callbacks, logged as unexpected_error; the work of that callback, or that connection, is lost. Between nodes, frames are taken from libnghttp2 as the connection takes them (32 KB), so that a ping or a short response doesn't wait behind large bodies on a narrow link.

--- a/src/connection/http/server_connection.cpp
+++ b/src/connection/http/server_connection.cpp
@@ -1,5 +1,6 @@
 #include "connection/http/server_connection.hpp"
 
+#include <algorithm>
 #include <unistd.h>
 
 namespace shallotwood::connection::http
@@ -262,6 +263,8 @@
     auto self = std::static_pointer_cast<server_connection>(shared_from_this());
     finish(linger);
     owner_.connections_.erase(self);
+    if (unsent() > 0)
+        owner_.finishing_.insert(self);
 }
 
 void server_connection::check_time(process::time_point now)
@@ -313,6 +316,16 @@
     connections_.clear();
     for (const auto& it : all)
         it->drop();
+    finishing_.clear();
+}
+
+bool server::has_unsent()
+{
+    for (auto it = finishing_.begin(); it != finishing_.end();)
+        it = (*it)->unsent() == 0 ? finishing_.erase(it) : std::next(it);
+    return !finishing_.empty() ||
+           std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto& it) { return it->unsent() > 0; });
 }
 
 std::string server::listen(const process::peer_address& address)
@@ -341,6 +354,7 @@
     auto all = connections_;
     for (const auto& it : all)
         it->check_time(now);
+    has_unsent();
     sweep_timer_ = loop_.call_after(sweep_period, [this] { sweep(); });
 }
 
--- a/src/connection/http/server_connection.hpp
+++ b/src/connection/http/server_connection.hpp
@@ -137,6 +137,8 @@
     // and closes idle ones.
     void drain();
     bool draining() const { return draining_; }
+    // A caller has not taken all of a response yet.
+    bool has_unsent();
     std::size_t connections() const { return connections_.size(); }
 
 private:
@@ -149,6 +151,8 @@
     server_limits limits_;
     net::tcp_listener listener_;
     std::set<std::shared_ptr<server_connection>> connections_;
+    // Those that end once their last response has been sent.
+    std::set<std::shared_ptr<server_connection>> finishing_;
     process::timer_id sweep_timer_{};
     bool draining_ = false;
 };
--- a/src/connection/net/byte_stream.cpp
+++ b/src/connection/net/byte_stream.cpp
@@ -174,10 +174,32 @@
         return;
     finishing_ = true;
     reading_ = true;
+    linger_ = linger;
     if (unsent() == 0)
-        shutdown(fd_, SHUT_WR);
+        end_output();
+    else
+        check_stall(unsent() + 1);
     update_watch();
-    loop_.call_after(linger, [self = shared_from_this()] { self->close(); });
+}
+
+void byte_stream::end_output()
+{
+    shutdown(fd_, SHUT_WR);
+    loop_.call_after(linger_, [self = shared_from_this()] { self->close(); });
+}
+
+void byte_stream::check_stall(std::size_t unsent_before)
+{
+    if (unsent() == 0)
+        return;
+    if (unsent() >= unsent_before) {
+        // What the peer got must not look whole.
+        abort();
+        return;
+    }
+    loop_.call_after(max_stall, [self = shared_from_this(), n = unsent()] {
+        self->check_stall(n);
+    });
 }
 
 void byte_stream::update_watch()
@@ -266,7 +288,7 @@
         if (output_.capacity() > kept_output_bytes)
             std::string().swap(output_);
         if (finishing_)
-            shutdown(fd_, SHUT_WR);
+            end_output();
     }
     update_watch();
     if (had_output && unsent() == 0 && !finishing_)
--- a/src/connection/net/byte_stream.hpp
+++ b/src/connection/net/byte_stream.hpp
@@ -55,8 +55,11 @@
     // Closes with a reset, so that the peer can't take what it got as whole.
     void abort();
     // Sends what is queued, then ends the connection. Input is discarded for
-    // at most `linger`, so that unread bytes do not reset what was sent.
+    // at most `linger` after the last byte was sent, so that unread bytes do
+    // not reset what was sent. A peer that takes nothing of what is queued for
+    // max_stall is given up.
     void finish(process::duration linger);
+    static constexpr process::duration max_stall = std::chrono::seconds(10);
 
 protected:
     // Takes over a connected socket.
@@ -83,6 +86,8 @@
     void flush();
     void update_watch();
     void end(stream_end how);
+    void end_output();
+    void check_stall(std::size_t unsent_before);
     void connected();
 
     process::loop::reactor& loop_;
@@ -92,6 +97,7 @@
     bool closed_ = false;
     bool reading_ = true;
     bool finishing_ = false;
+    process::duration linger_{};
     // Output may be sent, or was blocked and waits for the kernel.
     bool blocked_ = false;
     std::uint32_t watched_ = 0;
--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -1,5 +1,7 @@
 #include "connection/peer/session.hpp"
 
+#include "process/contain.hpp"
+
 #include <vector>
 
 namespace shallotwood::connection::peer
@@ -19,6 +21,7 @@
 // Dynamic table for header compression in each direction. Requests repeat few
 // values, and every pair of nodes pays for two tables.
 constexpr std::uint32_t header_table_bytes = 2048;
+constexpr std::size_t max_indexed_bytes = 64;
 
 // A dead connection is found by pings; this is the last resort.
 constexpr net::liveness alive{std::chrono::seconds(3), 0};
@@ -33,12 +36,28 @@
 {
     std::vector<nghttp2_nv> all;
     all.reserve(headers.size());
-    for (const auto& it : headers)
+    for (const auto& it : headers) {
+        // Long values are rarely repeated and would displace others from the
+        // dynamic table.
+        auto flag = it.value.size() > max_indexed_bytes
+                        ? NGHTTP2_NV_FLAG_NO_INDEX
+                        : NGHTTP2_NV_FLAG_NONE;
         all.push_back({bytes_of(it.name), bytes_of(it.value), it.name.size(),
-                       it.value.size(), NGHTTP2_NV_FLAG_NONE});
+                       it.value.size(), static_cast<std::uint8_t>(flag)});
+    }
     return all;
 }
 
+// Exceptions must not pass through libnghttp2, which is in C. The error ends
+// the connection.
+template <typename Task>
+int call_contained(Task&& task)
+{
+    return process::contain("peer connection", task)
+               ? 0
+               : NGHTTP2_ERR_CALLBACK_FAILURE;
+}
+
 } // namespace
 
 std::shared_ptr<session> session::connect(process::loop::reactor& loop,
@@ -270,6 +289,11 @@
     flush_later();
 }
 
+void session::on_drained()
+{
+    flush_later();
+}
+
 void session::on_end(net::stream_end)
 {
     drop();
@@ -291,9 +315,12 @@
     flush_planned_ = false;
     if (lost_ || !is_open())
         return;
-    // One write for all frames of a turn.
+    // One write for all frames of a turn. What the connection can't take yet
+    // stays with libnghttp2, which sends the frames of all streams in turn and
+    // control frames first: a large body on a slow link delays no ping and
+    // little of a short response.
     std::string output;
-    while (true) {
+    while (unsent() + output.size() < max_queued_bytes) {
         const std::uint8_t* bytes = nullptr;
         auto n = nghttp2_session_mem_send(session_, &bytes);
         if (n <= 0)
@@ -303,6 +330,9 @@
     }
     if (!output.empty())
         send(output);
+    // Otherwise on_drained() continues.
+    if (output.size() >= max_queued_bytes && unsent() == 0)
+        flush_later();
     if (nghttp2_session_want_read(session_) == 0 &&
         nghttp2_session_want_write(session_) == 0)
         drop();
@@ -322,47 +352,50 @@
                              const std::uint8_t* value, std::size_t value_size,
                              std::uint8_t, void* self)
 {
-    if (auto* it = static_cast<session*>(self)->find(frame->hd.stream_id))
-        it->headers.add({reinterpret_cast<const char*>(name), name_size},
-                        {reinterpret_cast<const char*>(value), value_size});
-    return 0;
+    return call_contained([&] {
+        if (auto* it = static_cast<session*>(self)->find(frame->hd.stream_id))
+            it->headers.add({reinterpret_cast<const char*>(name), name_size},
+                            {reinterpret_cast<const char*>(value), value_size});
+    });
 }
 
 int session::frame_received(nghttp2_session*, const nghttp2_frame* frame,
                             void* self)
 {
-    auto& owner = *static_cast<session*>(self);
-    if (frame->hd.type == NGHTTP2_PING &&
-        (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0)
-        owner.ping_waiting_ = false;
-    if (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)
-        return 0;
-    auto number = frame->hd.stream_id;
-    auto* it = owner.find(number);
+    return call_contained(
+        [&] { static_cast<session*>(self)->handle_frame(frame->hd); });
+}
+
+void session::handle_frame(const nghttp2_frame_hd& frame)
+{
+    if (frame.type == NGHTTP2_PING && (frame.flags & NGHTTP2_FLAG_ACK) != 0)
+        ping_waiting_ = false;
+    if (frame.type != NGHTTP2_HEADERS && frame.type != NGHTTP2_DATA)
+        return;
+    auto number = frame.stream_id;
+    auto* it = find(number);
     if (it == nullptr)
-        return 0;
-    if (frame->hd.type == NGHTTP2_HEADERS) {
+        return;
+    if (frame.type == NGHTTP2_HEADERS) {
         auto headers = std::move(it->headers);
         it->headers.clear();
-        if (owner.on_request_) {
-            auto shared =
-                std::static_pointer_cast<session>(owner.shared_from_this());
-            auto events = owner.on_request_(shared, number, std::move(headers));
-            it = owner.find(number);
+        if (on_request_) {
+            auto shared = std::static_pointer_cast<session>(shared_from_this());
+            auto events = on_request_(shared, number, std::move(headers));
+            it = find(number);
             if (it == nullptr)
-                return 0;
+                return;
             it->events = std::move(events);
         } else if (auto events = it->events) {
             events->on_head(std::move(headers));
         }
     }
-    if ((frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
-        it = owner.find(number);
+    if ((frame.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+        it = find(number);
         if (it != nullptr)
             if (auto events = it->events)
                 events->on_end();
     }
-    return 0;
 }
 
 int session::data_received(nghttp2_session* of, std::uint8_t,
@@ -376,9 +409,12 @@
         nghttp2_session_consume_stream(of, number, size);
         return 0;
     }
-    if (auto events = it->events)
+    auto events = it->events;
+    if (!events)
+        return 0;
+    return call_contained([&] {
         events->on_data({reinterpret_cast<const char*>(bytes), size});
-    return 0;
+    });
 }
 
 int session::stream_closed(nghttp2_session*, std::int32_t number,
@@ -392,13 +428,10 @@
     owner.streams_.erase(number);
     if (!events)
         return 0;
-    if (error == NGHTTP2_NO_ERROR)
-        events->on_closed(stream_close::complete);
-    else if (error == NGHTTP2_REFUSED_STREAM)
-        events->on_closed(stream_close::unprocessed);
-    else
-        events->on_closed(stream_close::reset);
-    return 0;
+    auto how = error == NGHTTP2_NO_ERROR         ? stream_close::complete
+               : error == NGHTTP2_REFUSED_STREAM ? stream_close::unprocessed
+                                                 : stream_close::reset;
+    return call_contained([&] { events->on_closed(how); });
 }
 
 ssize_t session::read_output(nghttp2_session*, std::int32_t number,
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -55,6 +55,10 @@
     // A producer pauses while more than this is unsent on its stream.
     static constexpr std::size_t max_unsent_bytes = std::size_t{64} * 1024;
 
+    // Output of all streams that is queued for the connection at once, plus one
+    // frame.
+    static constexpr std::size_t max_queued_bytes = std::size_t{32} * 1024;
+
     using request_handler = std::function<std::shared_ptr<stream_events>(
         const std::shared_ptr<session>&, stream_number,
         http::header_list&& headers)>;
@@ -119,7 +123,9 @@
     void make_session(bool is_client);
     void on_connected() override;
     void on_bytes(std::string_view bytes) override;
+    void on_drained() override;
     void on_end(net::stream_end how) override;
+    void handle_frame(const nghttp2_frame_hd& frame);
     void flush_later();
     void flush();
     void close_all(stream_close how);
--- a/src/process/glib_event_loop.cpp
+++ b/src/process/glib_event_loop.cpp
@@ -1,5 +1,7 @@
 #include "process/glib_event_loop.hpp"
 
+#include "process/contain.hpp"
+
 #include <utility>
 
 namespace shallotwood::process
@@ -70,7 +72,7 @@
     auto* it = static_cast<timer*>(data);
     auto task = std::move(it->task);
     it->loop->cancel(timer_id{it->id});
-    task();
+    contain("timer", task);
     return G_SOURCE_REMOVE;
 }
 
--- a/src/process/loop/reactor.cpp
+++ b/src/process/loop/reactor.cpp
@@ -1,5 +1,7 @@
 #include "process/loop/reactor.hpp"
 
+#include "process/contain.hpp"
+
 #include <algorithm>
 #include <array>
 #include <sys/epoll.h>
@@ -155,8 +157,10 @@
         if (index >= slots_.size() || slots_[index].handler == nullptr ||
             slots_[index].generation != generation)
             continue;
-        slots_[index].handler->on_ready(
-            events.at(static_cast<std::size_t>(i)).events);
+        contain("descriptor", [&] {
+            slots_[index].handler->on_ready(
+                events.at(static_cast<std::size_t>(i)).events);
+        });
     }
 }
 
@@ -170,7 +174,7 @@
         auto task = std::move(it->second);
         due_times_.erase(it->first.second);
         timers_.erase(it);
-        task();
+        contain("timer", task);
     }
 }
 
@@ -181,7 +185,7 @@
         auto tasks = std::move(deferred_);
         deferred_.clear();
         for (auto& it : tasks)
-            it();
+            contain("deferred task", it);
     }
 }
 
--- a/tests/sidecar/test_server_connection.cpp
+++ b/tests/sidecar/test_server_connection.cpp
@@ -167,4 +167,73 @@
     CHECK(serving.expired());
 }
 
+// Larger than what the kernel holds for a connection on loopback.
+constexpr std::size_t large_body_bytes = std::size_t{32} * 1024 * 1024;
+
+TEST_CASE("a caller that reads slowly gets the end of its last response")
+{
+    process::loop::reactor loop;
+    server listener(loop, [](const std::shared_ptr<server_connection>& from,
+                             request_head&&, const message_info&) {
+        response_head head;
+        head.status = 200;
+        from->respond(std::move(head), std::string(large_body_bytes, 'x'));
+        return std::shared_ptr<exchange>();
+    });
+    REQUIRE(listener.listen({"127.0.0.1", 0}).empty());
+    auto caller = std::make_shared<raw_caller>(
+        loop, process::peer_address{"127.0.0.1", listener.port()});
+    caller->open();
+    caller->send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    REQUIRE(run_until(loop, [&] { return !caller->got.empty(); }));
+    caller->pause_reading();
+    CHECK(listener.has_unsent());
+    // Longer than a connection stays after its last response.
+    run_for(loop, server_connection::linger * 3 / 2);
+    CHECK(listener.has_unsent());
+    caller->resume_reading();
+    REQUIRE(run_until(loop, [&] { return caller->ended; }));
+    CHECK(caller->got.size() > large_body_bytes);
+    CHECK_FALSE(listener.has_unsent());
+}
+
+TEST_CASE("an exception in a callback does not end the loop")
+{
+    process::loop::reactor loop;
+    int done = 0;
+    loop.call_after(std::chrono::milliseconds(1),
+                    [] { throw std::runtime_error("timer"); });
+    loop.call_after(std::chrono::milliseconds(2), [&] { ++done; });
+    loop.defer([] { throw std::out_of_range("task"); });
+    loop.defer([&] { ++done; });
+    CHECK(run_until(loop, [&] { return done == 2; }));
+}
+
+TEST_CASE("an exception in a handler ends its request, not the listener")
+{
+    process::loop::reactor loop;
+    server listener(loop, [](const std::shared_ptr<server_connection>& from,
+                             request_head&& head, const message_info&) {
+        if (head.target == "/throw")
+            throw std::runtime_error("handler");
+        response_head answer;
+        answer.status = 200;
+        from->respond(std::move(answer), "ok");
+        return std::shared_ptr<exchange>();
+    });
+    REQUIRE(listener.listen({"127.0.0.1", 0}).empty());
+    auto open = [&](const std::string& target) {
+        auto it = std::make_shared<raw_caller>(
+            loop, process::peer_address{"127.0.0.1", listener.port()});
+        it->open();
+        it->send("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n");
+        return it;
+    };
+    auto bad = open("/throw");
+    auto good = open("/x");
+    REQUIRE(run_until(loop, [&] { return !good->got.empty(); }));
+    CHECK(good->got.find("200") != std::string::npos);
+    CHECK(bad->got.empty());
+}
+
 } // namespace shallotwood::test
