Place calls by service times that instances state and nodes pass on

Load: trees of calls to a deep service whose servers differ in speed, entering at hundreds of nodes. Cause: each node learned by its own calls which instances are slow and forgot it after 2 s; at 196 nodes a node calls an instance once in 2 s or less, so three slow of thirteen got 13% of the calls, and eight calls in a row failed the tree. Class: an estimate whose sample shrinks as the fleet grows. Now the node beside a backend server measures the time of each route, by the calls that ended and the age of those that run, and states it in each reply. Callers pass statements on with their calls, and replies carry those about the service's other instances, slow ones first, at most six. A statement comes only from the instance it is about; it is ordered by that instance's clock and expires at a random time, so that few nodes try an avoided instance first. The usual time is the lower quartile, not the fastest. An instance that would answer after the deadline is used only if there is no other. A node's own latency counts where it is much longer: a slow link.

Without a network (test_speed_board): 13 servers, three 2.3 times slower: their share of the calls below 0.06 at 15, 196 and 300 nodes; 6 of 15 servers 12 times slower: below 0.03, served above 0.9; used again within 12 s of their recovery.

--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -15,10 +15,17 @@
 // much: crossing domains adds latency, and the platform charges for traffic.
 constexpr double cross_domain_cost = 0.2;
 
-// A latency above that of the fastest by more than this factor costs
-// excess_latency_cost for each further multiple.
-constexpr double tolerated_latency_ratio = 1.6;
-constexpr double excess_latency_cost = 0.4;
+// A time above the usual by more than this factor costs excess_time_cost for
+// each further multiple.
+constexpr double tolerated_time_ratio = 1.25;
+constexpr double excess_time_cost = 0.5;
+
+// Cost of an instance that is expected to answer after the call's deadline.
+constexpr double late_cost = 8;
+
+// This node's own calls take this much longer than the instance states: what
+// is in between is slow.
+constexpr double slow_link_ratio = 2.5;
 
 // Cost of a candidate that fails every call. A failure rate decays to zero over
 // failure_rate_validity, so that the candidate is tried again.
@@ -44,21 +51,23 @@
                              const fleet::fleet_view& fleet,
                              std::string own_domain)
     : clock_(time), random_(random), fleet_(fleet),
-      own_domain_(std::move(own_domain))
+      own_domain_(std::move(own_domain)), speeds_(time, random, fleet)
 {
 }
 
 const fleet::instance*
 load_balancer::choose(const std::string& service, const std::string& route,
-                      const std::vector<std::string>& tried)
+                      const std::vector<std::string>& tried, duration remaining)
 {
     auto now = clock_.now();
     struct candidate {
         const fleet::instance* it;
         const instance_stats* stats;
+        // In microseconds; 0 if it is not known.
+        double time;
     };
     std::vector<candidate> candidates;
-    double fastest = 0;
+    std::vector<double> times;
     for (const auto& [name, it] : fleet_.instances_of(service)) {
         if (!it->takes_calls() ||
             std::find(tried.begin(), tried.end(), *name) != tried.end())
@@ -69,18 +78,21 @@
         // Its node may have restarted since and not know it.
         if (stats.notice.leaving && stats.notice.backend == it->backend_key())
             continue;
-        candidates.push_back({it, &stats});
-        double time = recent_latency(stats, route);
-        if (time > 0 && (fastest <= 0 || time < fastest))
-            fastest = time;
+        double time = expected_time(*name, stats, service, route);
+        candidates.push_back({it, &stats, time});
+        if (time > 0)
+            times.push_back(time);
     }
+    double usual = lower_quartile(times);
     const fleet::instance* best = nullptr;
     double best_cost = 0;
-    for (const auto& [it, stats] : candidates) {
+    for (const auto& [it, stats, time] : candidates) {
         double value = cost(*it, *stats);
-        if (double time = recent_latency(*stats, route); time > 0)
-            value += excess_latency_cost *
-                     std::max(0.0, time / fastest - tolerated_latency_ratio);
+        if (time > 0)
+            value += excess_time_cost *
+                     std::max(0.0, time / usual - tolerated_time_ratio);
+        if (time > static_cast<double>(remaining.count()))
+            value += late_cost;
         // Ejected candidates are used only if there is no other.
         if (now < stats->ejected_until)
             value += 1e3;
@@ -104,6 +116,17 @@
     return it->second.mean;
 }
 
+double load_balancer::expected_time(const std::string& name,
+                                    const instance_stats& stats,
+                                    const std::string& service,
+                                    const std::string& route) const
+{
+    double own = recent_latency(stats, route);
+    auto stated =
+        static_cast<double>(speeds_.service_time(service, route, name).count());
+    return stated > 0 && own < slow_link_ratio * stated ? stated : own;
+}
+
 double load_balancer::cost(const fleet::instance& it,
                            const instance_stats& stats) const
 {
@@ -197,6 +220,14 @@
     stats.in_flight_at_report = stats.in_flight;
 }
 
+void load_balancer::record_speed(const std::string& name,
+                                 const std::string& service,
+                                 const std::string& route,
+                                 const load_report& it)
+{
+    speeds_.record(service, route, {name, it.route_time, {}, it.stamp_ms});
+}
+
 backend_notice load_balancer::notice_of(const std::string& name) const
 {
     auto it = stats_.find(name);
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -1,13 +1,15 @@
 // Selects the instance that runs a call.
 //
-// Balances backend servers of uneven speed and load without herding: it uses
-// only this node's own calls in flight and the load reports in its own
+// Balances backend servers of uneven speed and load without herding: for load,
+// it uses only this node's own calls in flight and the load reports in its own
 // responses, so no two nodes act on the same stale data. A call goes to the
-// instance with the lowest slot utilization; a slow backend server holds its
-// calls longer and so gets fewer. Calls stay in the local failure domain until
-// another one is clearly less utilized. An instance that answers this route
-// much slower than the others is avoided until its latency sample expires;
-// latencies of different routes are not compared, because long work would then
+// instance with the lowest slot utilization, and stays in the local failure
+// domain until another one is clearly less utilized. An instance that takes
+// longer for this route than most others is avoided in proportion, and one that
+// takes longer than the call has left is used only if there is no other. The
+// times are those that the instances' nodes state (speed_board) or, where this
+// node's own calls take much longer, for example over a slow link, its own.
+// Times of different routes are not compared, because long work would then
 // look like a slow backend server. An instance that fails some of its calls is
 // penalized in proportion to its failure rate. A candidate that refuses, or
 // fails every call, is ejected for a time that doubles with each repetition.
@@ -18,6 +20,7 @@
 #include "process/load/shed_key.hpp"
 #include "process/random_source.hpp"
 #include "process/routing/backend_notice.hpp"
+#include "process/routing/speed_board.hpp"
 
 #include <string>
 #include <unordered_map>
@@ -38,6 +41,10 @@
     // at the instance or further down the call graph.
     load::shed_key shed_threshold = load::no_shed_threshold;
     backend_notice notice{};
+    // Expected time of a call of this route; 0 if it is not known. And the time
+    // of the statement by the instance's clock.
+    duration route_time{};
+    std::uint64_t stamp_ms = 0;
 };
 
 enum class attempt_outcome {
@@ -61,16 +68,21 @@
                   const fleet::fleet_view& fleet, std::string own_domain);
 
     // Returns a reachable instance of the service that accepts calls and is not
-    // in `tried`, or null.
+    // in `tried`, or null. `remaining` is the time until the call's deadline.
     const fleet::instance* choose(const std::string& service,
                                   const std::string& route,
-                                  const std::vector<std::string>& tried);
+                                  const std::vector<std::string>& tried,
+                                  duration remaining = duration::max());
 
     // Called when a call is sent and when it has ended.
     void sent(const std::string& name);
     void ended(const std::string& name, const std::string& route,
                attempt_outcome how, duration elapsed);
     void report(const std::string& name, const load_report& it);
+    // Records the time that the instance states for the route in its report.
+    void record_speed(const std::string& name, const std::string& service,
+                      const std::string& route, const load_report& it);
+    speed_board& speeds() { return speeds_; }
     // The latest notice of the instance's backend server.
     backend_notice notice_of(const std::string& name) const;
 
@@ -106,11 +118,15 @@
     double decayed_failure_rate(const instance_stats& stats) const;
     double recent_latency(const instance_stats& stats,
                           const std::string& route) const;
+    double expected_time(const std::string& name, const instance_stats& stats,
+                         const std::string& service,
+                         const std::string& route) const;
 
     const clock& clock_;
     random_source& random_;
     const fleet::fleet_view& fleet_;
     std::string own_domain_;
+    speed_board speeds_;
     std::unordered_map<std::string, instance_stats> stats_;
 };
 
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -75,7 +75,8 @@
     load::crash_suspects& suspects)
     : loop_(loop), adapter_(adapter), counts_(counts), backend_(backend),
       shed_thresholds_(shed_thresholds), suspects_(suspects),
-      admission_controller_(loop, loop), pool_(loop, backend_options(adapter))
+      admission_controller_(loop, loop), service_times_(loop),
+      pool_(loop, backend_options(adapter))
 {
     pool_.set_address(backend.address());
 }
@@ -139,7 +140,12 @@
             failure_rate_,
             std::min(admission_controller_.shed_threshold(),
                      shed_thresholds_.downstream_threshold(route)),
-            notice_};
+            notice_,
+            service_times_.estimate(route),
+            static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    loop_.now().time_since_epoch())
+                    .count())};
 }
 
 void local_executor::record_outcome(bool failed)
@@ -294,6 +300,8 @@
     timer_ = owner_.loop_.call_after(
         remaining() + deadline_grace,
         [self = shared_from_this()] { self->expire(); });
+    first_sent_ = owner_.loop_.now();
+    owner_.service_times_.record_start(request_.route, first_sent_);
     send();
 }
 
@@ -464,6 +472,7 @@
     owner_.loop_.cancel(timer_);
     request_.body->on_more({});
     auto took = owner_.loop_.now() - started_;
+    owner_.service_times_.record_end(request_.route, first_sent_);
     if (connection_)
         owner_.pool_.give_back(std::move(connection_));
     connection_.reset();
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -11,6 +11,7 @@
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
 #include "process/load/crash_suspects.hpp"
+#include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
 #include "process/sidecar/local_backend.hpp"
 #include "process/sidecar/protocol_adapter.hpp"
@@ -114,6 +115,7 @@
     load::crash_suspects& suspects_;
     settings settings_;
     load::admission_controller admission_controller_;
+    load::service_times service_times_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
     crash_listener crash_listener_;
@@ -196,6 +198,8 @@
     time_point arrived_;
     time_point deadline_;
     time_point started_;
+    // As started_, or earlier if the request was sent again.
+    time_point first_sent_;
     std::shared_ptr<connection::http::client_connection> connection_;
     timer_id timer_{};
     std::uint64_t body_sent_ = 0;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -101,6 +101,45 @@
     return {backend, static_cast<double>(rate) / rate_scale, leaving != 0};
 }
 
+// Entries "INSTANCE SERVICE_TIME AGE STAMP", separated by commas; times in
+// milliseconds.
+std::string to_text(const std::vector<routing::instance_speed>& speeds)
+{
+    using milliseconds = std::chrono::milliseconds;
+    std::string text;
+    for (const auto& it : speeds) {
+        if (!text.empty())
+            text += ',';
+        // Rounded up, since 0 says that it is not known.
+        auto time = std::chrono::ceil<milliseconds>(it.service_time);
+        auto age = std::chrono::duration_cast<milliseconds>(it.age);
+        text += it.instance + ' ' + std::to_string(time.count()) + ' ' +
+                std::to_string(age.count()) + ' ' + std::to_string(it.stamp_ms);
+    }
+    return text;
+}
+
+// Reads at most max_shared_speeds entries; unreadable numbers are 0.
+std::vector<routing::instance_speed> speeds_from(std::string_view text)
+{
+    // A longer time is as good as this one, and can't overflow.
+    constexpr std::uint64_t max_time_ms = 3'600'000;
+    std::vector<routing::instance_speed> speeds;
+    while (!text.empty() && speeds.size() < routing::max_shared_speeds) {
+        auto comma = std::min(text.find(','), text.size());
+        auto entry = text.substr(0, comma);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+        auto space = std::min(entry.find(' '), entry.size());
+        auto [time, age, stamp] =
+            numbers_in<3>(entry.substr(std::min(space + 1, entry.size())));
+        speeds.push_back(
+            {std::string(entry.substr(0, space)),
+             std::chrono::milliseconds(std::min(time, max_time_ms)),
+             std::chrono::milliseconds(std::min(age, max_time_ms)), stamp});
+    }
+    return speeds;
+}
+
 std::string text_in(const header_list& headers, const char* name)
 {
     const auto* it = headers.find(name);
@@ -147,6 +186,8 @@
     to.add("sw-policy", std::to_string(what.policy_revision));
     if (what.notice.rate_limit > 0 || what.notice.leaving)
         to.add("sw-notice", to_text(what.notice));
+    if (!what.speeds.empty())
+        to.add("sw-speeds", to_text(what.speeds));
     if (what.body->length())
         to.add("sw-length", std::to_string(*what.body->length()));
     add_message_headers(to, what.head.headers);
@@ -179,6 +220,7 @@
     what.max_queue_time = time_in(headers, "sw-patience");
     what.policy_revision = number_in(headers, "sw-policy").value_or(0);
     what.notice = notice_from(text_in(headers, "sw-notice"));
+    what.speeds = speeds_from(text_in(headers, "sw-speeds"));
     what.body =
         std::make_shared<request::upload>(number_in(headers, "sw-length"));
     what.head.headers = message_headers(headers);
@@ -197,7 +239,11 @@
                std::to_string(reply.load.service_time.count()) + ' ' +
                std::to_string(reply.load.shed_threshold) + ' ' +
                std::to_string(
-                   std::lround(reply.load.failure_rate * failure_rate_scale)));
+                   std::lround(reply.load.failure_rate * failure_rate_scale)) +
+               ' ' + std::to_string(reply.load.route_time.count()) + ' ' +
+               std::to_string(reply.load.stamp_ms));
+    if (!reply.speeds.empty())
+        to.add("sw-speeds", to_text(reply.speeds));
     to.add("sw-notice", to_text(reply.load.notice));
     to.add("sw-incarnation", std::to_string(reply.incarnation));
     to.add("sw-policy", std::to_string(reply.policy_revision));
@@ -222,13 +268,15 @@
 process::routing::load_report load_from(const std::string& text)
 {
     process::routing::load_report it;
-    auto numbers = numbers_in<6>(text);
+    auto numbers = numbers_in<8>(text);
     it.running = static_cast<int>(numbers[0]);
     it.waiting = static_cast<int>(numbers[1]);
     it.limit = static_cast<int>(numbers[2]);
     it.service_time = duration(static_cast<duration::rep>(numbers[3]));
     it.shed_threshold = static_cast<load::shed_key>(numbers[4]);
     it.failure_rate = static_cast<double>(numbers[5]) / failure_rate_scale;
+    it.route_time = duration(static_cast<duration::rep>(numbers[6]));
+    it.stamp_ms = numbers[7];
     return it;
 }
 
@@ -242,6 +290,7 @@
     attempt_reply reply;
     reply.load = load_from(text_in(headers, "sw-load"));
     reply.load.notice = notice_from(text_in(headers, "sw-notice"));
+    reply.speeds = speeds_from(text_in(headers, "sw-speeds"));
     reply.incarnation = number_in(headers, "sw-incarnation").value_or(0);
     reply.policy_revision = number_in(headers, "sw-policy").value_or(0);
     if (const auto* text = headers.find("sw-verdict")) {
--- a/src/process/sidecar/peer_codec.hpp
+++ b/src/process/sidecar/peer_codec.hpp
@@ -5,6 +5,7 @@
 #include "request/attempt.hpp"
 
 #include <optional>
+#include <vector>
 
 namespace shallotwood::process::sidecar
 {
@@ -42,6 +43,8 @@
     std::optional<std::uint64_t> length;
     std::optional<request::attempt_failure> failure;
     process::routing::load_report load;
+    // What the node knows of the speed of the service's other instances.
+    std::vector<process::routing::instance_speed> speeds;
     // Incarnation and policy revision of the node that replies.
     std::uint64_t incarnation = 0;
     std::uint64_t policy_revision = 0;
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -75,6 +75,7 @@
                    std::shared_ptr<request::attempt_receiver> receiver)
         : owner_(owner), to_(at.peer), name_(at.name()),
           incarnation_(at.incarnation), attempt_id_(what.attempt_id),
+          service_(what.service), route_(what.route),
           repeatable_(what.repeatable), body_(what.body),
           receiver_(std::move(receiver))
     {
@@ -140,6 +141,8 @@
         }
         if (owner_.on_revision_)
             owner_.on_revision_(name_, reply->policy_revision);
+        for (const auto& it : reply->speeds)
+            owner_.load_balancer_.speeds().record(service_, route_, it);
         if (attaching_ && reply->failure &&
             reply->failure->what.why == reason::fenced) {
             // The node does not know the attempt. If it is still the same
@@ -280,6 +283,8 @@
     std::string name_;
     std::uint64_t incarnation_;
     std::string attempt_id_;
+    std::string service_;
+    std::string route_;
     bool repeatable_;
     std::shared_ptr<request::upload> body_;
     std::shared_ptr<request::attempt_receiver> receiver_;
--- a/src/process/sidecar/peer_server.cpp
+++ b/src/process/sidecar/peer_server.cpp
@@ -35,6 +35,11 @@
     void begin(request::attempt_request what)
     {
         body_ = what.body;
+        service_ = what.service;
+        route_ = what.route;
+        if (owner_.speeds_ != nullptr)
+            for (const auto& it : what.speeds)
+                owner_.speeds_->record(service_, route_, it);
         pending_request_ =
             std::make_unique<request::attempt_request>(std::move(what));
     }
@@ -149,6 +154,8 @@
         attempt_reply reply;
         auto self = owner_.self_();
         reply.load = load_;
+        if (owner_.speeds_ != nullptr)
+            reply.speeds = owner_.speeds_->select(service_, route_, {});
         reply.incarnation = self.incarnation;
         reply.policy_revision = self.policy_revision;
         return reply;
@@ -179,6 +186,8 @@
     peer_server& owner_;
     session_ptr session_;
     stream_number stream_;
+    std::string service_;
+    std::string route_;
     std::unique_ptr<request::attempt_request> pending_request_;
     std::shared_ptr<request::upload> body_;
     std::shared_ptr<local_attempt> attempt_;
--- a/src/process/sidecar/peer_server.hpp
+++ b/src/process/sidecar/peer_server.hpp
@@ -34,6 +34,10 @@
     peer_server(const peer_server&) = delete;
     peer_server& operator=(const peer_server&) = delete;
 
+    // Speeds of instances that requests name are recorded there, and replies
+    // name those known there.
+    void set_speeds(routing::speed_board& speeds) { speeds_ = &speeds; }
+
     std::string listen(const peer_address& address);
     // Closes all connections and cancels those of their attempts that may
     // be cancelled.
@@ -59,6 +63,7 @@
     revision_handler on_revision_;
     connection::net::tcp_listener listener_;
     std::set<session_ptr> sessions_;
+    routing::speed_board* speeds_ = nullptr;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -160,6 +160,7 @@
         if (backend_.adopt_former(it) == local_backend::effect::changed)
             backend_changed("former process");
     });
+    peers_.set_speeds(load_balancer_.speeds());
     links_.on_liveness([this] { tokens_.owners_changed(); });
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     executor_.on_backend_changed(
--- a/src/request/attempt.hpp
+++ b/src/request/attempt.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace shallotwood::request
 {
@@ -47,6 +48,8 @@
     // What this node knows of the backend server, for an executing node that
     // has restarted since.
     process::routing::backend_notice notice;
+    // What this node knows of the speed of the service's other instances.
+    std::vector<process::routing::instance_speed> speeds;
     // Revision of the policy under which it was routed.
     std::uint64_t policy_revision = 0;
     connection::http::request_head head;
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -205,6 +205,7 @@
 void entry_call::on_attempt_load(const process::routing::load_report& it)
 {
     node_.load_balancer().report(instance_, it);
+    node_.load_balancer().record_speed(instance_, service_, route_->name, it);
     node_.shed_thresholds().record_threshold(route_->name, it.shed_threshold);
 }
 
@@ -275,8 +276,8 @@
     auto self = shared_from_this();
     if (ended_)
         return;
-    const auto* at =
-        node_.load_balancer().choose(service_, route_->name, tried_);
+    const auto* at = node_.load_balancer().choose(service_, route_->name,
+                                                  tried_, remaining());
     if (at == nullptr && workspace_ == nullptr && tried_.empty() &&
         node_.loop().now() - arrived_ + instance_retry_interval <
             max_queue_time()) {
@@ -323,6 +324,8 @@
     what.remaining = remaining();
     what.max_queue_time = max_queue_time();
     what.notice = node_.load_balancer().notice_of(at.name());
+    what.speeds = node_.load_balancer().speeds().select(service_, route_->name,
+                                                        at.name());
     what.policy_revision = policy_->revision();
     what.head = head_;
     what.body = request_body_;
