--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -68,6 +68,7 @@
     };
     std::vector<candidate> candidates;
     std::vector<double> times;
+    auto stated = speeds_.times(service, route);
     for (const auto& [name, it] : fleet_.instances_of(service)) {
         if (!it->takes_calls() ||
             std::find(tried.begin(), tried.end(), *name) != tried.end())
@@ -78,7 +79,7 @@
         // Its node may have restarted since and not know it.
         if (stats.notice.leaving && stats.notice.backend == it->backend_key())
             continue;
-        double time = expected_time(*name, stats, service, route);
+        double time = expected_time(stats, route, stated.of(*name));
         candidates.push_back({it, &stats, time});
         if (time > 0)
             times.push_back(time);
@@ -116,15 +117,13 @@
     return it->second.mean;
 }
 
-double load_balancer::expected_time(const std::string& name,
-                                    const instance_stats& stats,
-                                    const std::string& service,
-                                    const std::string& route) const
+double load_balancer::expected_time(const instance_stats& stats,
+                                    const std::string& route,
+                                    duration stated) const
 {
     double own = recent_latency(stats, route);
-    auto stated =
-        static_cast<double>(speeds_.service_time(service, route, name).count());
-    return stated > 0 && own < slow_link_ratio * stated ? stated : own;
+    auto time = static_cast<double>(stated.count());
+    return time > 0 && own < slow_link_ratio * time ? time : own;
 }
 
 double load_balancer::cost(const fleet::instance& it,
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -118,9 +118,10 @@
     double decayed_failure_rate(const instance_stats& stats) const;
     double recent_latency(const instance_stats& stats,
                           const std::string& route) const;
-    double expected_time(const std::string& name, const instance_stats& stats,
-                         const std::string& service,
-                         const std::string& route) const;
+    // Of a call of the route at the instance, in microseconds; 0 if it is not
+    // known. `stated` is what its node states.
+    double expected_time(const instance_stats& stats, const std::string& route,
+                         duration stated) const;
 
     const clock& clock_;
     random_source& random_;
--- a/src/process/routing/speed_board.cpp
+++ b/src/process/routing/speed_board.cpp
@@ -68,16 +68,23 @@
     to = {it.service_time, it.stamp_ms, now - it.age, now - it.age + validity};
 }
 
-duration speed_board::service_time(const std::string& service,
-                                   const std::string& route,
-                                   const std::string& instance) const
+speed_board::known_times speed_board::times(const std::string& service,
+                                            const std::string& route) const
 {
+    known_times it;
     auto found = tables_.find(key_of(service, route));
-    if (found == tables_.end())
+    if (found != tables_.end())
+        it.from_ = &found->second;
+    it.now_ = clock_.now();
+    return it;
+}
+
+duration speed_board::known_times::of(const std::string& instance) const
+{
+    if (from_ == nullptr)
         return {};
-    auto it = found->second.samples.find(instance);
-    if (it == found->second.samples.end() ||
-        clock_.now() >= it->second.expires_at)
+    auto it = from_->samples.find(instance);
+    if (it == from_->samples.end() || now_ >= it->second.expires_at)
         return {};
     return it->second.service_time;
 }
@@ -90,14 +97,17 @@
     of.scanned_at = now;
     of.slow.clear();
     std::vector<double> times;
+    auto time_of = [&](const sample& it) {
+        return now < it.expires_at
+                   ? static_cast<double>(it.service_time.count())
+                   : 0.0;
+    };
     for (const auto& [name, it] : of.samples)
-        if (now < it.expires_at)
-            times.push_back(static_cast<double>(it.service_time.count()));
-    auto usual = lower_quartile(times);
+        if (auto time = time_of(it); time > 0)
+            times.push_back(time);
+    auto limit = slow_ratio * lower_quartile(times);
     for (const auto& [name, it] : of.samples)
-        if (now<it.expires_at&& static_cast<double>(it.service_time.count())>
-                slow_ratio *
-            usual)
+        if (time_of(it) > limit)
             of.slow.push_back(name);
 }
 
--- a/src/process/routing/speed_board.hpp
+++ b/src/process/routing/speed_board.hpp
@@ -51,6 +51,19 @@
 
 class speed_board
 {
+    struct sample {
+        duration service_time{};
+        std::uint64_t stamp_ms = 0;
+        time_point stated_at{};
+        time_point expires_at{};
+    };
+    struct table {
+        std::unordered_map<std::string, sample> samples;
+        // Instances that were slow at `scanned_at`.
+        std::vector<std::string> slow;
+        time_point scanned_at{};
+    };
+
 public:
     static constexpr std::size_t max_routes = 1024;
 
@@ -64,9 +77,21 @@
     void record(const std::string& service, const std::string& route,
                 const instance_speed& it);
 
-    // 0 if it is not known.
-    duration service_time(const std::string& service, const std::string& route,
-                          const std::string& instance) const;
+    // The known times of one service and route. Valid until the next call of
+    // record().
+    class known_times
+    {
+    public:
+        // 0 if it is not known.
+        duration of(const std::string& instance) const;
+
+    private:
+        friend class speed_board;
+        const table* from_ = nullptr;
+        time_point now_{};
+    };
+    known_times times(const std::string& service,
+                      const std::string& route) const;
 
     // Up to max_shared_speeds statements for another node, without that about
     // `except`.
@@ -75,18 +100,6 @@
                                        const std::string& except);
 
 private:
-    struct sample {
-        duration service_time{};
-        std::uint64_t stamp_ms = 0;
-        time_point stated_at{};
-        time_point expires_at{};
-    };
-    struct table {
-        std::unordered_map<std::string, sample> samples;
-        // Instances that were slow at `scanned_at`.
-        std::vector<std::string> slow;
-        time_point scanned_at{};
-    };
     static std::string key_of(const std::string& service,
                               const std::string& route);
     void scan(table& of) const;
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -16,25 +16,6 @@
 
 const char* const policy_name = "config/main";
 
-class answer_recorder final : public call_events
-{
-public:
-    void on_response(response_head&& head, const message_info&) override
-    {
-        answer.status = head.status;
-        answer.headers = std::move(head.headers);
-    }
-    void on_response_body(std::string_view bytes) override
-    {
-        answer.body += bytes;
-    }
-    void on_response_end() override { answer.whole = ended = true; }
-    void on_failure(const call_failure&) override { ended = true; }
-
-    caller_answer answer;
-    bool ended = false;
-};
-
 Json::Value entry(const char* kind, const std::string& name)
 {
     Json::Value it;
@@ -223,6 +204,21 @@
     return it;
 }
 
+std::shared_ptr<client_connection> small_fleet::open_connection(instance& at)
+{
+    return client_connection::open(loop, at.settings.caller_address, {});
+}
+
+void small_fleet::send_request(client_connection& over,
+                               const std::string& service,
+                               process::duration timeout, call_events& events)
+{
+    auto head = head_for(service, "key", "GET");
+    auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+    head.headers.set("X-Request-Timeout-Ms", std::to_string(ms.count()));
+    over.start_call(head, {}, {}, {}, events);
+}
+
 caller_answer small_fleet::call(const process::peer_address& to,
                                 const request_head& head,
                                 const std::string& body)
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -24,6 +24,30 @@
     bool whole = false;
 };
 
+// Collects what a caller gets for one request.
+class answer_recorder final : public connection::http::call_events
+{
+public:
+    void on_response(connection::http::response_head&& head,
+                     const connection::http::message_info&) override
+    {
+        answer.status = head.status;
+        answer.headers = std::move(head.headers);
+    }
+    void on_response_body(std::string_view bytes) override
+    {
+        answer.body += bytes;
+    }
+    void on_response_end() override { answer.whole = ended = true; }
+    void on_failure(const connection::http::call_failure&) override
+    {
+        ended = true;
+    }
+
+    caller_answer answer;
+    bool ended = false;
+};
+
 class small_fleet
 {
 public:
@@ -69,6 +93,12 @@
     std::shared_ptr<connection::http::client_connection>
     start_request(instance& at, const std::string& service,
                   connection::http::call_events& events);
+    // A kept connection of a caller, and a request on it.
+    std::shared_ptr<connection::http::client_connection>
+    open_connection(instance& at);
+    void send_request(connection::http::client_connection& over,
+                      const std::string& service, process::duration timeout,
+                      connection::http::call_events& events);
     bool ready(instance& at);
     std::string metrics(instance& at);
 
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -220,4 +220,108 @@
     attempt->cancel();
 }
 
+TEST_CASE("an exception in the handler of a message ends its connection only")
+{
+    loop::reactor loop;
+    scripted_server server(loop, serve);
+    local_node node(loop, server.address());
+    peer_server peers(
+        loop, node.executor,
+        [] {
+            return peer_server::identity{1, 1};
+        },
+        [](std::string_view, const std::string& body) -> std::string {
+            if (body == "bad")
+                throw std::runtime_error("unexpected");
+            return "good";
+        },
+        [](std::uint64_t) {});
+    REQUIRE(peers.listen({"127.0.0.1", 0}).empty());
+    peer_address to{"127.0.0.1", peers.port()};
+    fixture bad;
+    std::optional<std::string> reply = "unset";
+    bool done = false;
+    auto send = [&](const std::string& body) {
+        done = false;
+        // Each message over a connection of its own.
+        peer_links links(loop, bad.counts, bad.view, bad.load_balancer);
+        links.call(to, peer_path::crash, body, std::chrono::seconds(5),
+                   [&](const std::optional<std::string>& it) {
+                       reply = it;
+                       done = true;
+                   });
+        REQUIRE(run_until(loop, [&] { return done; }));
+        links.close();
+    };
+    send("bad");
+    CHECK_FALSE(reply);
+    send("fine");
+    CHECK(reply == std::string("good"));
+}
+
+// What the connection can't take stays in the streams, so that the end of a
+// long body does not delay what other streams send.
+TEST_CASE("long bodies fill the queue of a connection only in part")
+{
+    using connection::peer::session;
+    using connection::peer::stream_close;
+    using connection::peer::stream_events;
+    struct collector final : stream_events {
+        void on_data(std::string_view bytes) override { got += bytes.size(); }
+        void on_end() override { ended = true; }
+        void on_closed(stream_close) override {}
+        std::size_t got = 0;
+        bool ended = false;
+    };
+    loop::reactor loop;
+    std::shared_ptr<session> server_side;
+    auto long_body = std::string(60'000, 'x');
+    connection::net::tcp_listener listener(loop, [&](int fd) {
+        server_side = session::accept(
+            loop, fd,
+            [&](const std::shared_ptr<session>& from, std::int32_t stream,
+                connection::http::header_list&&) {
+                connection::http::header_list head;
+                head.add(":status", "200");
+                from->respond(stream, head, true);
+                from->send_data(stream, long_body);
+                from->end_data(stream);
+                return std::make_shared<collector>();
+            },
+            [](const std::shared_ptr<session>&) {});
+    });
+    REQUIRE(listener.listen({"127.0.0.1", 0}).empty());
+    auto client = session::connect(loop, {"127.0.0.1", listener.port()},
+                                   [](const std::shared_ptr<session>&) {});
+    // More than the kernel holds for a connection on loopback.
+    constexpr int streams = 400;
+    std::vector<std::shared_ptr<collector>> all;
+    for (int n = 0; n < streams; ++n) {
+        all.push_back(std::make_shared<collector>());
+        connection::http::header_list head;
+        head.add(":method", "GET");
+        head.add(":path", "/run");
+        client->request(head, false, all.back());
+    }
+    REQUIRE(run_until(loop, [&] { return server_side != nullptr; }));
+    // The client sends its requests, and does not read.
+    run_for(loop, std::chrono::milliseconds(5));
+    client->pause_reading();
+    std::size_t most = 0;
+    for (int n = 0; n < 50; ++n) {
+        run_for(loop, std::chrono::milliseconds(2));
+        most = std::max(most, server_side->unsent());
+    }
+    CHECK(most <= 2 * session::max_queued_bytes);
+    client->resume_reading();
+    CHECK(run_until(loop, [&] {
+        return std::all_of(all.begin(), all.end(),
+                           [](const auto& it) { return it->ended; });
+    }));
+    for (const auto& it : all)
+        CHECK(it->got == long_body.size());
+    client->drop();
+    server_side->drop();
+}
+
 } // namespace shallotwood::test
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -232,6 +232,70 @@
     CHECK(beside.backend->heads.size() == 1);
 }
 
+// The route's timeout is longer than what is left of the shutdown.
+TEST_CASE("a call that a shutdown might cut is refused as not run")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& beside = fleet.add("s", stay_silent);
+    fleet.write_policy(1, {"front", "s"}, "non_idempotent");
+    fleet.settle(1);
+    silent_events events;
+    auto caller = fleet.start_request(entry, "s", events);
+    REQUIRE(run_until(fleet.loop,
+                      [&] { return beside.backend->heads.size() == 1; }));
+    bool stopped = false;
+    entry.node->shut_down([&] { stopped = true; });
+    run_for(fleet.loop, entry.settings.shutdown_limit * 3 / 10);
+    REQUIRE_FALSE(stopped);
+    auto answer = fleet.request(entry, "s");
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.find("Retry-After") != nullptr);
+    CHECK(beside.backend->heads.size() == 1);
+}
+
+// The caller's connection is in use again when the first request's response
+// comes.
+TEST_CASE("a response after its request has failed answers no later request")
+{
+    for (const auto* kind : {"idempotent", "non_idempotent"}) {
+        small_fleet fleet;
+        std::vector<std::shared_ptr<scripted_connection>> calls;
+        std::vector<std::string> heads;
+        auto& entry = fleet.add("front", serve);
+        auto& beside =
+            fleet.add("s", [&](scripted_connection& from,
+                               const std::string& head, const std::string&) {
+                calls.push_back(std::static_pointer_cast<scripted_connection>(
+                    from.shared_from_this()));
+                heads.push_back(head);
+            });
+        fleet.write_policy(1, {"front", "s"}, kind);
+        fleet.settle(1);
+        for (auto* at : {&entry, &beside}) {
+            calls.clear();
+            heads.clear();
+            answer_recorder first;
+            answer_recorder second;
+            auto caller = fleet.open_connection(*at);
+            fleet.send_request(*caller, "s", std::chrono::milliseconds(200),
+                               first);
+            REQUIRE(run_until(fleet.loop, [&] { return first.ended; }));
+            CHECK(first.answer.status == 504);
+            fleet.send_request(*caller, "s", std::chrono::seconds(10), second);
+            REQUIRE(run_until(fleet.loop, [&] { return calls.size() == 2; }));
+            calls[0]->send(good_answer(heads[0], "first"));
+            run_for(fleet.loop, std::chrono::milliseconds(50));
+            CHECK_FALSE(second.ended);
+            calls[1]->send(good_answer(heads[1], "second"));
+            REQUIRE(run_until(fleet.loop, [&] { return second.ended; }));
+            CHECK(second.answer.status == 200);
+            CHECK(second.answer.body == "second");
+            caller->close();
+        }
+    }
+}
+
 // Its backend server is needed until the callers of the node have left it.
 TEST_CASE("a node that is told to end goes on taking calls of others at first")
 {
--- a/tests/sidecar/test_speed_board.cpp
+++ b/tests/sidecar/test_speed_board.cpp
@@ -335,7 +335,7 @@
     routing::speed_board board(loop, random, view);
     auto it = entry_of(1, "deep");
     view.learn(it);
-    auto known = [&] { return board.service_time("deep", "r", it.name()); };
+    auto known = [&] { return board.times("deep", "r").of(it.name()); };
     board.record("deep", "r", {it.name(), milliseconds(50), {}, 10});
     CHECK(known() == milliseconds(50));
     // The same statement by way of other nodes, and an earlier one.
