Use a free slot of a slow instance before a queue at a fast one

Cause: since instances are placed by their stated times, a fast instance that was full still went before a moderately slow one with free slots. An instance without a free slot now costs as much as a whole further load. Test 'a free slot of a slow server goes before a queue at a fast one' is red without it.

--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -20,6 +20,11 @@
 constexpr double tolerated_time_ratio = 1.25;
 constexpr double excess_time_cost = 0.5;
 
+// Cost of an instance without a free slot. A free slot of a moderately slow
+// instance is better: a queue at the fast ones would shed calls while there is
+// capacity left.
+constexpr double full_cost = 1;
+
 // Cost of an instance that is expected to answer after the call's deadline.
 constexpr double late_cost = 8;
 
@@ -137,6 +142,8 @@
             std::max(0, stats.last_report.running + stats.last_report.waiting +
                             stats.in_flight - stats.in_flight_at_report);
     double value = (load + 1) / limit;
+    if (load >= limit)
+        value += full_cost;
     if (it.failure_domain != own_domain_)
         value += cross_domain_cost;
     return value + failure_rate_cost * decayed_failure_rate(stats);
--- a/tests/sidecar/test_speed_board.cpp
+++ b/tests/sidecar/test_speed_board.cpp
@@ -296,6 +296,31 @@
           busy.name());
 }
 
+// In an overload, a queue at the fast ones would shed calls while a slow one
+// has free slots.
+TEST_CASE("a free slot of a slow server goes before a queue at a fast one")
+{
+    virtual_loop loop;
+    random_source random(1);
+    fleet::fleet_view view(entry_of(0, "front"));
+    routing::load_balancer balancer(loop, random, view, "d1");
+    auto slow = entry_of(1, "deep");
+    auto fast = entry_of(2, "deep");
+    view.learn(slow);
+    view.learn(fast);
+    auto report = [&](const fleet::instance& it, int running, duration time) {
+        routing::load_report load{
+            running, 0, slots, {}, 0, load::no_shed_threshold, {}, time, 1};
+        balancer.report(it.name(), load);
+        balancer.record_speed(it.name(), "deep", "r", load);
+    };
+    report(slow, 0, milliseconds(400));
+    report(fast, slots / 2, milliseconds(100));
+    CHECK(balancer.choose("deep", "r", {})->name() == fast.name());
+    report(fast, slots, milliseconds(100));
+    CHECK(balancer.choose("deep", "r", {})->name() == slow.name());
+}
+
 // A link may be slow though the backend server is not.
 TEST_CASE("an instance behind a slow link is left by the node that has it")
 {
