Refuse calls that a shutdown would cut, whoever makes them

Cause: accepts_call() compared the timeout with the end of the shutdown only for calls with a workspace. All others were taken as short calls of the backend server beside the node and accepted until 0.8 of the shutdown.

Ruled out: a late close of the listener (the calls were accepted by the check itself, and the record shows them running on sound backend servers), and a cut by the platform (the node ends by itself, before SIGKILL).

The same cause on related paths: an upload accepted early and whole late, a request that gets its slot late, and in shallotwoodd child calls and late claims in the second half of drain_limit. All are refused as not run now, before anything is sent.

Conclusion: what limits a call to the life of the process is its time left, not its caller.

--- a/src/process/entry_controller.cpp
+++ b/src/process/entry_controller.cpp
@@ -240,6 +240,14 @@
                http_status_of(reason::deadline), std::nullopt);
         return;
     }
+    // The token or the claim came late in a shutdown.
+    if (dependencies_.state.ends_before(remaining)) {
+        release_claim(it.call);
+        refuse(it, {execution::not_run, reason::draining},
+               http_status_of(reason::draining),
+               add_jitter(overload_retry_after));
+        return;
+    }
     it.call.context.remaining = remaining;
     ++open_requests_;
     ++dependencies_.counts.at("requests_accepted");
--- a/src/process/entry_controller.hpp
+++ b/src/process/entry_controller.hpp
@@ -37,6 +37,9 @@
     // isolation limit.
     virtual bool isolated() const = 0;
     virtual bool draining() const = 0;
+    // True if this node shuts down and may end before a call that starts now
+    // with this much time left.
+    virtual bool ends_before(duration remaining) const = 0;
     // Prefix of request and attempt ids, unique to each start of the process.
     virtual const std::string& boot() const = 0;
 };
--- a/src/process/node.cpp
+++ b/src/process/node.cpp
@@ -38,6 +38,7 @@
     it.wall = [] { return g_get_real_time() / 1000; };
     it.queue.max_wait = configured.queue_time_limit;
     it.retry_allowance = static_cast<int>(configured.retry_allowance);
+    it.drain_limit = configured.drain_limit;
     return it;
 }
 
--- a/src/process/node_core.cpp
+++ b/src/process/node_core.cpp
@@ -95,12 +95,22 @@
 void node_core::drain(std::function<void()> done)
 {
     draining_ = true;
+    draining_since_ = loop_.now();
     on_drained_ = std::move(done);
     members_.leave();
     loop_.call_after(settings_.leave_grace_period,
                      [this] { execution_.drain([this] { finish_drain(); }); });
 }
 
+// Calls that start in the first half of the drain limit have more time than a
+// usual call takes.
+bool node_core::ends_before(duration remaining) const
+{
+    auto elapsed = loop_.now() - draining_since_;
+    return draining_ && elapsed >= settings_.drain_limit / 2 &&
+           elapsed + remaining > settings_.drain_limit;
+}
+
 void node_core::finish_drain()
 {
     members_.stop();
--- a/src/process/node_core.hpp
+++ b/src/process/node_core.hpp
@@ -30,6 +30,8 @@
     record::wall_clock wall;
     admission_settings queue;
     int retry_allowance = 2;
+    // The process ends this long after drain() at the latest.
+    duration drain_limit = std::chrono::seconds(30);
     // After a node announces that it leaves, other nodes may send it calls for
     // this long; they are refused as draining.
     duration leave_grace_period = std::chrono::seconds(1);
@@ -74,6 +76,7 @@
     version::configuration_ptr configuration() const override;
     bool isolated() const override;
     bool draining() const override { return draining_; }
+    bool ends_before(duration remaining) const override;
     const std::string& boot() const override { return boot_id_; }
 
     std::optional<rate::rate_limit>
@@ -87,6 +90,7 @@
     const node_core_settings settings_;
     random_source random_;
     bool draining_ = false;
+    time_point draining_since_{};
     std::function<void()> on_drained_;
 
     membership members_;
--- a/src/process/routing_controller.cpp
+++ b/src/process/routing_controller.cpp
@@ -215,6 +215,8 @@
         return refuse(reason::deadline);
     if (above.depth + 1 > request::max_depth)
         return refuse(reason::malformed);
+    if (dependencies_.state.ends_before(remaining))
+        return refuse(reason::draining);
     if (above.key >= dependencies_.shed_thresholds.service_threshold(service)) {
         parent->overload_below = true;
         parent->downstream_threshold =
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -286,10 +286,11 @@
         refuse(why, owner_.admission_controller_.retry_after());
         return;
     }
-    if (remaining() < min_execution_time) {
+    bool too_late = remaining() < min_execution_time;
+    if (too_late || (owner_.may_start_ && !owner_.may_start_(remaining()))) {
         owner_.admission_controller_.finished(
             owner_.admission_controller_.service_time());
-        refuse(reason::deadline);
+        refuse(too_late ? reason::deadline : reason::draining);
         return;
     }
     state_ = state::running;
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -88,6 +88,13 @@
         backend_listener_ = std::move(changed);
     }
 
+    // Called when an attempt gets a slot; false refuses it as draining, because
+    // the process may end before an attempt that has this much time left.
+    void on_start_check(std::function<bool(duration remaining)> may_start)
+    {
+        may_start_ = std::move(may_start);
+    }
+
     // Called with the requests that were in flight when the backend server
     // crashed.
     using crash_listener =
@@ -118,6 +125,7 @@
     load::service_times service_times_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
+    std::function<bool(duration)> may_start_;
     crash_listener crash_listener_;
     // Attempts whose connections broke within the last seconds, oldest first.
     struct broken_attempt {
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -41,15 +41,18 @@
 // Time reserved at the end of the shutdown to send the last responses.
 constexpr duration shutdown_margin = std::chrono::milliseconds(300);
 
-// Calls that arrive after this part of the shutdown are refused, since they
-// might be cut at its end; those that a backend server makes for a request that
-// it runs already are short, and accepted for longer.
+// Calls that arrive after this part of the shutdown are refused; those that may
+// come from the backend server, for a request that it is running, are accepted
+// for longer.
 constexpr double last_call_share = 0.5;
 constexpr double last_child_call_share = 0.8;
 
-// After this part of the shutdown only calls are accepted whose timeout ends
-// before it does. Earlier ones have more time than a usual call takes.
-constexpr double any_call_share = 0.25;
+// After this part of the shutdown a call is accepted only if its timeout ends
+// before the process does. Earlier calls have more time than a usual call
+// takes. No call is exempt for longer than max_exempt_time.
+constexpr double exempt_call_share = 0.25;
+constexpr double exempt_child_call_share = 0.5;
+constexpr duration max_exempt_time = std::chrono::seconds(3);
 
 constexpr duration idle_check_period = std::chrono::milliseconds(50);
 
@@ -165,6 +168,9 @@
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     executor_.on_backend_changed(
         [this](std::string_view cause) { backend_changed(cause); });
+    executor_.on_start_check([this](duration remaining) {
+        return may_start_attempt(remaining);
+    });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
         backend_crashed(in_flight);
     });
@@ -232,17 +238,38 @@
     return call;
 }
 
-bool sidecar_node::accepts_call(bool made_by_backend, duration timeout)
+bool sidecar_node::accepts_call(bool may_be_child, duration timeout)
 {
     if (!leaving_)
         return true;
-    auto share = made_by_backend ? last_child_call_share : last_call_share;
-    std::chrono::duration<double> waited = loop_.now() - leaving_since_;
+    auto share = may_be_child ? last_child_call_share : last_call_share;
+    auto exempt = may_be_child ? exempt_child_call_share : exempt_call_share;
+    return loop_.now() < shutdown_time(share) &&
+           !is_cut_short(timeout, shutdown_time(exempt));
+}
+
+bool sidecar_node::may_start_attempt(duration remaining)
+{
+    return !is_cut_short(remaining, shutdown_time(exempt_child_call_share));
+}
+
+// Whether a call with this much time left, which is not exempt, may still be
+// running when the process ends.
+bool sidecar_node::is_cut_short(duration remaining,
+                                time_point exempt_until) const
+{
+    auto last_exempt = std::min(exempt_until, leaving_since_ + max_exempt_time);
+    return leaving_ && loop_.now() >= last_exempt &&
+           loop_.now() + remaining >
+               leaving_since_ + settings_.shutdown_limit - shutdown_margin;
+}
+
+// The time at which this share of the shutdown has passed.
+time_point sidecar_node::shutdown_time(double share) const
+{
     std::chrono::duration<double> limit = settings_.shutdown_limit;
-    bool may_be_cut =
-        !made_by_backend && waited >= limit * any_call_share &&
-        waited + timeout > settings_.shutdown_limit - shutdown_margin;
-    return waited < limit * share && !may_be_cut;
+    return leaving_since_ +
+           std::chrono::duration_cast<duration>(limit * share);
 }
 
 std::optional<request::parent_call>
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -85,7 +85,8 @@
     {
         return links_.is_partitioned() && !feed_.store_answers();
     }
-    bool accepts_call(bool made_by_backend, duration timeout) override;
+    bool accepts_call(bool may_be_child, duration timeout) override;
+    bool may_start_attempt(duration remaining) override;
     std::optional<request::parent_call>
     parent_of(const std::string& request_id, const std::string& route) override;
     std::string new_attempt_id() override;
@@ -121,6 +122,8 @@
     void run_periodic_checks();
     void log_load();
     void apply_membership_change();
+    bool is_cut_short(duration remaining, time_point exempt_until) const;
+    time_point shutdown_time(double share) const;
     void leave_fleet();
     void stop_if_idle();
     bool ready();
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -276,6 +276,12 @@
     auto self = shared_from_this();
     if (ended_)
         return;
+    // The request's body, its token or an earlier attempt may have taken until
+    // late in a shutdown. What may have run already is worth another attempt.
+    if (!may_have_run_ && !node_.may_start_attempt(remaining())) {
+        fail(not_run(reason::draining, default_retry_after));
+        return;
+    }
     const auto* at = node_.load_balancer().choose(service_, route_->name,
                                                   tried_, remaining());
     if (at == nullptr && workspace_ == nullptr && tried_.empty() &&
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -53,10 +53,13 @@
     virtual const process::fleet::isolation_detector& isolation_detector() = 0;
     // True if neither another node nor the store answers this node.
     virtual bool is_partitioned() = 0;
-    // False if this node shuts down too soon to serve a call with this timeout;
-    // `made_by_backend` tells that a backend server makes it for a request.
-    virtual bool accepts_call(bool made_by_backend,
-                              process::duration timeout) = 0;
+    // False if this node shuts down too soon to serve a call with this timeout.
+    // `may_be_child` is set if the local backend server may make the call for a
+    // request that it is running.
+    virtual bool accepts_call(bool may_be_child, process::duration timeout) = 0;
+    // False if this node shuts down and may end before an attempt that has
+    // this much time left.
+    virtual bool may_start_attempt(process::duration remaining) = 0;
     // The request for which the local backend server makes the call with this
     // id; nothing if there is none. Records that its route calls `route`.
     virtual std::optional<parent_call> parent_of(const std::string& request_id,
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -151,7 +151,7 @@
                       std::to_string(at.settings.backend_address.port);
     beat["born"] = at.born;
     beat["info"]["service"] = at.service;
-    beat["info"]["concurrency"] = 10;
+    beat["info"]["concurrency"] = Json::UInt64(slots);
     beat["status"]["state"] = state;
     beat["status"]["sequence"] = Json::UInt64(++at.beats);
     request_head head;
@@ -204,6 +204,17 @@
     return it;
 }
 
+std::shared_ptr<client_connection>
+small_fleet::start_upload(instance& at, const std::string& service,
+                          std::uint64_t length, const std::string& first,
+                          call_events& events)
+{
+    auto it = client_connection::open(loop, at.settings.caller_address, {});
+    it->start_call(head_for(service, "key", "POST"),
+                   {framing::kind::length, length}, first, {}, events);
+    return it;
+}
+
 std::shared_ptr<client_connection> small_fleet::open_connection(instance& at)
 {
     return client_connection::open(loop, at.settings.caller_address, {});
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -65,6 +65,9 @@
         std::uint64_t incarnation = 100;
     };
 
+    // Requests that a backend server runs at once.
+    static constexpr std::size_t slots = 10;
+
     small_fleet();
     ~small_fleet();
 
@@ -93,6 +96,11 @@
     std::shared_ptr<connection::http::client_connection>
     start_request(instance& at, const std::string& service,
                   connection::http::call_events& events);
+    // Starts an upload of `length` bytes, of which `first` are sent at once.
+    std::shared_ptr<connection::http::client_connection>
+    start_upload(instance& at, const std::string& service, std::uint64_t length,
+                 const std::string& first,
+                 connection::http::call_events& events);
     // A kept connection of a caller, and a request on it.
     std::shared_ptr<connection::http::client_connection>
     open_connection(instance& at);
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/support/small_fleet.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <utility>
 
@@ -44,6 +45,14 @@
     bool ended = false;
 };
 
+void shut_down_within(small_fleet::instance& at, process::duration limit,
+                      bool& stopped)
+{
+    at.settings.shutdown_limit = limit;
+    at.node->reload(at.settings);
+    at.node->shut_down([&] { stopped = true; });
+}
+
 } // namespace
 
 TEST_CASE("a request reaches the backend server beside another node")
@@ -254,6 +263,126 @@
     CHECK(beside.backend->heads.size() == 1);
 }
 
+// Guards against calls that a node accepts late in its shutdown and then cuts,
+// though they have run.
+TEST_CASE("a call without a key late in a shutdown is refused instead of cut")
+{
+    small_fleet fleet;
+    std::string running;
+    auto& entry =
+        fleet.add("front", [&](scripted_connection&, const std::string& head,
+                               const std::string&) {
+            running = header_of(head, "X-Request-Id");
+        });
+    auto& beside = fleet.add("t", stay_silent);
+    fleet.open_services = {"t"};
+    fleet.write_policy(1, {"front", "t"}, "non_idempotent");
+    fleet.settle(1);
+    silent_events events;
+    auto caller = fleet.start_request(entry, "front", events);
+    REQUIRE(run_until(fleet.loop, [&] { return !running.empty(); }));
+    bool stopped = false;
+    shut_down_within(entry, std::chrono::seconds(2), stopped);
+    run_for(fleet.loop, entry.settings.shutdown_limit * 6 / 10);
+    REQUIRE_FALSE(stopped);
+    CHECK(fleet.inner_request(entry, "t", running).status == 503);
+    auto answer = fleet.request(entry, "t");
+    CHECK(answer.status == 503);
+    CHECK(answer.headers.find("Retry-After") != nullptr);
+    CHECK(beside.backend->heads.empty());
+}
+
+// Guards against refusing child calls that end before the process does.
+TEST_CASE("a short call of a run is served late in a shutdown")
+{
+    small_fleet fleet;
+    std::string running;
+    auto& entry =
+        fleet.add("front", [&](scripted_connection&, const std::string& head,
+                               const std::string&) {
+            running = header_of(head, "X-Request-Id");
+        });
+    fleet.add("t", serve);
+    fleet.open_services = {"t"};
+    fleet.write_policy(1, {"front", "t"}, "non_idempotent");
+    fleet.settle(1);
+    silent_events events;
+    auto caller = fleet.start_request(entry, "front", events);
+    REQUIRE(run_until(fleet.loop, [&] { return !running.empty(); }));
+    bool stopped = false;
+    shut_down_within(entry, std::chrono::seconds(4), stopped);
+    run_for(fleet.loop, entry.settings.shutdown_limit * 6 / 10);
+    REQUIRE_FALSE(stopped);
+    answer_recorder recorder;
+    auto child = fleet.open_connection(entry);
+    fleet.send_request(*child, "t", std::chrono::milliseconds(200), recorder);
+    REQUIRE(run_until(fleet.loop, [&] { return recorder.ended; }));
+    CHECK(recorder.answer.status == 200);
+}
+
+// Guards against sending on a request whose body ends late in a shutdown.
+TEST_CASE("an upload that ends late in a shutdown is refused instead of cut")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& beside = fleet.add("s", stay_silent);
+    fleet.write_policy(1, {"front", "s"}, "non_idempotent");
+    fleet.settle(1);
+    answer_recorder recorder;
+    auto caller = fleet.start_upload(entry, "s", 8, "half", recorder);
+    bool stopped = false;
+    run_for(fleet.loop, std::chrono::milliseconds(100));
+    shut_down_within(entry, std::chrono::seconds(2), stopped);
+    run_for(fleet.loop, entry.settings.shutdown_limit * 6 / 10);
+    REQUIRE_FALSE(stopped);
+    caller->send_body("rest", true);
+    REQUIRE(run_until(fleet.loop, [&] { return recorder.ended; }));
+    CHECK(recorder.answer.status == 503);
+    CHECK(recorder.answer.headers.find("Retry-After") != nullptr);
+    CHECK(beside.backend->heads.empty());
+}
+
+// Guards against starting a queued request late in a shutdown.
+TEST_CASE("a queued request is refused late in a shutdown")
+{
+    small_fleet fleet;
+    std::shared_ptr<scripted_connection> first;
+    std::string first_head;
+    auto& entry =
+        fleet.add("s", [&](scripted_connection& from, const std::string& head,
+                           const std::string&) {
+            if (first)
+                return;
+            first = std::static_pointer_cast<scripted_connection>(
+                from.shared_from_this());
+            first_head = head;
+        });
+    fleet.write_policy(1, {"s"}, "non_idempotent");
+    fleet.settle(1);
+    std::vector<answer_recorder> recorders(small_fleet::slots + 1);
+    std::vector<std::shared_ptr<connection::http::client_connection>> callers;
+    for (auto& it : recorders)
+        callers.push_back(fleet.start_request(entry, "s", it));
+    run_for(fleet.loop, std::chrono::milliseconds(200));
+    auto started = entry.backend->heads.size();
+    REQUIRE(started > 0);
+    REQUIRE(started < recorders.size());
+    bool stopped = false;
+    shut_down_within(entry, std::chrono::seconds(2), stopped);
+    run_for(fleet.loop, entry.settings.shutdown_limit * 6 / 10);
+    REQUIRE_FALSE(stopped);
+    first->send(good_answer(first_head, "late"));
+    auto ended = [&](int status) {
+        return std::count_if(
+            recorders.begin(), recorders.end(),
+            [&](const auto& it) { return it.answer.status == status; });
+    };
+    REQUIRE(run_until(fleet.loop, [&] { return ended(200) == 1; }));
+    run_for(fleet.loop, std::chrono::milliseconds(50));
+    CHECK(ended(503) >= 1);
+    CHECK(entry.backend->heads.size() == started);
+}
+
 // The caller's connection is in use again when the first request's response
 // comes.
 TEST_CASE("a response after its request has failed answers no later request")
