Keep acknowledged departures in the store

Cause: the departure was held in the memory of the nodes only. The entry in the store was written while the backend server took calls and went on saying "ready", so a late heartbeat counted as the first one after the restart.

Ruled out: a heartbeat out of order within one process (TROUBLE=0 holds), and the hand-over by other nodes (it works while one of them lives).

Now the entry is written before a departure is acknowledged, at most 0.7 s later without an answer of the store; a node reads its own entry before it uses its backend server; writes name the version that they replace.

Before, on the tests: "outlasts a restart of all nodes" 6 checks red, "departures and restarts go on without the store" 2 red.

--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -57,8 +57,16 @@
     dependencies_.loop.cancel(compare_timer_);
 }
 
-void fleet_exchange::start(const std::vector<peer_address>& seeds)
+void fleet_exchange::start(const std::vector<peer_address>& seeds,
+                           bool first_start)
 {
+    if (first_start) {
+        entry_version_ = 0;
+        if (on_former_read_)
+            on_former_read_();
+    } else {
+        read_own_entry();
+    }
     const auto& self = dependencies_.fleet.self();
     for (const auto& it : seeds)
         exchange_with({it.host, self.peer.port}, make_comparison());
@@ -87,8 +95,11 @@
 
 // ---- entries in the store ---------------------------------------------------
 
+// Nothing is written before the entry of an earlier process has been read, as
+// it may tell that the backend server has left.
 void fleet_exchange::write_entry()
 {
+    entry_requested_ = true;
     if (entry_written_)
         return;
     if (entry_writing_) {
@@ -96,19 +107,110 @@
         return;
     }
     entry_writing_ = true;
+    if (entry_version_)
+        put_entry(*entry_version_);
+    else
+        read_own_entry();
+}
+
+void fleet_exchange::rewrite_entry()
+{
+    entry_written_ = false;
+    write_entry();
+}
+
+void fleet_exchange::put_entry(std::uint64_t version)
+{
     entry_changed_ = false;
     const auto& self = dependencies_.fleet.self();
     dependencies_.store.put(
-        entry_prefix_ + self.name(), write_json(to_json(self)), any_version,
+        entry_prefix_ + self.name(), write_json(to_json(self)), version,
         guard_.wrap([this, known = store_era_](const put_result& result) {
-            entry_writing_ = false;
             entry_era_ = std::max(known, dependencies_.store.era());
-            entry_written_ = std::holds_alternative<std::uint64_t>(result) &&
-                             !entry_changed_;
-            if (!entry_written_)
-                dependencies_.loop.call_after(
-                    store_pause, guard_.wrap([this] { write_entry(); }));
+            handle_written(result);
+        }));
+}
+
+void fleet_exchange::handle_written(const put_result& result)
+{
+    entry_writing_ = false;
+    const auto* version = std::get_if<std::uint64_t>(&result);
+    if (version == nullptr) {
+        entry_version_.reset();
+        // After a conflict the entry is read again at once.
+        bool conflict = std::get<store_error>(result) == store_error::conflict;
+        dependencies_.loop.call_after(conflict ? duration(0) : store_pause,
+                                      guard_.wrap([this] { write_entry(); }));
+        return;
+    }
+    entry_version_ = *version;
+    if (entry_changed_) {
+        write_entry();
+        return;
+    }
+    entry_written_ = true;
+    auto waiters = std::move(write_waiters_);
+    write_waiters_.clear();
+    for (const auto& it : waiters)
+        it(true);
+}
+
+void fleet_exchange::when_written(duration limit,
+                                  std::function<void(bool)> done)
+{
+    if (entry_written_ || !entry_requested_) {
+        done(true);
+        return;
+    }
+    // The timer may fire after the waiter was called and removed.
+    auto pending = std::make_shared<std::function<void(bool)>>(std::move(done));
+    auto call_once = [pending](bool written) {
+        if (auto it = std::exchange(*pending, nullptr))
+            it(written);
+    };
+    auto at = write_waiters_.insert(write_waiters_.end(), call_once);
+    dependencies_.loop.call_after(limit, guard_.wrap([this, pending, at] {
+        if (!*pending)
+            return;
+        auto it = std::move(*at);
+        write_waiters_.erase(at);
+        it(false);
+    }));
+}
+
+void fleet_exchange::read_own_entry()
+{
+    if (entry_reading_)
+        return;
+    entry_reading_ = true;
+    dependencies_.store.get(entry_prefix_ + dependencies_.fleet.self().name(),
+                            guard_.wrap([this](const get_result& result) {
+                                entry_reading_ = false;
+                                handle_own_entry(result);
+                            }));
+}
+
+void fleet_exchange::handle_own_entry(const get_result& result)
+{
+    const auto* found = std::get_if<stored_object>(&result);
+    if (found == nullptr &&
+        std::get<store_error>(result) != store_error::not_found) {
+        dependencies_.loop.call_after(store_pause, guard_.wrap([this] {
+            if (!entry_version_)
+                read_own_entry();
         }));
+        return;
+    }
+    // The handlers may start another write.
+    bool write_waits = entry_writing_;
+    entry_version_ = found == nullptr ? 0 : found->version;
+    if (found != nullptr)
+        if (auto json = parse_json(found->value))
+            apply_former(*json);
+    if (on_former_read_)
+        on_former_read_();
+    if (write_waits)
+        put_entry(*entry_version_);
 }
 
 void fleet_exchange::record_store_era(std::uint64_t era)
@@ -123,12 +225,13 @@
         dependencies_.random.unit() * static_cast<double>(spread)));
     dependencies_.loop.call_after(delay, guard_.wrap([this] {
         rewrite_scheduled_ = false;
-        entry_written_ = false;
         if (telemetry::allow(decision::state))
             SHALLOTWOOD_LOG(info)
                 << "event=entry_rewritten" << field("era", store_era_)
                 << field("before", entry_era_);
-        write_entry();
+        // Versions of the former era may be given out again.
+        entry_version_.reset();
+        rewrite_entry();
     }));
 }
 
@@ -260,7 +363,9 @@
 {
     const auto& self = dependencies_.fleet.self();
     auto it = fleet::instance_from_json(entry);
-    if (!it || it->name() != self.name() ||
+    bool left = it && (it->state == fleet::backend_state::draining ||
+                       it->state == fleet::backend_state::gone);
+    if (!left || it->name() != self.name() ||
         it->incarnation >= self.incarnation || !on_former_)
         return;
     if (telemetry::allow(decision::state))
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -22,6 +22,8 @@
 
 #include <functional>
 #include <json/json.h>
+#include <list>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,21 +54,35 @@
     fleet_exchange(const fleet_exchange&) = delete;
     fleet_exchange& operator=(const fleet_exchange&) = delete;
 
-    // Called with the entry that another node had of an earlier process of this
-    // node, if its backend server was leaving or gone.
+    // Called with the entry of an earlier process of this node, from the store
+    // or from another node, if its backend server was leaving or gone.
     void on_former(std::function<void(const fleet::instance&)> handler)
     {
         on_former_ = std::move(handler);
     }
+    // Called once the store has told whether it holds an entry of an earlier
+    // process; on_former() is called before, if there is one to report.
+    void on_former_read(std::function<void()> handler)
+    {
+        on_former_read_ = std::move(handler);
+    }
 
     // Contacts the nodes at `seeds`, and those that are listed in the store.
-    void start(const std::vector<peer_address>& seeds);
+    // `first_start` tells that no earlier process of this node can have written
+    // an entry, so that none is looked for.
+    void start(const std::vector<peer_address>& seeds, bool first_start);
 
     // Spreads this instance's entry after a change.
     void publish_own_entry();
-    // Writes this instance's entry to the store and retries until it succeeds;
-    // again after a restore of the store, which may have lost it.
+    // Writes this instance's entry to the store unless it was written before,
+    // and retries until it succeeds; again after a restore of the store, which
+    // may have lost it.
     void write_entry();
+    // Writes the entry although it was written before.
+    void rewrite_entry();
+    // Calls `done` with true once the entry as it is now is in the store, if a
+    // write of it was asked for; with false after `limit`.
+    void when_written(duration limit, std::function<void(bool)> done);
     // Announces that this node has a new policy; `first_hand` if it came from
     // the store.
     void announce_policy(bool first_hand);
@@ -102,6 +118,10 @@
                 std::size_t differing_before);
     void compare_views();
     void read_entries();
+    void read_own_entry();
+    void handle_own_entry(const get_result& result);
+    void put_entry(std::uint64_t version);
+    void handle_written(const put_result& result);
     // Records an era of the store, from its own responses or from another node.
     void record_store_era(std::uint64_t era);
     void handle_entries(const list_result& result);
@@ -112,9 +132,17 @@
     std::function<void(const fleet::instance&)> on_former_;
     std::set<std::string> pending_updates_;
     bool send_scheduled_ = false;
+    std::function<void()> on_former_read_;
+    bool entry_reading_ = false;
+    bool entry_requested_ = false;
     bool entry_writing_ = false;
     bool entry_changed_ = false;
     bool entry_written_ = false;
+    // Version of the entry in the store; nothing while it is unknown. All
+    // writes depend on it, so that a write that is delayed on its way can't
+    // replace a later one.
+    std::optional<std::uint64_t> entry_version_;
+    std::list<std::function<void(bool)>> write_waiters_;
     // Latest era of the store that this node knows, and the one in which its
     // entry was written; 0 if unknown.
     std::uint64_t store_era_ = 0;
--- a/src/process/sidecar/local_backend.hpp
+++ b/src/process/sidecar/local_backend.hpp
@@ -54,6 +54,11 @@
     const peer_address& address() const { return address_; }
     int slots() const { return slots_; }
     fleet::backend_state state() const { return state_; }
+    bool has_left() const
+    {
+        return state_ == fleet::backend_state::draining ||
+               state_ == fleet::backend_state::gone;
+    }
     bool takes_calls() const
     {
         return state_ == fleet::backend_state::ready && !unreachable_;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -54,6 +54,14 @@
 constexpr double exempt_child_call_share = 0.5;
 constexpr duration max_exempt_time = std::chrono::seconds(3);
 
+// The platform takes an acknowledgement that comes within a second. Without an
+// answer of the store, a departure is acknowledged after this time.
+constexpr duration departure_write_limit = std::chrono::milliseconds(700);
+
+// Without an answer of the store, a node that has started uses its backend
+// server after this time.
+constexpr duration former_read_limit = std::chrono::milliseconds(1500);
+
 constexpr duration idle_check_period = std::chrono::milliseconds(50);
 
 response_head response_with_status(int status)
@@ -163,14 +171,14 @@
         if (backend_.adopt_former(it) == local_backend::effect::changed)
             backend_changed("former process");
     });
+    exchange_.on_former_read([this] { handle_former_read("store"); });
     peers_.set_speeds(load_balancer_.speeds());
     links_.on_liveness([this] { tokens_.owners_changed(); });
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     executor_.on_backend_changed(
         [this](std::string_view cause) { backend_changed(cause); });
-    executor_.on_start_check([this](duration remaining) {
-        return may_start_attempt(remaining);
-    });
+    executor_.on_start_check(
+        [this](duration remaining) { return may_start_attempt(remaining); });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
         backend_crashed(in_flight);
     });
@@ -179,6 +187,7 @@
 sidecar_node::~sidecar_node()
 {
     loop_.cancel(periodic_check_timer_);
+    loop_.cancel(former_read_timer_);
     // Calls in flight hold connections and call back into the members, so they
     // are ended before any member is destroyed.
     callers_.close();
@@ -208,7 +217,9 @@
                           << field("incarnation", fleet_.self().incarnation);
     apply_membership_change();
     store_watch_.start();
-    exchange_.start(settings_.seeds);
+    former_read_timer_ = loop_.call_after(
+        former_read_limit, [this] { handle_former_read("no-answer"); });
+    exchange_.start(settings_.seeds, settings_.fleet_is_new);
     run_periodic_checks();
     return {};
 }
@@ -268,8 +279,7 @@
 time_point sidecar_node::shutdown_time(double share) const
 {
     std::chrono::duration<double> limit = settings_.shutdown_limit;
-    return leaving_since_ +
-           std::chrono::duration_cast<duration>(limit * share);
+    return leaving_since_ + std::chrono::duration_cast<duration>(limit * share);
 }
 
 std::optional<request::parent_call>
@@ -324,16 +334,24 @@
         auto it = too_large_
                       ? backend_message(malformed_message{"too large"})
                       : node_.adapter_.read_backend_message(head_, body_);
-        bool readable = !std::holds_alternative<malformed_message>(it);
-        node_.handle_backend_message(it);
-        auto head = response_with_status(readable ? 200 : 400);
-        head.headers.add("Content-Type", "application/json");
-        from_->respond(std::move(head), "{}");
+        if (std::holds_alternative<malformed_message>(it)) {
+            node_.handle_backend_message(it);
+            respond(*from_, 400);
+            return;
+        }
+        node_.acknowledge(it, [from = from_] { respond(*from, 200); });
     }
 
     void on_left() override {}
 
 private:
+    static void respond(connection::http::server_connection& to, int status)
+    {
+        auto head = response_with_status(status);
+        head.headers.add("Content-Type", "application/json");
+        to.respond(std::move(head), "{}");
+    }
+
     sidecar_node& node_;
     connection_ptr from_;
     request_head head_;
@@ -348,6 +366,55 @@
                                                       std::move(head));
 }
 
+// An acknowledged departure must outlast all processes of the fleet, so it is
+// in the store before. While the store does not answer, the other nodes have to
+// keep it.
+void sidecar_node::acknowledge(const backend_message& it,
+                               std::function<void()> done)
+{
+    const auto* beat = std::get_if<announcement>(&it);
+    if (beat != nullptr && !beat->draining && !former_read_) {
+        // Kept until it is known whether the backend server had left.
+        if (!first_announcement_ ||
+            first_announcement_->started_at_ms <= beat->started_at_ms)
+            first_announcement_ = *beat;
+        done();
+        return;
+    }
+    handle_backend_message(it);
+    if (beat != nullptr && !beat->draining) {
+        done();
+        return;
+    }
+    exchange_.when_written(
+        departure_write_limit, [this, done = std::move(done)](bool written) {
+            if (!written) {
+                ++counts_.at("departures_not_stored");
+                if (telemetry::allow(decision::state))
+                    SHALLOTWOOD_LOG(warning)
+                        << "event=departure_not_stored"
+                        << field("backend", backend_.id())
+                        << field("state", fleet::name_of(backend_.state()));
+            }
+            done();
+        });
+}
+
+void sidecar_node::handle_former_read(std::string_view cause)
+{
+    if (former_read_)
+        return;
+    former_read_ = true;
+    loop_.cancel(former_read_timer_);
+    if (telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=former_read" << field("cause", cause)
+            << field("backend", backend_.id())
+            << field("state", fleet::name_of(backend_.state()));
+    if (auto it = std::exchange(first_announcement_, std::nullopt))
+        handle_backend_message(*it);
+}
+
 void sidecar_node::handle_backend_message(const backend_message& it)
 {
     if (const auto* bad = std::get_if<malformed_message>(&it)) {
@@ -400,10 +467,17 @@
     if (!changed)
         return;
     exchange_.publish_own_entry();
-    // The store only serves nodes that know no other node yet; later changes
-    // are spread between the nodes.
-    if (backend_.takes_calls())
+    // Later changes are spread between the nodes. The store serves nodes that
+    // know no other node yet, and later processes of this node, which must know
+    // of a departure.
+    std::uint64_t departed = backend_.has_left() ? backend_.key() : 0;
+    bool needs_write = backend_.takes_calls() || departed != 0;
+    if (needs_write && departed != stored_departure_) {
+        stored_departure_ = departed;
+        exchange_.rewrite_entry();
+    } else if (needs_write) {
         exchange_.write_entry();
+    }
 }
 
 void sidecar_node::backend_crashed(
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -109,6 +109,10 @@
     exchange_ptr metrics_request(const connection_ptr& from,
                                  const connection::http::request_head& head);
 
+    // Handles the message, and calls `done` when it may be acknowledged.
+    void acknowledge(const backend_message& it, std::function<void()> done);
+    // What an earlier process has acknowledged is known, as far as it can be.
+    void handle_former_read(std::string_view cause);
     void handle_backend_message(const backend_message& it);
     void backend_changed(std::string_view cause);
     void backend_crashed(const std::vector<load::fingerprint>& in_flight);
@@ -158,6 +162,13 @@
     connection::http::server readiness_;
     connection::http::server metrics_;
 
+    // Until then no announcement is applied but that of a departure.
+    bool former_read_ = false;
+    std::optional<announcement> first_announcement_;
+    timer_id former_read_timer_{};
+    // Backend server whose departure the entry in the store tells; 0 if none.
+    std::uint64_t stored_departure_ = 0;
+
     std::uint64_t last_attempt_ = 0;
     std::uint64_t last_crash_ = 0;
     std::size_t calls_ = 0;
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -88,9 +88,18 @@
 {
     at.node.reset();
     ++at.incarnation;
+    at.settings.fleet_is_new = false;
     start_node(at);
 }
 
+void small_fleet::restart_all()
+{
+    for (auto& it : all)
+        it->node.reset();
+    for (auto& it : all)
+        restart(*it);
+}
+
 void small_fleet::write_policy(int revision,
                                const std::vector<std::string>& services,
                                const std::string& kind, const std::string& key,
@@ -163,6 +172,19 @@
     REQUIRE(answer.status == 200);
 }
 
+int small_fleet::depart(instance& at)
+{
+    Json::Value message;
+    message["born"] = at.born;
+    request_head head;
+    head.method = "POST";
+    head.target = "/shallotwood/Instances.Deregister/i-" + at.settings.name;
+    head.headers.add("Host", "node");
+    return call(at.settings.announce_address, head,
+                process::write_json(message))
+        .status;
+}
+
 request_head small_fleet::head_for(const std::string& service,
                                    const std::string& key,
                                    const std::string& method)
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -84,7 +84,11 @@
 
     // Replaces the node by a new process, which waits for announcements.
     void restart(instance& at);
+    // The same for all nodes at one moment.
+    void restart_all();
     void announce(instance& at, const std::string& state);
+    // The backend server of `at` deregisters. Returns the status of the answer.
+    int depart(instance& at);
     caller_answer request(instance& at, const std::string& service,
                           const std::string& key = "key",
                           const std::string& method = "GET",
--- a/tests/sidecar/test_fleet_exchange.cpp
+++ b/tests/sidecar/test_fleet_exchange.cpp
@@ -138,7 +138,7 @@
     }
     for (int n = 400; n < 500; ++n)
         two.view.learn(entry(n));
-    one.exchange->start({two.self().peer});
+    one.exchange->start({two.self().peer}, true);
     // The seed's port is that of the node that asks.
     one.view.learn(two.self());
     CHECK(run_until(loop,
@@ -146,7 +146,6 @@
     CHECK(one.view.size() == 502);
 }
 
-// Traffic between failure domains would grow with the square of the fleet.
 TEST_CASE("a node writes its entry again after the store was restored")
 {
     loop::reactor loop;
@@ -166,6 +165,39 @@
     CHECK(one.store.writes == writes + 1);
 }
 
+// Guards against a delayed write that replaces a later one: each write names
+// the version that it replaces.
+TEST_CASE("an entry is written again after an answer was lost or it changed")
+{
+    loop::reactor loop;
+    talker one(loop);
+    auto own = "instances/" + one.self().name();
+    auto is_written = [&] {
+        bool written = false;
+        one.exchange->when_written(std::chrono::seconds(30),
+                                   [&](bool it) { written = it; });
+        return run_until(loop, [&] { return written; });
+    };
+    one.store.answers_to_lose = 1;
+    one.exchange->write_entry();
+    CHECK(is_written());
+    CHECK(one.store.writes == 2);
+    // Another writer has replaced it.
+    bool replaced = false;
+    one.store.put(own, "{}", any_version,
+                  [&](const auto&) { replaced = true; });
+    REQUIRE(run_until(loop, [&] { return replaced; }));
+    one.exchange->rewrite_entry();
+    CHECK(is_written());
+    std::string value;
+    one.store.get(own, [&](const get_result& it) {
+        value = std::get<stored_object>(it).value;
+    });
+    CHECK(run_until(loop, [&] { return !value.empty(); }));
+    CHECK(value == write_json(to_json(one.view.self())));
+}
+
+// Traffic between failure domains would grow with the square of the fleet.
 TEST_CASE("news from elsewhere is passed on within the failure domain only")
 {
     loop::reactor loop;
--- a/tests/sidecar/test_server_notices.cpp
+++ b/tests/sidecar/test_server_notices.cpp
@@ -168,4 +168,74 @@
     CHECK(leaving.backend->heads.size() == before);
 }
 
+// Guards against forgetting an acknowledged departure when no node is left that
+// knows of it.
+TEST_CASE("an acknowledged departure outlasts a restart of all nodes")
+{
+    for (bool deregisters : {false, true}) {
+        INFO(deregisters);
+        small_fleet fleet;
+        auto& entry = fleet.add("front", serve);
+        auto& leaving = fleet.add("s", serve);
+        fleet.write_policy(1, {"front", "s"}, "idempotent");
+        fleet.settle(1);
+        CHECK(fleet.request(entry, "s").status == 200);
+        if (deregisters)
+            CHECK(fleet.depart(leaving) == 200);
+        else
+            fleet.announce(leaving, "draining");
+        fleet.restart_all();
+        fleet.announce(entry, "ready");
+        // Was sent before the departure.
+        fleet.announce(leaving, "ready");
+        fleet.settle(1);
+        auto before = leaving.backend->heads.size();
+        CHECK(fleet.request(entry, "s").status == 503);
+        CHECK(fleet.request(leaving, "s").status == 503);
+        CHECK(leaving.backend->heads.size() == before);
+        // A new start of it is used.
+        ++leaving.born;
+        fleet.announce(leaving, "ready");
+        fleet.settle(1);
+        CHECK(fleet.request(entry, "s").status == 200);
+        fleet.restart_all();
+        fleet.announce(leaving, "ready");
+        fleet.settle(1);
+        CHECK(fleet.request(leaving, "s").status == 200);
+    }
+}
+
+// Guards against backend servers that end without an acknowledgement, or are
+// never used, because the store does not answer.
+TEST_CASE("departures and restarts go on without the store")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& leaving = fleet.add("s", serve);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    fleet.all.front()->store->down = true;
+    CHECK(fleet.depart(leaving) == 200);
+    CHECK(fleet.request(entry, "s").status == 503);
+    CHECK(fleet.metrics(leaving).find("shallotwood_departures_not_stored 1") !=
+          std::string::npos);
+    ++leaving.born;
+    fleet.restart(leaving);
+    fleet.announce(leaving, "ready");
+    int status = 0;
+    for (int n = 0; n < 100 && status != 200; ++n) {
+        run_for(fleet.loop, std::chrono::milliseconds(50));
+        status = fleet.request(entry, "s").status;
+    }
+    CHECK(status == 200);
+    CHECK(fleet.depart(leaving) == 200);
+    // The departure is written once the store is back.
+    fleet.all.front()->store->down = false;
+    run_for(fleet.loop, std::chrono::milliseconds(1200));
+    fleet.restart_all();
+    fleet.announce(leaving, "ready");
+    fleet.settle(1);
+    CHECK(fleet.request(entry, "s").status == 503);
+}
+
 } // namespace shallotwood::test
