--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -5,6 +5,8 @@
 #include "process/telemetry/decision_log.hpp"
 
 #include <sstream>
+#include <tuple>
+#include <utility>
 
 namespace shallotwood::process::sidecar
 {
@@ -375,8 +377,10 @@
     const auto* beat = std::get_if<announcement>(&it);
     if (beat != nullptr && !beat->draining && !former_read_) {
         // Kept until it is known whether the backend server had left.
-        if (!first_announcement_ ||
-            first_announcement_->started_at_ms <= beat->started_at_ms)
+        auto order = [](const announcement& of) {
+            return std::tie(of.started_at_ms, of.sequence);
+        };
+        if (!first_announcement_ || order(*first_announcement_) < order(*beat))
             first_announcement_ = *beat;
         done();
         return;
