--- a/tests/sidecar/test_server_notices.cpp
+++ b/tests/sidecar/test_server_notices.cpp
@@ -206,36 +206,41 @@
 }
 
 // Guards against backend servers that end without an acknowledgement, or are
-// never used, because the store does not answer.
+// never used, because the store refuses calls or does not answer them.
 TEST_CASE("departures and restarts go on without the store")
 {
-    small_fleet fleet;
-    auto& entry = fleet.add("front", serve);
-    auto& leaving = fleet.add("s", serve);
-    fleet.write_policy(1, {"front", "s"}, "idempotent");
-    fleet.settle(1);
-    fleet.all.front()->store->down = true;
-    CHECK(fleet.depart(leaving) == 200);
-    CHECK(fleet.request(entry, "s").status == 503);
-    CHECK(fleet.metrics(leaving).find("shallotwood_departures_not_stored 1") !=
-          std::string::npos);
-    ++leaving.born;
-    fleet.restart(leaving);
-    fleet.announce(leaving, "ready");
-    int status = 0;
-    for (int n = 0; n < 100 && status != 200; ++n) {
-        run_for(fleet.loop, std::chrono::milliseconds(50));
-        status = fleet.request(entry, "s").status;
+    for (bool silent : {false, true}) {
+        INFO(silent);
+        small_fleet fleet;
+        auto& entry = fleet.add("front", serve);
+        auto& leaving = fleet.add("s", serve);
+        fleet.write_policy(1, {"front", "s"}, "idempotent");
+        fleet.settle(1);
+        auto& store = *fleet.all.front()->store;
+        auto& trouble = silent ? store.silent : store.down;
+        trouble = true;
+        CHECK(fleet.depart(leaving) == 200);
+        CHECK(fleet.request(entry, "s").status == 503);
+        CHECK(fleet.metrics(leaving).find(
+                  "shallotwood_departures_not_stored 1") != std::string::npos);
+        ++leaving.born;
+        fleet.restart(leaving);
+        fleet.announce(leaving, "ready");
+        int status = 0;
+        for (int n = 0; n < 100 && status != 200; ++n) {
+            run_for(fleet.loop, std::chrono::milliseconds(50));
+            status = fleet.request(entry, "s").status;
+        }
+        CHECK(status == 200);
+        CHECK(fleet.depart(leaving) == 200);
+        // The departure is written once the store is back.
+        trouble = false;
+        run_for(fleet.loop, std::chrono::milliseconds(2500));
+        fleet.restart_all();
+        fleet.announce(leaving, "ready");
+        fleet.settle(1);
+        CHECK(fleet.request(entry, "s").status == 503);
     }
-    CHECK(status == 200);
-    CHECK(fleet.depart(leaving) == 200);
-    // The departure is written once the store is back.
-    fleet.all.front()->store->down = false;
-    run_for(fleet.loop, std::chrono::milliseconds(1200));
-    fleet.restart_all();
-    fleet.announce(leaving, "ready");
-    fleet.settle(1);
-    CHECK(fleet.request(entry, "s").status == 503);
 }
 
 } // namespace shallotwood::test
--- a/tests/sidecar/test_store.cpp
+++ b/tests/sidecar/test_store.cpp
@@ -232,6 +232,21 @@
 }
 
 // Otherwise a second outage would look like the rest of the first one.
+// Guards against a watch that waits for good on a connection that has gone
+// silent.
+TEST_CASE("a watch goes on after its connection went silent")
+{
+    fixture it;
+    it.put("config/main", 1, any_version);
+    follower watch(it);
+    REQUIRE(watch.sees(1));
+    it.api.now = object_api::fault::answer_lost;
+    REQUIRE(run_until(it.loop, [&] { return watch.errors > 0; }));
+    it.api.now = object_api::fault::none;
+    it.put("config/main", 2, any_version);
+    CHECK(watch.sees(2));
+}
+
 TEST_CASE("a watch tells that the store is back, though nothing has changed")
 {
     fixture it;
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -8,6 +8,12 @@
 void fake_object_store::get(const std::string& name,
                             std::function<void(process::get_result)> done)
 {
+    if (silent) {
+        timers_.call_after(answer_limit, [done = std::move(done)] {
+            done(store_error::unknown_outcome);
+        });
+        return;
+    }
     timers_.call_after(delay, [this, name, done = std::move(done)] {
         ++reads;
         auto it = objects_.find(name);
@@ -24,6 +30,12 @@
                             std::uint64_t expected_version,
                             std::function<void(process::put_result)> done)
 {
+    if (silent) {
+        timers_.call_after(answer_limit, [done = std::move(done)] {
+            done(store_error::unknown_outcome);
+        });
+        return;
+    }
     timers_.call_after(
         delay, [this, name, value, expected_version, done = std::move(done)] {
             ++writes;
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -47,6 +47,10 @@
     std::uint64_t current_era = 1;
     // While true, every call ends as `unavailable` and watches are quiet.
     bool down = false;
+    // While true, a read or a write is not answered: it ends as
+    // `unknown_outcome` after answer_limit, without effect.
+    bool silent = false;
+    process::duration answer_limit{std::chrono::seconds(1)};
     // The next writes take effect and answer `unknown_outcome`.
     int answers_to_lose = 0;
     process::duration delay{std::chrono::milliseconds(2)};
