--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -361,6 +361,7 @@
     fleet.settle(1);
     std::vector<answer_recorder> recorders(small_fleet::slots + 1);
     std::vector<std::shared_ptr<connection::http::client_connection>> callers;
+    callers.reserve(recorders.size());
     for (auto& it : recorders)
         callers.push_back(fleet.start_request(entry, "s", it));
     run_for(fleet.loop, std::chrono::milliseconds(200));
