Count the bytes exchanged with other failure domains by purpose

Cause: traffic between failure domains is charged, and nothing told what it consists of.

Change: connections between nodes report each HTTP/2 frame to a meter (libnghttp2's callbacks, so that header compression shows). Frames are counted as cross_domain_bytes{purpose,direction} if the other node is in another failure domain: clients know it from the fleet view, servers from the header sw-domain in the first request of a connection. The service-time reports in heads are counted apart, estimated from their length. attempts{domain} counts attempts in the own and in other domains. All are logged every 10 s and before event=stop.

A node of the former version does not send sw-domain: what it asks for is not counted at the node that it asks.

--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -2,6 +2,7 @@
 
 #include "process/contain.hpp"
 
+#include <algorithm>
 #include <vector>
 
 namespace shallotwood::connection::peer
@@ -23,6 +24,16 @@
 constexpr std::uint32_t header_table_bytes = 2048;
 constexpr std::size_t max_indexed_bytes = 64;
 
+// Bytes of a frame before its payload.
+constexpr std::size_t frame_header_bytes = 9;
+
+// Share of its length that a header with numbers and names takes after Huffman
+// coding: digits and lower-case letters have 5 to 7 bits.
+constexpr double huffman_share = 0.75;
+
+// Representation and lengths of a header whose name is not indexed.
+constexpr std::size_t literal_header_bytes = 3;
+
 // A dead connection is found by pings; this is the last resort.
 constexpr net::liveness alive{std::chrono::seconds(3), 0};
 
@@ -48,6 +59,12 @@
     return all;
 }
 
+// libnghttp2 takes a pointer to non-const and does not write to it.
+void* user_data_of(const stream_class* it)
+{
+    return const_cast<stream_class*>(it);
+}
+
 // Exceptions must not pass through libnghttp2, which is in C. The error ends
 // the connection.
 template <typename Task>
@@ -60,11 +77,20 @@
 
 } // namespace
 
+std::size_t estimated_header_bytes(std::size_t name_size,
+                                   std::size_t value_size)
+{
+    return literal_header_bytes +
+           static_cast<std::size_t>(
+               huffman_share * static_cast<double>(name_size + value_size));
+}
+
 std::shared_ptr<session> session::connect(process::loop::reactor& loop,
                                           const process::peer_address& to,
-                                          end_handler on_lost)
+                                          end_handler on_lost, meter_ptr meter)
 {
-    auto it = std::make_shared<session>(loop, to, std::move(on_lost));
+    auto it = std::make_shared<session>(loop, to, std::move(on_lost),
+                                        std::move(meter));
     it->start();
     it->flush_later();
     return it;
@@ -72,27 +98,28 @@
 
 std::shared_ptr<session> session::accept(process::loop::reactor& loop, int fd,
                                          request_handler on_request,
-                                         end_handler on_lost)
+                                         end_handler on_lost, meter_ptr meter)
 {
     auto it = std::make_shared<session>(loop, fd, std::move(on_request),
-                                        std::move(on_lost));
+                                        std::move(on_lost), std::move(meter));
     it->start();
     it->flush_later();
     return it;
 }
 
 session::session(process::loop::reactor& loop, const process::peer_address& to,
-                 end_handler on_lost)
+                 end_handler on_lost, meter_ptr meter)
     : byte_stream(loop, to, alive), on_lost_(std::move(on_lost)),
-      heard_(loop.now())
+      meter_(std::move(meter)), heard_(loop.now())
 {
     make_session(true);
 }
 
 session::session(process::loop::reactor& loop, int fd,
-                 request_handler on_request, end_handler on_lost)
+                 request_handler on_request, end_handler on_lost,
+                 meter_ptr meter)
     : byte_stream(loop, fd), on_request_(std::move(on_request)),
-      on_lost_(std::move(on_lost)), heard_(loop.now())
+      on_lost_(std::move(on_lost)), meter_(std::move(meter)), heard_(loop.now())
 {
     make_session(false);
 }
@@ -110,6 +137,8 @@
                                                             header_begun);
     nghttp2_session_callbacks_set_on_header_callback(calls, header_received);
     nghttp2_session_callbacks_set_on_frame_recv_callback(calls, frame_received);
+    if (meter_)
+        nghttp2_session_callbacks_set_on_frame_send_callback(calls, frame_sent);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(calls,
                                                               data_received);
     nghttp2_session_callbacks_set_on_stream_close_callback(calls,
@@ -151,11 +180,14 @@
     auto fields = to_fields(headers);
     nghttp2_data_provider body{};
     body.read_callback = read_output;
+    const auto* path = meter_ ? headers.find(":path") : nullptr;
+    const auto* kind = path != nullptr ? meter_->class_of(*path) : nullptr;
     auto number =
         nghttp2_submit_request(session_, nullptr, fields.data(), fields.size(),
-                               has_body ? &body : nullptr, nullptr);
+                               has_body ? &body : nullptr, user_data_of(kind));
     if (number < 0)
         return number;
+    has_requested_ = true;
     auto& it = streams_[number];
     it.events = std::move(events);
     it.output_ended = !has_body;
@@ -362,8 +394,67 @@
 int session::frame_received(nghttp2_session*, const nghttp2_frame* frame,
                             void* self)
 {
-    return call_contained(
-        [&] { static_cast<session*>(self)->handle_frame(frame->hd); });
+    return call_contained([&] {
+        auto& it = *static_cast<session*>(self);
+        if (it.meter_)
+            it.count(frame_direction::received, *frame);
+        it.handle_frame(frame->hd);
+    });
+}
+
+int session::frame_sent(nghttp2_session*, const nghttp2_frame* frame,
+                        void* self)
+{
+    static_cast<session*>(self)->count(frame_direction::sent, *frame);
+    return 0;
+}
+
+void session::count(frame_direction way, const nghttp2_frame& frame)
+{
+    metered_frame it;
+    it.direction = way;
+    it.type = frame.hd.type;
+    it.bytes = frame.hd.length + frame_header_bytes;
+    auto number = frame.hd.stream_id;
+    if (frame.hd.type == NGHTTP2_HEADERS) {
+        // The path of a request is known only with its head.
+        auto* of = find(number);
+        const auto* path =
+            way == frame_direction::received && on_request_ && of != nullptr
+                ? of->headers.find(":path")
+                : nullptr;
+        if (path != nullptr)
+            nghttp2_session_set_stream_user_data(
+                session_, number, user_data_of(meter_->class_of(*path)));
+        it.separate_bytes = separate_bytes(way, frame);
+    }
+    // Kept by libnghttp2 until the last frame of the stream, also of one that
+    // this end has reset.
+    if (number != 0)
+        it.stream = static_cast<const stream_class*>(
+            nghttp2_session_get_stream_user_data(session_, number));
+    meter_->on_frame(it);
+}
+
+std::size_t session::separate_bytes(frame_direction way,
+                                    const nghttp2_frame& frame)
+{
+    auto name = meter_->separate_header();
+    if (way == frame_direction::received) {
+        auto* of = find(frame.hd.stream_id);
+        if (of == nullptr)
+            return 0;
+        for (const auto& it : of->headers)
+            if (it.name == name)
+                return estimated_header_bytes(name.size(), it.value.size());
+        return 0;
+    }
+    const auto* fields = frame.headers.nva;
+    for (std::size_t n = 0; n < frame.headers.nvlen; ++n)
+        if (fields[n].namelen == name.size() &&
+            std::equal(name.begin(), name.end(), fields[n].name))
+            return estimated_header_bytes(name.size(), fields[n].valuelen);
+    return 0;
 }
 
 void session::handle_frame(const nghttp2_frame_hd& frame)
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -8,6 +8,7 @@
 
 #include "connection/http/message.hpp"
 #include "connection/net/byte_stream.hpp"
+#include "connection/peer/frame_meter.hpp"
 
 #include <functional>
 #include <map>
@@ -63,18 +64,22 @@
         const std::shared_ptr<session>&, stream_number,
         http::header_list&& headers)>;
     using end_handler = std::function<void(const std::shared_ptr<session>&)>;
+    // Told of all frames; null if they are not counted.
+    using meter_ptr = std::shared_ptr<frame_meter>;
 
     static std::shared_ptr<session> connect(process::loop::reactor& loop,
                                             const process::peer_address& to,
-                                            end_handler on_lost);
+                                            end_handler on_lost,
+                                            meter_ptr meter = nullptr);
     static std::shared_ptr<session> accept(process::loop::reactor& loop, int fd,
                                            request_handler on_request,
-                                           end_handler on_lost);
+                                           end_handler on_lost,
+                                           meter_ptr meter = nullptr);
 
     session(process::loop::reactor& loop, const process::peer_address& to,
-            end_handler on_lost);
+            end_handler on_lost, meter_ptr meter);
     session(process::loop::reactor& loop, int fd, request_handler on_request,
-            end_handler on_lost);
+            end_handler on_lost, meter_ptr meter);
     ~session() override;
 
     // At the client. Negative if the connection takes no more streams.
@@ -108,6 +113,9 @@
     bool ping_waiting() const { return ping_waiting_; }
     process::time_point heard() const { return heard_; }
     std::size_t streams() const { return streams_.size(); }
+    // At the client: a stream was opened on this connection.
+    bool has_requested() const { return has_requested_; }
+    const meter_ptr& meter() const { return meter_; }
 
 private:
     struct stream {
@@ -126,6 +134,8 @@
     void on_drained() override;
     void on_end(net::stream_end how) override;
     void handle_frame(const nghttp2_frame_hd& frame);
+    void count(frame_direction way, const nghttp2_frame& frame);
+    std::size_t separate_bytes(frame_direction way, const nghttp2_frame& frame);
     void flush_later();
     void flush();
     void close_all(stream_close how);
@@ -140,6 +150,8 @@
                                void* self);
     static int frame_received(nghttp2_session*, const nghttp2_frame* frame,
                               void* self);
+    static int frame_sent(nghttp2_session*, const nghttp2_frame* frame,
+                          void* self);
     static int data_received(nghttp2_session*, std::uint8_t flags,
                              std::int32_t number, const std::uint8_t* bytes,
                              std::size_t size, void* self);
@@ -153,6 +165,7 @@
     nghttp2_session* session_ = nullptr;
     request_handler on_request_;
     end_handler on_lost_;
+    meter_ptr meter_;
     std::map<stream_number, stream> streams_;
     process::time_point heard_;
     bool ping_waiting_ = false;
@@ -160,6 +173,7 @@
     bool lost_ = false;
     bool was_connected_ = false;
     bool established_ = false;
+    bool has_requested_ = false;
 };
 
 } // namespace shallotwood::connection::peer
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -187,7 +187,7 @@
     if (what.notice.rate_limit > 0 || what.notice.leaving)
         to.add("sw-notice", to_text(what.notice));
     if (!what.speeds.empty())
-        to.add("sw-speeds", to_text(what.speeds));
+        to.add(speeds_header, to_text(what.speeds));
     if (what.body->length())
         to.add("sw-length", std::to_string(*what.body->length()));
     add_message_headers(to, what.head.headers);
@@ -220,7 +220,7 @@
     what.max_queue_time = time_in(headers, "sw-patience");
     what.policy_revision = number_in(headers, "sw-policy").value_or(0);
     what.notice = notice_from(text_in(headers, "sw-notice"));
-    what.speeds = speeds_from(text_in(headers, "sw-speeds"));
+    what.speeds = speeds_from(text_in(headers, speeds_header));
     what.body =
         std::make_shared<request::upload>(number_in(headers, "sw-length"));
     what.head.headers = message_headers(headers);
@@ -243,7 +243,7 @@
                ' ' + std::to_string(reply.load.route_time.count()) + ' ' +
                std::to_string(reply.load.stamp_ms));
     if (!reply.speeds.empty())
-        to.add("sw-speeds", to_text(reply.speeds));
+        to.add(speeds_header, to_text(reply.speeds));
     to.add("sw-notice", to_text(reply.load.notice));
     to.add("sw-incarnation", std::to_string(reply.incarnation));
     to.add("sw-policy", std::to_string(reply.policy_revision));
@@ -290,7 +290,7 @@
     attempt_reply reply;
     reply.load = load_from(text_in(headers, "sw-load"));
     reply.load.notice = notice_from(text_in(headers, "sw-notice"));
-    reply.speeds = speeds_from(text_in(headers, "sw-speeds"));
+    reply.speeds = speeds_from(text_in(headers, speeds_header));
     reply.incarnation = number_in(headers, "sw-incarnation").value_or(0);
     reply.policy_revision = number_in(headers, "sw-policy").value_or(0);
     if (const auto* text = headers.find("sw-verdict")) {
--- a/src/process/sidecar/peer_codec.hpp
+++ b/src/process/sidecar/peer_codec.hpp
@@ -31,6 +31,9 @@
 } // namespace peer_path
 
 constexpr const char* path_header = ":path";
+constexpr const char* speeds_header = "sw-speeds";
+// Failure domain of the sender; in the first request on a connection.
+constexpr const char* domain_header = "sw-domain";
 
 connection::http::header_list to_headers(const request::attempt_request& what);
 // Nothing if a field is missing or unreadable.
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -90,8 +90,9 @@
         auto& of = owner_.find_or_add_link(to_);
         session_ = owner_.session_for(of);
         bool has_body = !body_->empty() || body_->length();
-        stream_ =
-            session_->request(to_headers(what), has_body, shared_from_this());
+        auto headers = to_headers(what);
+        owner_.introduce(headers, *session_);
+        stream_ = session_->request(headers, has_body, shared_from_this());
         if (stream_ < 0) {
             fail(execution::not_run, reason::connection_failed);
             return;
@@ -230,6 +231,7 @@
         headers.add(":method", "GET");
         headers.add(path_header, peer_path::attach);
         headers.add("sw-attempt", attempt_id_);
+        owner_.introduce(headers, *session_);
         stream_ = session_->request(headers, false, shared_from_this());
         if (stream_ < 0) {
             fail(execution::may_have_run, reason::connection_silent);
@@ -303,8 +305,8 @@
                                   public std::enable_shared_from_this<message>
 {
 public:
-    message(loop::reactor& loop, reply_handler done)
-        : loop_(loop), done_(std::move(done))
+    message(const peer_links& owner, reply_handler done)
+        : owner_(owner), loop_(owner.loop_), done_(std::move(done))
     {
     }
 
@@ -315,6 +317,7 @@
         header_list headers;
         headers.add(":method", "POST");
         headers.add(path_header, path);
+        owner_.introduce(headers, *over);
         stream_ = over->request(headers, true, shared_from_this());
         if (stream_ < 0) {
             finish(std::nullopt);
@@ -356,6 +359,7 @@
         }
     }
 
+    const peer_links& owner_;
     loop::reactor& loop_;
     reply_handler done_;
     std::shared_ptr<session> session_;
@@ -409,7 +413,7 @@
         done(std::nullopt);
         return;
     }
-    auto it = std::make_shared<message>(loop_, std::move(done));
+    auto it = std::make_shared<message>(*this, std::move(done));
     it->begin(session_for(find_or_add_link(to)), path, body, limit);
 }
 
@@ -503,14 +507,35 @@
     }
     auto name = of.to.host + ':' + std::to_string(of.to.port);
     of.opened_at = now;
+    if (traffic_ != nullptr) {
+        of.traffic = traffic_->make_link(cross_domain_traffic::role::client);
+        find_domain(name, of);
+    }
     of.session = session::connect(
-        loop_, of.to, [this, name](const std::shared_ptr<session>& which) {
+        loop_, of.to,
+        [this, name](const std::shared_ptr<session>& which) {
             handle_session_closed(name, which);
-        });
+        },
+        of.traffic);
     ++counts_.at("peer_connections_opened");
     return of.session;
 }
 
+void peer_links::introduce(header_list& headers, const session& over) const
+{
+    if (traffic_ != nullptr && !over.has_requested())
+        headers.add(domain_header, traffic_->own_domain());
+}
+
+// A node of the seeds is known only after its first message.
+void peer_links::find_domain(const std::string& name, const link& of) const
+{
+    if (!of.traffic || of.traffic->domain_known())
+        return;
+    if (const auto* known = fleet_.find(name))
+        of.traffic->set_domain(known->failure_domain);
+}
+
 void peer_links::handle_session_closed(const std::string& name,
                                        const std::shared_ptr<session>& which)
 {
@@ -588,6 +613,7 @@
             session_for(of);
         return;
     }
+    find_domain(name, of);
     auto session = of.session;
     if (session->streams() > 0) {
         of.used_at = now;
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -9,6 +9,7 @@
 #include "process/counters.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/routing/load_balancer.hpp"
+#include "process/sidecar/cross_domain_traffic.hpp"
 #include "process/sidecar/peer_channel.hpp"
 #include "process/sidecar/peer_codec.hpp"
 #include "request/attempt.hpp"
@@ -47,6 +48,12 @@
         on_liveness_ = std::move(changed);
     }
 
+    // Counts the bytes of new connections there.
+    void set_traffic(const cross_domain_traffic& traffic)
+    {
+        traffic_ = &traffic;
+    }
+
     // Closes all connections and fails the calls on them; nothing is sent
     // afterwards.
     void close();
@@ -83,6 +90,8 @@
     struct link {
         peer_address to;
         std::shared_ptr<connection::peer::session> session;
+        // Null if bytes are not counted.
+        std::shared_ptr<cross_domain_traffic::link> traffic;
         time_point opened_at{};
         time_point ping_at{};
         time_point used_at{};
@@ -100,6 +109,10 @@
     void handle_session_closed(
         const std::string& name,
         const std::shared_ptr<connection::peer::session>& which);
+    // Adds the own failure domain to the first request on a connection.
+    void introduce(connection::http::header_list& headers,
+                   const connection::peer::session& over) const;
+    void find_domain(const std::string& name, const link& of) const;
     void set_reachable(const std::string& name, link& of, bool reachable);
     void set_presumed_dead(const std::string& name, link& of, bool dead);
     void tick();
@@ -109,6 +122,7 @@
     counters& counts_;
     const fleet::fleet_view& fleet_;
     routing::load_balancer& load_balancer_;
+    const cross_domain_traffic* traffic_ = nullptr;
     revision_handler on_revision_;
     std::function<void()> on_liveness_;
     std::map<std::string, link> links_;
--- a/src/process/sidecar/peer_server.cpp
+++ b/src/process/sidecar/peer_server.cpp
@@ -248,15 +248,7 @@
                          revision_handler on_revision)
     : loop_(loop), executor_(executor), self_(std::move(self)),
       on_message_(std::move(on_message)), on_revision_(std::move(on_revision)),
-      listener_(loop, [this](int fd) {
-          sessions_.insert(session::accept(
-              loop_, fd,
-              [this](const session_ptr& from, stream_number stream,
-                     header_list&& headers) {
-                  return request(from, stream, std::move(headers));
-              },
-              [this](const session_ptr& which) { sessions_.erase(which); }));
-      })
+      listener_(loop, [this](int fd) { accept(fd); })
 {
 }
 
@@ -265,6 +257,23 @@
     close();
 }
 
+void peer_server::accept(int fd)
+{
+    std::shared_ptr<cross_domain_traffic::link> traffic;
+    if (traffic_ != nullptr)
+        traffic = traffic_->make_link(cross_domain_traffic::role::server);
+    sessions_.insert(session::accept(
+        loop_, fd,
+        [this, traffic](const session_ptr& from, stream_number stream,
+                        header_list&& headers) {
+            if (traffic && !traffic->domain_known())
+                if (const auto* domain = headers.find(domain_header))
+                    traffic->set_domain(*domain);
+            return request(from, stream, std::move(headers));
+        },
+        [this](const session_ptr& which) { sessions_.erase(which); }, traffic));
+}
+
 void peer_server::close()
 {
     listener_.stop();
--- a/src/process/sidecar/peer_server.hpp
+++ b/src/process/sidecar/peer_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/peer/session.hpp"
+#include "process/sidecar/cross_domain_traffic.hpp"
 #include "process/sidecar/local_executor.hpp"
 #include "process/sidecar/peer_codec.hpp"
 
@@ -38,6 +39,12 @@
     // name those known there.
     void set_speeds(routing::speed_board& speeds) { speeds_ = &speeds; }
 
+    // Counts the bytes of new connections there.
+    void set_traffic(const cross_domain_traffic& traffic)
+    {
+        traffic_ = &traffic;
+    }
+
     std::string listen(const peer_address& address);
     // Closes all connections and cancels those of their attempts that may
     // be cancelled.
@@ -52,6 +59,7 @@
     class incoming_message;
     using session_ptr = std::shared_ptr<connection::peer::session>;
 
+    void accept(int fd);
     std::shared_ptr<connection::peer::stream_events>
     request(const session_ptr& from, connection::peer::stream_number stream,
             connection::http::header_list&& headers);
@@ -63,6 +71,7 @@
     revision_handler on_revision_;
     connection::net::tcp_listener listener_;
     std::set<session_ptr> sessions_;
+    const cross_domain_traffic* traffic_ = nullptr;
     routing::speed_board* speeds_ = nullptr;
 };
 
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -24,6 +24,9 @@
 // How often the node checks its contact to other nodes and logs its load.
 constexpr duration periodic_check_interval = std::chrono::seconds(1);
 
+// How often the node logs its traffic with other failure domains.
+constexpr duration traffic_log_interval = std::chrono::seconds(10);
+
 // Time limit for the reply to a crash report.
 constexpr duration crash_report_timeout = std::chrono::milliseconds(500);
 
@@ -104,6 +107,7 @@
       shed_thresholds_(loop), suspects_(loop),
       backend_(settings.service, settings.backend_address),
       executor_(loop, adapter, counts_, backend_, shed_thresholds_, suspects_),
+      traffic_(counts_, settings.failure_domain),
       links_(loop, counts_, fleet_, load_balancer_),
       peers_(
           loop, executor_,
@@ -175,6 +179,8 @@
     });
     exchange_.on_former_read([this] { handle_former_read("store"); });
     peers_.set_speeds(load_balancer_.speeds());
+    links_.set_traffic(traffic_);
+    peers_.set_traffic(traffic_);
     links_.on_liveness([this] { tokens_.owners_changed(); });
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     executor_.on_backend_changed(
@@ -218,6 +224,7 @@
                           << field("domain", settings_.failure_domain)
                           << field("incarnation", fleet_.self().incarnation);
     apply_membership_change();
+    traffic_logged_at_ = loop_.now();
     store_watch_.start();
     former_read_timer_ = loop_.call_after(
         former_read_limit, [this] { handle_former_read("no-answer"); });
@@ -306,6 +313,7 @@
     const fleet::instance& at, const request::attempt_request& what,
     const std::shared_ptr<request::attempt_receiver>& receiver)
 {
+    traffic_.attempt_started(at.failure_domain);
     if (at.name() == fleet_.self().name())
         return executor_.start(what, receiver);
     return links_.start(at, what, receiver);
@@ -574,6 +582,7 @@
             << field("ready", ready() ? 1 : 0);
     }
     log_load();
+    log_traffic();
     periodic_check_timer_ = loop_.call_after(periodic_check_interval,
                                              [this] { run_periodic_checks(); });
 }
@@ -598,6 +607,15 @@
     last_logged_shed_ = shed;
 }
 
+void sidecar_node::log_traffic()
+{
+    auto now = loop_.now();
+    if (now - traffic_logged_at_ < traffic_log_interval)
+        return;
+    traffic_logged_at_ = now;
+    traffic_.log();
+}
+
 void sidecar_node::apply_membership_change()
 {
     if (membership_ == fleet_.membership())
@@ -708,6 +726,7 @@
                 callers_.draining() && !callers_.has_unsent() &&
                 peers_.is_idle();
     if (idle || waited > settings_.shutdown_limit - shutdown_margin) {
+        traffic_.log();
         SHALLOTWOOD_LOG(info) << "event=stop" << field("calls", calls_)
                               << field("runs", executor_.running_attempts());
         shutdown_done_();
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -125,6 +125,7 @@
     rate_limit_of(const std::string& workspace) const;
     void run_periodic_checks();
     void log_load();
+    void log_traffic();
     void apply_membership_change();
     bool is_cut_short(duration remaining, time_point exempt_until) const;
     time_point shutdown_time(double share) const;
@@ -147,6 +148,7 @@
     load::crash_suspects suspects_;
     local_backend backend_;
     local_executor executor_;
+    cross_domain_traffic traffic_;
     peer_links links_;
     peer_server peers_;
     policy_feed feed_;
@@ -184,6 +186,7 @@
     bool left_fleet_ = false;
     std::function<void()> shutdown_done_;
     timer_id periodic_check_timer_{};
+    time_point traffic_logged_at_{};
     std::uint64_t last_logged_refused_ = 0;
     std::uint64_t last_logged_shed_ = 0;
 };
