Leave a distant failure domain only for lack of room

Cause: between domains 3.9 ms apart, calls left their domain for a slot utilization lower by 0.2, and a third to a half of them crossed.

With the distance rise the costs of instances that are nearly full and of failures; being slower than others does not count against a crossing if the latency objective is met. An attempt after the first one chooses as between near domains. A crossing makes further ones cheaper by 0.05 for a moment.

--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -275,6 +275,7 @@
 void session::ping()
 {
     ping_waiting_ = true;
+    pinged_at_ = loop().now();
     nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
     flush_later();
 }
@@ -459,8 +460,11 @@
 
 void session::handle_frame(const nghttp2_frame_hd& frame)
 {
-    if (frame.type == NGHTTP2_PING && (frame.flags & NGHTTP2_FLAG_ACK) != 0)
+    if (frame.type == NGHTTP2_PING && (frame.flags & NGHTTP2_FLAG_ACK) != 0) {
         ping_waiting_ = false;
+        if (on_round_trip_)
+            on_round_trip_(loop().now() - pinged_at_);
+    }
     if (frame.type != NGHTTP2_HEADERS && frame.type != NGHTTP2_DATA)
         return;
     auto number = frame.stream_id;
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -66,6 +66,7 @@
     using end_handler = std::function<void(const std::shared_ptr<session>&)>;
     // Told of all frames; null if they are not counted.
     using meter_ptr = std::shared_ptr<frame_meter>;
+    using round_trip_handler = std::function<void(process::duration)>;
 
     static std::shared_ptr<session> connect(process::loop::reactor& loop,
                                             const process::peer_address& to,
@@ -110,6 +111,11 @@
     void tell_silent();
 
     void ping();
+    // Gets the time of each ping from now on.
+    void on_round_trip(round_trip_handler handler)
+    {
+        on_round_trip_ = std::move(handler);
+    }
     bool ping_waiting() const { return ping_waiting_; }
     process::time_point heard() const { return heard_; }
     std::size_t streams() const { return streams_.size(); }
@@ -166,6 +172,8 @@
     request_handler on_request_;
     end_handler on_lost_;
     meter_ptr meter_;
+    round_trip_handler on_round_trip_;
+    process::time_point pinged_at_{};
     std::map<stream_number, stream> streams_;
     process::time_point heard_;
     bool ping_waiting_ = false;
--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -11,9 +11,15 @@
 // A load report is ignored after this time.
 constexpr duration report_validity = std::chrono::milliseconds(500);
 
-// Another failure domain is used once its slot utilization is lower by this
-// much: crossing domains adds latency, and the platform charges for traffic.
-constexpr double cross_domain_cost = 0.2;
+// A node that has crossed to a distant domain takes the cost of the next
+// crossings as lower by this much; the difference vanishes over
+// crossing_memory.
+constexpr double crossing_hysteresis = 0.05;
+constexpr duration crossing_memory = std::chrono::milliseconds(300);
+
+// An instance whose expected time is within this share of what is left until
+// the latency objective meets it with few exceptions.
+constexpr double safe_objective_share = 0.5;
 
 // A time above the usual by more than this factor costs excess_time_cost for
 // each further multiple.
@@ -56,23 +62,16 @@
                              const fleet::fleet_view& fleet,
                              std::string own_domain)
     : clock_(time), random_(random), fleet_(fleet),
-      own_domain_(std::move(own_domain)), speeds_(time, random, fleet)
+      crossing_(time, std::move(own_domain)), speeds_(time, random, fleet)
 {
 }
 
-const fleet::instance*
-load_balancer::choose(const std::string& service, const std::string& route,
-                      const std::vector<std::string>& tried, duration remaining)
+std::vector<load_balancer::candidate>
+load_balancer::candidates_of(const std::string& service,
+                             const std::string& route,
+                             const std::vector<std::string>& tried)
 {
-    auto now = clock_.now();
-    struct candidate {
-        const fleet::instance* it;
-        const instance_stats* stats;
-        // In microseconds; 0 if it is not known.
-        double time;
-    };
-    std::vector<candidate> candidates;
-    std::vector<double> times;
+    std::vector<candidate> all;
     auto stated = speeds_.times(service, route);
     for (const auto& [name, it] : fleet_.instances_of(service)) {
         if (!it->takes_calls() ||
@@ -85,31 +84,88 @@
         if (stats.notice.leaving && stats.notice.backend == it->backend_key())
             continue;
         double time = expected_time(stats, route, stated.of(*name));
-        candidates.push_back({it, &stats, time});
-        if (time > 0)
-            times.push_back(time);
+        all.push_back({it, &stats, time});
     }
+    return all;
+}
+
+const fleet::instance*
+load_balancer::choose(const std::string& service, const std::string& route,
+                      const std::vector<std::string>& tried, duration remaining,
+                      duration in_objective)
+{
+    auto now = clock_.now();
+    auto candidates = candidates_of(service, route, tried);
+    std::vector<double> times;
+    for (const auto& it : candidates)
+        if (it.time > 0)
+            times.push_back(it.time);
     double usual = lower_quartile(times);
-    const fleet::instance* best = nullptr;
-    double best_cost = 0;
-    for (const auto& [it, stats, time] : candidates) {
-        double value = cost(*it, *stats);
-        if (time > 0)
-            value += excess_time_cost *
-                     std::max(0.0, time / usual - tolerated_time_ratio);
-        if (time > static_cast<double>(remaining.count()))
-            value += late_cost;
+    // A call that an instance has refused or failed may leave the domain as if
+    // the others were near.
+    auto far = tried.empty() ? remoteness_of(candidates) : remoteness();
+    candidate best;
+    candidate local;
+    for (auto& it : candidates) {
+        it.cost = cost(it, far) + cost_of_crossing(it, service, far);
+        if (it.time > 0) {
+            auto excess = excess_time_cost *
+                          std::max(0.0, it.time / usual - tolerated_time_ratio);
+            it.cost += excess;
+            if (it.time <= safe_objective_share *
+                               static_cast<double>(in_objective.count()))
+                it.tolerated = far.value() * excess;
+        }
+        if (it.time > static_cast<double>(remaining.count()))
+            it.cost += late_cost;
         // Ejected candidates are used only if there is no other.
-        if (now < stats->ejected_until)
-            value += 1e3;
+        if (now < it.stats->ejected_until)
+            it.cost += 1e3;
         // Breaks ties and keeps nodes from choosing in lockstep.
-        value += 0.05 * random_.unit();
-        if (best == nullptr || value < best_cost) {
+        it.cost += 0.05 * random_.unit();
+        if (!best.exists() || it.cost < best.cost)
             best = it;
-            best_cost = value;
-        }
+        if (is_local(it) &&
+            (!local.exists() ||
+             it.cost - it.tolerated < local.cost - local.tolerated))
+            local = it;
     }
-    return best;
+    if (far.is_near() || !best.exists() || is_local(best))
+        return best.it;
+    if (local.exists() && local.cost - local.tolerated < best.cost)
+        return local.it;
+    crossed_at_[service] = now;
+    return best.it;
+}
+
+remoteness load_balancer::remoteness_of(const std::vector<candidate>& all) const
+{
+    double least = crossing_cost::far_cost;
+    bool has_remote = false;
+    for (const auto& it : all) {
+        if (is_local(it))
+            continue;
+        has_remote = true;
+        least = std::min(least, crossing_.to(it.it->failure_domain));
+    }
+    return has_remote ? remoteness(least) : remoteness();
+}
+
+double load_balancer::cost_of_crossing(const candidate& of,
+                                       const std::string& service,
+                                       const remoteness& far) const
+{
+    if (is_local(of))
+        return 0;
+    if (far.is_near())
+        return crossing_cost::near_cost;
+    auto value = crossing_.to(of.it->failure_domain);
+    auto it = crossed_at_.find(service);
+    if (it == crossed_at_.end())
+        return value;
+    auto age = std::chrono::duration<double>(clock_.now() - it->second) /
+               std::chrono::duration<double>(crossing_memory);
+    return value - far.value() * crossing_hysteresis * std::max(0.0, 1 - age);
 }
 
 double load_balancer::recent_latency(const instance_stats& stats,
@@ -131,22 +187,23 @@
     return time > 0 && own < slow_link_ratio * time ? time : own;
 }
 
-double load_balancer::cost(const fleet::instance& it,
-                           const instance_stats& stats) const
+double load_balancer::cost(const candidate& of, const remoteness& far) const
 {
+    const auto& stats = *of.stats;
     double limit = std::max(
-        stats.last_report.limit > 0 ? stats.last_report.limit : it.slots, 1);
+        stats.last_report.limit > 0 ? stats.last_report.limit : of.it->slots,
+        1);
     double load = stats.in_flight;
     if (clock_.now() - stats.reported_at < report_validity)
         load =
             std::max(0, stats.last_report.running + stats.last_report.waiting +
                             stats.in_flight - stats.in_flight_at_report);
     double value = (load + 1) / limit;
+    value += far.crowding(value);
     if (load >= limit)
         value += full_cost;
-    if (it.failure_domain != own_domain_)
-        value += cross_domain_cost;
-    return value + failure_rate_cost * decayed_failure_rate(stats);
+    return value + failure_rate_cost * far.failure_factor() *
+                       decayed_failure_rate(stats);
 }
 
 double load_balancer::decayed_failure_rate(const instance_stats& stats) const
@@ -234,6 +291,12 @@
     speeds_.record(service, route, {name, it.route_time, {}, it.stamp_ms});
 }
 
+void load_balancer::record_round_trip(const std::string& name, duration took)
+{
+    if (const auto* it = fleet_.find(name))
+        crossing_.record(it->failure_domain, took);
+}
+
 backend_notice load_balancer::notice_of(const std::string& name) const
 {
     auto it = stats_.find(name);
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -4,7 +4,11 @@
 // it uses only this node's own calls in flight and the load reports in its own
 // responses, so no two nodes act on the same stale data. A call goes to the
 // instance with the lowest slot utilization, and stays in the local failure
-// domain until another one is clearly less utilized. An instance that takes
+// domain until another one is clearly less utilized; how clearly depends on the
+// round-trip time to it (crossing_cost). Between distant domains an instance
+// that is slow, but answers within the latency objective, is preferred to a
+// crossing, and a node that has crossed for lack of room goes on for a moment,
+// so that not all nodes return at the first free slot. An instance that takes
 // longer for this route than most others is avoided in proportion, and one that
 // takes longer than the call has left is used only if there is no other. The
 // times are those that the instances' nodes state (speed_board) or, where this
@@ -20,6 +24,7 @@
 #include "process/load/shed_key.hpp"
 #include "process/random_source.hpp"
 #include "process/routing/backend_notice.hpp"
+#include "process/routing/crossing_cost.hpp"
 #include "process/routing/speed_board.hpp"
 
 #include <string>
@@ -68,11 +73,13 @@
                   const fleet::fleet_view& fleet, std::string own_domain);
 
     // Returns a reachable instance of the service that accepts calls and is not
-    // in `tried`, or null. `remaining` is the time until the call's deadline.
+    // in `tried`, or null. `remaining` is the time until the call's deadline,
+    // `in_objective` that until its latency objective.
     const fleet::instance* choose(const std::string& service,
                                   const std::string& route,
                                   const std::vector<std::string>& tried,
-                                  duration remaining = duration::max());
+                                  duration remaining = duration::max(),
+                                  duration in_objective = duration::max());
 
     // Called when a call is sent and when it has ended.
     void sent(const std::string& name);
@@ -83,6 +90,10 @@
     void record_speed(const std::string& name, const std::string& service,
                       const std::string& route, const load_report& it);
     speed_board& speeds() { return speeds_; }
+
+    // Records the time of a ping or a short reply of the instance's node.
+    void record_round_trip(const std::string& name, duration took);
+    const crossing_cost& crossing() const { return crossing_; }
     // The latest notice of the instance's backend server.
     backend_notice notice_of(const std::string& name) const;
 
@@ -113,7 +124,30 @@
         std::unordered_map<std::string, latency_average> latency_by_route;
     };
 
-    double cost(const fleet::instance& it, const instance_stats& stats) const;
+    struct candidate {
+        const fleet::instance* it = nullptr;
+        const instance_stats* stats = nullptr;
+        // In microseconds; 0 if it is not known.
+        double time = 0;
+        double cost = 0;
+        // Part of the cost that does not count against a crossing.
+        double tolerated = 0;
+
+        bool exists() const { return it != nullptr; }
+    };
+
+    std::vector<candidate> candidates_of(const std::string& service,
+                                         const std::string& route,
+                                         const std::vector<std::string>& tried);
+    remoteness remoteness_of(const std::vector<candidate>& all) const;
+    double cost(const candidate& of, const remoteness& far) const;
+    // Cost of leaving the own domain for that of the candidate.
+    double cost_of_crossing(const candidate& of, const std::string& service,
+                            const remoteness& far) const;
+    bool is_local(const candidate& of) const
+    {
+        return of.it->failure_domain == crossing_.own_domain();
+    }
     void record_latency(latency_average& stats, duration elapsed) const;
     double decayed_failure_rate(const instance_stats& stats) const;
     double recent_latency(const instance_stats& stats,
@@ -126,7 +160,10 @@
     const clock& clock_;
     random_source& random_;
     const fleet::fleet_view& fleet_;
-    std::string own_domain_;
+    crossing_cost crossing_;
+    // When a call of the service last crossed between distant domains. Bounded
+    // by the services of all configurations seen.
+    std::unordered_map<std::string, time_point> crossed_at_;
     speed_board speeds_;
     std::unordered_map<std::string, instance_stats> stats_;
 };
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -58,9 +58,17 @@
 // than this node's network.
 constexpr std::size_t min_unreachable_links = 3;
 
+// A longer reply to a message says little about the round trip.
+constexpr std::size_t max_short_reply_bytes = 1024;
+
 // Largest reply to a message.
 constexpr std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
 
+std::string name_of(const peer_address& it)
+{
+    return it.host + ':' + std::to_string(it.port);
+}
+
 } // namespace
 
 // An attempt at another node.
@@ -305,8 +313,8 @@
                                   public std::enable_shared_from_this<message>
 {
 public:
-    message(const peer_links& owner, reply_handler done)
-        : owner_(owner), loop_(owner.loop_), done_(std::move(done))
+    message(peer_links& owner, const peer_address& to, reply_handler done)
+        : owner_(owner), to_(to), loop_(owner.loop_), done_(std::move(done))
     {
     }
 
@@ -318,6 +326,9 @@
         headers.add(":method", "POST");
         headers.add(path_header, path);
         owner_.introduce(headers, *over);
+        // Otherwise the time includes that of connecting.
+        if (over->established() && body.size() <= max_short_reply_bytes)
+            begun_at_ = loop_.now();
         stream_ = over->request(headers, true, shared_from_this());
         if (stream_ < 0) {
             finish(std::nullopt);
@@ -336,7 +347,13 @@
             reply_.append(bytes);
         session_->consumed(stream_, bytes.size());
     }
-    void on_end() override { finish(std::move(reply_)); }
+    void on_end() override
+    {
+        if (begun_at_ && reply_.size() <= max_short_reply_bytes)
+            owner_.load_balancer_.record_round_trip(name_of(to_),
+                                                    loop_.now() - *begun_at_);
+        finish(std::move(reply_));
+    }
     void on_closed(stream_close) override { finish(std::nullopt); }
 
 private:
@@ -359,9 +376,11 @@
         }
     }
 
-    const peer_links& owner_;
+    peer_links& owner_;
+    peer_address to_;
     loop::reactor& loop_;
     reply_handler done_;
+    std::optional<time_point> begun_at_;
     std::shared_ptr<session> session_;
     stream_number stream_ = -1;
     std::string reply_;
@@ -413,7 +432,7 @@
         done(std::nullopt);
         return;
     }
-    auto it = std::make_shared<message>(*this, std::move(done));
+    auto it = std::make_shared<message>(*this, to, std::move(done));
     it->begin(session_for(find_or_add_link(to)), path, body, limit);
 }
 
@@ -486,7 +505,7 @@
 
 peer_links::link& peer_links::find_or_add_link(const peer_address& to)
 {
-    auto name = to.host + ':' + std::to_string(to.port);
+    auto name = name_of(to);
     auto& it = links_[name];
     it.to = to;
     return it;
@@ -505,7 +524,7 @@
         }
         return of.session;
     }
-    auto name = of.to.host + ':' + std::to_string(of.to.port);
+    auto name = name_of(of.to);
     of.opened_at = now;
     if (traffic_ != nullptr) {
         of.traffic = traffic_->make_link(cross_domain_traffic::role::client);
@@ -517,6 +536,9 @@
             handle_session_closed(name, which);
         },
         of.traffic);
+    of.session->on_round_trip([this, name](duration took) {
+        load_balancer_.record_round_trip(name, took);
+    });
     ++counts_.at("peer_connections_opened");
     return of.session;
 }
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -614,6 +614,12 @@
         return;
     traffic_logged_at_ = now;
     traffic_.log();
+    const auto& crossing = load_balancer_.crossing();
+    for (const auto& domain : crossing.domains())
+        SHALLOTWOOD_LOG(info)
+            << "event=domain_distance" << field("domain", domain)
+            << field("round_trip_us", crossing.round_trip(domain).count())
+            << field("cost", crossing.to(domain));
 }
 
 void sidecar_node::apply_membership_change()
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -282,8 +282,9 @@
         fail(not_run(reason::draining, default_retry_after));
         return;
     }
-    const auto* at = node_.load_balancer().choose(service_, route_->name,
-                                                  tried_, remaining());
+    auto in_objective = route_->objective - (node_.loop().now() - arrived_);
+    const auto* at = node_.load_balancer().choose(
+        service_, route_->name, tried_, remaining(), in_objective);
     if (at == nullptr && workspace_ == nullptr && tried_.empty() &&
         node_.loop().now() - arrived_ + instance_retry_interval <
             max_queue_time()) {
