Send smaller heads between nodes, and only news of service times

Cause: values that change with each call (ids, times, load reports) do not compress, and displaced from the HPACK table those that repeat. Six service-time reports took 169 bytes in each head.

Change: a compact form of heads packs the numbers that change into one header and leaves out the request's id where another header has it. It is sent only to nodes that have shown to read it, so nodes of the former version get the former heads. A value enters the HPACK table only when it comes again. To other domains a node sends a service-time report only if the other end of the connection has not heard it and it differs by a tenth or is due for renewal, and to a distant domain only about instances there, if the service has any.

The measured round trip up to which a domain is near is 2.5 ms: 2 ms on the way, and the delays of the two processes.

A first request that was withdrawn before it left took the failure domain with it, so that the server never counted the connection. Requests carry it until one has left.

--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -22,7 +22,6 @@
 // Dynamic table for header compression in each direction. Requests repeat few
 // values, and every pair of nodes pays for two tables.
 constexpr std::uint32_t header_table_bytes = 2048;
-constexpr std::size_t max_indexed_bytes = 64;
 
 // Bytes of a frame before its payload.
 constexpr std::size_t frame_header_bytes = 9;
@@ -43,16 +42,15 @@
     return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
 }
 
-std::vector<nghttp2_nv> to_fields(const http::header_list& headers)
+std::vector<nghttp2_nv> to_fields(const http::header_list& headers,
+                                  index_policy& indexing)
 {
     std::vector<nghttp2_nv> all;
     all.reserve(headers.size());
     for (const auto& it : headers) {
-        // Long values are rarely repeated and would displace others from the
-        // dynamic table.
-        auto flag = it.value.size() > max_indexed_bytes
-                        ? NGHTTP2_NV_FLAG_NO_INDEX
-                        : NGHTTP2_NV_FLAG_NONE;
+        auto flag = indexing.indexes(it.name, it.value)
+                        ? NGHTTP2_NV_FLAG_NONE
+                        : NGHTTP2_NV_FLAG_NO_INDEX;
         all.push_back({bytes_of(it.name), bytes_of(it.value), it.name.size(),
                        it.value.size(), static_cast<std::uint8_t>(flag)});
     }
@@ -137,8 +135,7 @@
                                                             header_begun);
     nghttp2_session_callbacks_set_on_header_callback(calls, header_received);
     nghttp2_session_callbacks_set_on_frame_recv_callback(calls, frame_received);
-    if (meter_)
-        nghttp2_session_callbacks_set_on_frame_send_callback(calls, frame_sent);
+    nghttp2_session_callbacks_set_on_frame_send_callback(calls, frame_sent);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(calls,
                                                               data_received);
     nghttp2_session_callbacks_set_on_stream_close_callback(calls,
@@ -177,7 +174,7 @@
 {
     if (lost_ || !is_open())
         return -1;
-    auto fields = to_fields(headers);
+    auto fields = to_fields(headers, indexing_);
     nghttp2_data_provider body{};
     body.read_callback = read_output;
     const auto* path = meter_ ? headers.find(":path") : nullptr;
@@ -187,7 +184,6 @@
                                has_body ? &body : nullptr, user_data_of(kind));
     if (number < 0)
         return number;
-    has_requested_ = true;
     auto& it = streams_[number];
     it.events = std::move(events);
     it.output_ended = !has_body;
@@ -202,7 +198,7 @@
     if (it == nullptr || lost_)
         return;
     it->output_ended = !has_body;
-    auto fields = to_fields(headers);
+    auto fields = to_fields(headers, indexing_);
     nghttp2_data_provider body{};
     body.read_callback = read_output;
     nghttp2_submit_response(session_, number, fields.data(), fields.size(),
@@ -406,7 +402,11 @@
 int session::frame_sent(nghttp2_session*, const nghttp2_frame* frame,
                         void* self)
 {
-    static_cast<session*>(self)->count(frame_direction::sent, *frame);
+    auto& it = *static_cast<session*>(self);
+    if (frame->hd.type == NGHTTP2_HEADERS)
+        it.head_sent_ = true;
+    if (it.meter_)
+        it.count(frame_direction::sent, *frame);
     return 0;
 }
 
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -9,6 +9,7 @@
 #include "connection/http/message.hpp"
 #include "connection/net/byte_stream.hpp"
 #include "connection/peer/frame_meter.hpp"
+#include "connection/peer/index_policy.hpp"
 
 #include <functional>
 #include <map>
@@ -119,8 +120,9 @@
     bool ping_waiting() const { return ping_waiting_; }
     process::time_point heard() const { return heard_; }
     std::size_t streams() const { return streams_.size(); }
-    // At the client: a stream was opened on this connection.
-    bool has_requested() const { return has_requested_; }
+    // A head has left on this connection; one that was queued may have been
+    // withdrawn by reset().
+    bool head_sent() const { return head_sent_; }
     const meter_ptr& meter() const { return meter_; }
 
 private:
@@ -171,6 +173,7 @@
     nghttp2_session* session_ = nullptr;
     request_handler on_request_;
     end_handler on_lost_;
+    index_policy indexing_;
     meter_ptr meter_;
     round_trip_handler on_round_trip_;
     process::time_point pinged_at_{};
@@ -181,7 +184,7 @@
     bool lost_ = false;
     bool was_connected_ = false;
     bool established_ = false;
-    bool has_requested_ = false;
+    bool head_sent_ = false;
 };
 
 } // namespace shallotwood::connection::peer
--- a/src/process/routing/crossing_cost.hpp
+++ b/src/process/routing/crossing_cost.hpp
@@ -33,7 +33,9 @@
     // Less than the cost of an instance without a free slot, so that calls
     // cross before they queue.
     static constexpr double far_cost = 0.9;
-    static constexpr duration near_round_trip = std::chrono::milliseconds(2);
+    // 2 ms on the way, and the least that the two processes add.
+    static constexpr duration near_round_trip =
+        std::chrono::milliseconds(2) + std::chrono::microseconds(500);
     static constexpr duration far_round_trip = std::chrono::milliseconds(5);
     static constexpr duration window = std::chrono::seconds(10);
     static constexpr std::size_t max_domains = 256;
--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -297,6 +297,27 @@
         crossing_.record(it->failure_domain, took);
 }
 
+std::vector<instance_speed>
+load_balancer::useful_in(const std::string& domain, const std::string& service,
+                         std::vector<instance_speed> all) const
+{
+    if (remoteness(crossing_.to(domain)).is_near())
+        return all;
+    const auto& instances = fleet_.instances_of(service);
+    bool served_there =
+        std::any_of(instances.begin(), instances.end(), [&](const auto& n) {
+            return n.it->failure_domain == domain && n.it->takes_calls();
+        });
+    if (!served_there)
+        return all;
+    auto is_elsewhere = [&](const instance_speed& it) {
+        const auto* known = fleet_.find(it.instance);
+        return known == nullptr || known->failure_domain != domain;
+    };
+    all.erase(std::remove_if(all.begin(), all.end(), is_elsewhere), all.end());
+    return all;
+}
+
 backend_notice load_balancer::notice_of(const std::string& name) const
 {
     auto it = stats_.find(name);
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -94,6 +94,12 @@
     // Records the time of a ping or a short reply of the instance's node.
     void record_round_trip(const std::string& name, duration took);
     const crossing_cost& crossing() const { return crossing_; }
+    // The statements that a node of another domain may use. A node of a distant
+    // domain hardly chooses other instances than those of its domain, unless
+    // the service has none there.
+    std::vector<instance_speed>
+    useful_in(const std::string& domain, const std::string& service,
+              std::vector<instance_speed> all) const;
     // The latest notice of the instance's backend server.
     backend_notice notice_of(const std::string& name) const;
 
--- a/src/process/sidecar/cross_domain_traffic.cpp
+++ b/src/process/sidecar/cross_domain_traffic.cpp
@@ -48,8 +48,9 @@
     const stream_class* streams;
 };
 
-constexpr std::array<path_class, 7> path_classes = {
+constexpr std::array<path_class, 8> path_classes = {
     {{peer_path::run, &attempts},
+     {peer_path::compact_run, &attempts},
      {peer_path::attach, &attempts},
      {peer_path::fleet, &fleet},
      {peer_path::watch, &fleet},
@@ -103,6 +104,7 @@
 
 void cross_domain_traffic::link::set_domain(const std::string& domain)
 {
+    domain_ = domain;
     state_ = domain == own_domain_ ? state::own_domain : state::other_domain;
     if (state_ == state::own_domain)
         return;
--- a/src/process/sidecar/cross_domain_traffic.hpp
+++ b/src/process/sidecar/cross_domain_traffic.hpp
@@ -81,6 +81,9 @@
 
     bool domain_known() const { return state_ != state::unknown; }
     void set_domain(const std::string& domain);
+    // Of the other node; empty if it is not known.
+    const std::string& domain() const { return domain_; }
+    bool crosses() const { return state_ == state::other_domain; }
 
     const connection::peer::stream_class*
     class_of(std::string_view path) const override;
@@ -99,6 +102,7 @@
 
     role role_;
     std::string own_domain_;
+    std::string domain_;
     std::array<references, 2> bytes_;
     std::array<values, 2> pending_{};
     state state_ = state::unknown;
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -83,8 +83,8 @@
                    std::shared_ptr<request::attempt_receiver> receiver)
         : owner_(owner), to_(at.peer), name_(at.name()),
           incarnation_(at.incarnation), attempt_id_(what.attempt_id),
-          service_(what.service), route_(what.route),
-          repeatable_(what.repeatable), body_(what.body),
+          request_id_(what.request_id), service_(what.service),
+          route_(what.route), repeatable_(what.repeatable), body_(what.body),
           receiver_(std::move(receiver))
     {
     }
@@ -97,8 +97,9 @@
         }
         auto& of = owner_.find_or_add_link(to_);
         session_ = owner_.session_for(of);
+        state_ = of.state;
         bool has_body = !body_->empty() || body_->length();
-        auto headers = to_headers(what);
+        auto headers = head_of(what);
         owner_.introduce(headers, *session_);
         stream_ = session_->request(headers, has_body, shared_from_this());
         if (stream_ < 0) {
@@ -143,13 +144,15 @@
     void on_head(header_list&& headers) override
     {
         auto self = shared_from_this();
-        auto reply = reply_from_headers(std::move(headers));
+        state_->head_received(headers);
+        auto reply = reply_from_headers(std::move(headers), request_id_);
         if (!reply) {
             fail(execution::may_have_run, reason::malformed);
             return;
         }
         if (owner_.on_revision_)
             owner_.on_revision_(name_, reply->policy_revision);
+        state_->heard(service_, route_, reply->speeds);
         for (const auto& it : reply->speeds)
             owner_.load_balancer_.speeds().record(service_, route_, it);
         if (attaching_ && reply->failure &&
@@ -235,6 +238,7 @@
         attaching_ = true;
         auto& of = owner_.find_or_add_link(to_);
         session_ = owner_.session_for(of);
+        state_ = of.state;
         header_list headers;
         headers.add(":method", "GET");
         headers.add(path_header, peer_path::attach);
@@ -256,6 +260,17 @@
         });
     }
 
+    header_list head_of(const request::attempt_request& what)
+    {
+        auto speeds = state_->worth_telling(owner_.load_balancer_, service_,
+                                            route_, what.speeds);
+        if (speeds.size() == what.speeds.size())
+            return to_headers(what, state_->form());
+        auto shorter = what;
+        shorter.speeds = std::move(speeds);
+        return to_headers(shorter, state_->form());
+    }
+
     void give_up()
     {
         if (session_ && stream_ >= 0)
@@ -293,12 +308,14 @@
     std::string name_;
     std::uint64_t incarnation_;
     std::string attempt_id_;
+    std::string request_id_;
     std::string service_;
     std::string route_;
     bool repeatable_;
     std::shared_ptr<request::upload> body_;
     std::shared_ptr<request::attempt_receiver> receiver_;
     std::shared_ptr<session> session_;
+    std::shared_ptr<connection_state> state_;
     stream_number stream_ = -1;
     std::uint64_t body_sent_ = 0;
     bool body_ended_ = false;
@@ -526,16 +543,17 @@
     }
     auto name = name_of(of.to);
     of.opened_at = now;
-    if (traffic_ != nullptr) {
-        of.traffic = traffic_->make_link(cross_domain_traffic::role::client);
-        find_domain(name, of);
-    }
+    std::shared_ptr<cross_domain_traffic::link> traffic;
+    if (traffic_ != nullptr)
+        traffic = traffic_->make_link(cross_domain_traffic::role::client);
+    of.state = std::make_shared<connection_state>(loop_, traffic);
+    find_domain(name, of);
     of.session = session::connect(
         loop_, of.to,
         [this, name](const std::shared_ptr<session>& which) {
             handle_session_closed(name, which);
         },
-        of.traffic);
+        traffic);
     of.session->on_round_trip([this, name](duration took) {
         load_balancer_.record_round_trip(name, took);
     });
@@ -545,17 +563,21 @@
 
 void peer_links::introduce(header_list& headers, const session& over) const
 {
-    if (traffic_ != nullptr && !over.has_requested())
+    if (over.head_sent())
+        return;
+    headers.add(form_header, compact_form);
+    if (traffic_ != nullptr)
         headers.add(domain_header, traffic_->own_domain());
 }
 
 // A node of the seeds is known only after its first message.
 void peer_links::find_domain(const std::string& name, const link& of) const
 {
-    if (!of.traffic || of.traffic->domain_known())
+    const auto& traffic = of.state->traffic();
+    if (!traffic || traffic->domain_known())
         return;
     if (const auto* known = fleet_.find(name))
-        of.traffic->set_domain(known->failure_domain);
+        traffic->set_domain(known->failure_domain);
 }
 
 void peer_links::handle_session_closed(const std::string& name,
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -9,6 +9,7 @@
 #include "process/counters.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/routing/load_balancer.hpp"
+#include "process/sidecar/connection_state.hpp"
 #include "process/sidecar/cross_domain_traffic.hpp"
 #include "process/sidecar/peer_channel.hpp"
 #include "process/sidecar/peer_codec.hpp"
@@ -90,8 +91,8 @@
     struct link {
         peer_address to;
         std::shared_ptr<connection::peer::session> session;
-        // Null if bytes are not counted.
-        std::shared_ptr<cross_domain_traffic::link> traffic;
+        // Of the session.
+        std::shared_ptr<connection_state> state;
         time_point opened_at{};
         time_point ping_at{};
         time_point used_at{};
@@ -109,7 +110,8 @@
     void handle_session_closed(
         const std::string& name,
         const std::shared_ptr<connection::peer::session>& which);
-    // Adds the own failure domain to the first request on a connection.
+    // Adds the own failure domain and the form of heads that this node reads,
+    // unless a request that says so has left on the connection.
     void introduce(connection::http::header_list& headers,
                    const connection::peer::session& over) const;
     void find_domain(const std::string& name, const link& of) const;
--- a/src/process/sidecar/peer_server.cpp
+++ b/src/process/sidecar/peer_server.cpp
@@ -27,8 +27,8 @@
 {
 public:
     incoming_attempt(peer_server& owner, const session_ptr& from,
-                     stream_number stream)
-        : owner_(owner), session_(from), stream_(stream)
+                     const state_ptr& state, stream_number stream)
+        : owner_(owner), session_(from), state_(state), stream_(stream)
     {
     }
 
@@ -37,9 +37,11 @@
         body_ = what.body;
         service_ = what.service;
         route_ = what.route;
-        if (owner_.speeds_ != nullptr)
+        request_id_ = what.request_id;
+        state_->heard(service_, route_, what.speeds);
+        if (owner_.load_balancer_ != nullptr)
             for (const auto& it : what.speeds)
-                owner_.speeds_->record(service_, route_, it);
+                owner_.load_balancer_->speeds().record(service_, route_, it);
         pending_request_ =
             std::make_unique<request::attempt_request>(std::move(what));
     }
@@ -113,7 +115,7 @@
         reply.response = std::move(head);
         reply.length = length;
         responded_ = true;
-        session_->respond(stream_, to_headers(reply), true);
+        session_->respond(stream_, head_of(reply), true);
     }
 
     void on_response_body(std::string_view bytes) override
@@ -145,17 +147,24 @@
         }
         auto reply = new_reply();
         reply.failure = why;
-        session_->respond(stream_, to_headers(reply), false);
+        session_->respond(stream_, head_of(reply), false);
     }
 
 private:
+    header_list head_of(const attempt_reply& reply) const
+    {
+        return to_headers(reply, state_->form(), request_id_);
+    }
+
     attempt_reply new_reply() const
     {
         attempt_reply reply;
         auto self = owner_.self_();
         reply.load = load_;
-        if (owner_.speeds_ != nullptr)
-            reply.speeds = owner_.speeds_->select(service_, route_, {});
+        if (auto* balancer = owner_.load_balancer_)
+            reply.speeds = state_->worth_telling(
+                *balancer, service_, route_,
+                balancer->speeds().select(service_, route_, {}));
         reply.incarnation = self.incarnation;
         reply.policy_revision = self.policy_revision;
         return reply;
@@ -185,7 +194,9 @@
 
     peer_server& owner_;
     session_ptr session_;
+    state_ptr state_;
     stream_number stream_;
+    std::string request_id_;
     std::string service_;
     std::string route_;
     std::unique_ptr<request::attempt_request> pending_request_;
@@ -262,14 +273,16 @@
     std::shared_ptr<cross_domain_traffic::link> traffic;
     if (traffic_ != nullptr)
         traffic = traffic_->make_link(cross_domain_traffic::role::server);
+    auto state = std::make_shared<connection_state>(loop_, traffic);
     sessions_.insert(session::accept(
         loop_, fd,
-        [this, traffic](const session_ptr& from, stream_number stream,
-                        header_list&& headers) {
-            if (traffic && !traffic->domain_known())
+        [this, state](const session_ptr& from, stream_number stream,
+                      header_list&& headers) {
+            state->head_received(headers);
+            if (const auto& it = state->traffic(); it && !it->domain_known())
                 if (const auto* domain = headers.find(domain_header))
-                    traffic->set_domain(*domain);
-            return request(from, stream, std::move(headers));
+                    it->set_domain(*domain);
+            return request(from, state, stream, std::move(headers));
         },
         [this](const session_ptr& which) { sessions_.erase(which); }, traffic));
 }
@@ -296,21 +309,22 @@
 }
 
 std::shared_ptr<connection::peer::stream_events>
-peer_server::request(const session_ptr& from, stream_number stream,
-                     header_list&& headers)
+peer_server::request(const session_ptr& from, const state_ptr& state,
+                     stream_number stream, header_list&& headers)
 {
     const auto* path = headers.find(path_header);
     if (path == nullptr)
         return nullptr;
     if (*path == peer_path::attach) {
         const auto* id = headers.find("sw-attempt");
-        auto it = std::make_shared<incoming_attempt>(*this, from, stream);
+        auto it =
+            std::make_shared<incoming_attempt>(*this, from, state, stream);
         it->join(id == nullptr ? std::string() : *id);
         return it;
     }
-    if (*path != peer_path::run)
+    if (*path != peer_path::run && *path != peer_path::compact_run)
         return std::make_shared<incoming_message>(*this, from, stream, *path);
-    auto it = std::make_shared<incoming_attempt>(*this, from, stream);
+    auto it = std::make_shared<incoming_attempt>(*this, from, state, stream);
     auto what = attempt_from_headers(std::move(headers));
     if (!what) {
         it->on_failure(
--- a/src/process/sidecar/peer_server.hpp
+++ b/src/process/sidecar/peer_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection/peer/session.hpp"
+#include "process/sidecar/connection_state.hpp"
 #include "process/sidecar/cross_domain_traffic.hpp"
 #include "process/sidecar/local_executor.hpp"
 #include "process/sidecar/peer_codec.hpp"
@@ -37,7 +38,10 @@
 
     // Speeds of instances that requests name are recorded there, and replies
     // name those known there.
-    void set_speeds(routing::speed_board& speeds) { speeds_ = &speeds; }
+    void set_load_balancer(routing::load_balancer& load_balancer)
+    {
+        load_balancer_ = &load_balancer;
+    }
 
     // Counts the bytes of new connections there.
     void set_traffic(const cross_domain_traffic& traffic)
@@ -58,10 +62,12 @@
     class incoming_attempt;
     class incoming_message;
     using session_ptr = std::shared_ptr<connection::peer::session>;
+    using state_ptr = std::shared_ptr<connection_state>;
 
     void accept(int fd);
     std::shared_ptr<connection::peer::stream_events>
-    request(const session_ptr& from, connection::peer::stream_number stream,
+    request(const session_ptr& from, const state_ptr& state,
+            connection::peer::stream_number stream,
             connection::http::header_list&& headers);
 
     loop::reactor& loop_;
@@ -72,7 +78,7 @@
     connection::net::tcp_listener listener_;
     std::set<session_ptr> sessions_;
     const cross_domain_traffic* traffic_ = nullptr;
-    routing::speed_board* speeds_ = nullptr;
+    routing::load_balancer* load_balancer_ = nullptr;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -178,7 +178,7 @@
             backend_changed("former process");
     });
     exchange_.on_former_read([this] { handle_former_read("store"); });
-    peers_.set_speeds(load_balancer_.speeds());
+    peers_.set_load_balancer(load_balancer_);
     links_.set_traffic(traffic_);
     peers_.set_traffic(traffic_);
     links_.on_liveness([this] { tokens_.owners_changed(); });
--- a/tests/sidecar/test_cross_domain_traffic.cpp
+++ b/tests/sidecar/test_cross_domain_traffic.cpp
@@ -151,6 +151,17 @@
     CHECK(bytes_of(it.counts, "request", "sent") - first < first);
 }
 
+TEST_CASE("a service time that the other end knows does not cross again")
+{
+    fixture it("e");
+    it.view.learn(it.at);
+    it.run(true);
+    auto first = bytes_of(it.counts, "speeds", "sent");
+    CHECK(first > 0);
+    it.run(true);
+    CHECK(bytes_of(it.counts, "speeds", "sent") == first);
+}
+
 TEST_CASE("traffic in the own failure domain is not counted")
 {
     fixture it("d");
@@ -164,6 +175,18 @@
         }
 }
 
+// The first request carries the failure domain; the server must learn it from
+// the next one.
+TEST_CASE("a first request that is withdrawn leaves nothing uncounted")
+{
+    fixture it("e");
+    it.view.learn(it.at);
+    auto to = std::make_shared<run_recorder>();
+    it.links.start(it.at, run_on_s("withdrawn", true), to)->cancel();
+    it.run(false);
+    CHECK(bytes_of(it.server_counts, "request", "received") > 0);
+}
+
 // A node of the seeds is asked before its failure domain is known.
 TEST_CASE("bytes to a node that becomes known later are counted")
 {
