--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -58,9 +58,17 @@
 // than this node's network.
 constexpr std::size_t min_unreachable_links = 3;
 
+// A longer reply to a message says little about the round trip.
+constexpr std::size_t max_short_reply_bytes = 1024;
+
 // Largest reply to a message.
 constexpr std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
 
+std::string name_of(const peer_address& it)
+{
+    return it.host + ':' + std::to_string(it.port);
+}
+
 } // namespace
 
 // An attempt at another node.
@@ -75,8 +83,8 @@
                    std::shared_ptr<request::attempt_receiver> receiver)
         : owner_(owner), to_(at.peer), name_(at.name()),
           incarnation_(at.incarnation), attempt_id_(what.attempt_id),
-          service_(what.service), route_(what.route),
-          repeatable_(what.repeatable), body_(what.body),
+          request_id_(what.request_id), service_(what.service),
+          route_(what.route), repeatable_(what.repeatable), body_(what.body),
           receiver_(std::move(receiver))
     {
     }
@@ -89,9 +97,11 @@
         }
         auto& of = owner_.find_or_add_link(to_);
         session_ = owner_.session_for(of);
+        state_ = of.state;
         bool has_body = !body_->empty() || body_->length();
-        stream_ =
-            session_->request(to_headers(what), has_body, shared_from_this());
+        auto headers = head_of(what);
+        owner_.introduce(headers, *session_);
+        stream_ = session_->request(headers, has_body, shared_from_this());
         if (stream_ < 0) {
             fail(execution::not_run, reason::connection_failed);
             return;
@@ -134,13 +144,15 @@
     void on_head(header_list&& headers) override
     {
         auto self = shared_from_this();
-        auto reply = reply_from_headers(std::move(headers));
+        state_->head_received(headers);
+        auto reply = reply_from_headers(std::move(headers), request_id_);
         if (!reply) {
             fail(execution::may_have_run, reason::malformed);
             return;
         }
         if (owner_.on_revision_)
             owner_.on_revision_(name_, reply->policy_revision);
+        state_->heard(service_, route_, reply->speeds);
         for (const auto& it : reply->speeds)
             owner_.load_balancer_.speeds().record(service_, route_, it);
         if (attaching_ && reply->failure &&
@@ -226,10 +238,12 @@
         attaching_ = true;
         auto& of = owner_.find_or_add_link(to_);
         session_ = owner_.session_for(of);
+        state_ = of.state;
         header_list headers;
         headers.add(":method", "GET");
         headers.add(path_header, peer_path::attach);
         headers.add("sw-attempt", attempt_id_);
+        owner_.introduce(headers, *session_);
         stream_ = session_->request(headers, false, shared_from_this());
         if (stream_ < 0) {
             fail(execution::may_have_run, reason::connection_silent);
@@ -246,6 +260,17 @@
         });
     }
 
+    header_list head_of(const request::attempt_request& what)
+    {
+        auto speeds = state_->worth_telling(owner_.load_balancer_, service_,
+                                            route_, what.speeds);
+        if (speeds.size() == what.speeds.size())
+            return to_headers(what, state_->form());
+        auto shorter = what;
+        shorter.speeds = std::move(speeds);
+        return to_headers(shorter, state_->form());
+    }
+
     void give_up()
     {
         if (session_ && stream_ >= 0)
@@ -283,12 +308,14 @@
     std::string name_;
     std::uint64_t incarnation_;
     std::string attempt_id_;
+    std::string request_id_;
     std::string service_;
     std::string route_;
     bool repeatable_;
     std::shared_ptr<request::upload> body_;
     std::shared_ptr<request::attempt_receiver> receiver_;
     std::shared_ptr<session> session_;
+    std::shared_ptr<connection_state> state_;
     stream_number stream_ = -1;
     std::uint64_t body_sent_ = 0;
     bool body_ended_ = false;
@@ -303,8 +330,8 @@
                                   public std::enable_shared_from_this<message>
 {
 public:
-    message(loop::reactor& loop, reply_handler done)
-        : loop_(loop), done_(std::move(done))
+    message(peer_links& owner, const peer_address& to, reply_handler done)
+        : owner_(owner), to_(to), loop_(owner.loop_), done_(std::move(done))
     {
     }
 
@@ -315,6 +342,10 @@
         header_list headers;
         headers.add(":method", "POST");
         headers.add(path_header, path);
+        owner_.introduce(headers, *over);
+        // Otherwise the time includes that of connecting.
+        if (over->established() && body.size() <= max_short_reply_bytes)
+            begun_at_ = loop_.now();
         stream_ = over->request(headers, true, shared_from_this());
         if (stream_ < 0) {
             finish(std::nullopt);
@@ -333,7 +364,13 @@
             reply_.append(bytes);
         session_->consumed(stream_, bytes.size());
     }
-    void on_end() override { finish(std::move(reply_)); }
+    void on_end() override
+    {
+        if (begun_at_ && reply_.size() <= max_short_reply_bytes)
+            owner_.load_balancer_.record_round_trip(name_of(to_),
+                                                    loop_.now() - *begun_at_);
+        finish(std::move(reply_));
+    }
     void on_closed(stream_close) override { finish(std::nullopt); }
 
 private:
@@ -356,8 +393,11 @@
         }
     }
 
+    peer_links& owner_;
+    peer_address to_;
     loop::reactor& loop_;
     reply_handler done_;
+    std::optional<time_point> begun_at_;
     std::shared_ptr<session> session_;
     stream_number stream_ = -1;
     std::string reply_;
@@ -409,7 +449,7 @@
         done(std::nullopt);
         return;
     }
-    auto it = std::make_shared<message>(loop_, std::move(done));
+    auto it = std::make_shared<message>(*this, to, std::move(done));
     it->begin(session_for(find_or_add_link(to)), path, body, limit);
 }
 
@@ -482,7 +522,7 @@
 
 peer_links::link& peer_links::find_or_add_link(const peer_address& to)
 {
-    auto name = to.host + ':' + std::to_string(to.port);
+    auto name = name_of(to);
     auto& it = links_[name];
     it.to = to;
     return it;
@@ -501,16 +541,45 @@
         }
         return of.session;
     }
-    auto name = of.to.host + ':' + std::to_string(of.to.port);
+    auto name = name_of(of.to);
     of.opened_at = now;
+    std::shared_ptr<cross_domain_traffic::link> traffic;
+    if (traffic_ != nullptr)
+        traffic = traffic_->make_link(cross_domain_traffic::role::client);
+    of.state = std::make_shared<connection_state>(loop_, traffic);
+    find_domain(name, of);
     of.session = session::connect(
-        loop_, of.to, [this, name](const std::shared_ptr<session>& which) {
+        loop_, of.to,
+        [this, name](const std::shared_ptr<session>& which) {
             handle_session_closed(name, which);
-        });
+        },
+        traffic);
+    of.session->on_round_trip([this, name](duration took) {
+        load_balancer_.record_round_trip(name, took);
+    });
     ++counts_.at("peer_connections_opened");
     return of.session;
 }
 
+void peer_links::introduce(header_list& headers, const session& over) const
+{
+    if (over.head_sent())
+        return;
+    headers.add(form_header, compact_form);
+    if (traffic_ != nullptr)
+        headers.add(domain_header, traffic_->own_domain());
+}
+
+// A node of the seeds is known only after its first message.
+void peer_links::find_domain(const std::string& name, const link& of) const
+{
+    const auto& traffic = of.state->traffic();
+    if (!traffic || traffic->domain_known())
+        return;
+    if (const auto* known = fleet_.find(name))
+        traffic->set_domain(known->failure_domain);
+}
+
 void peer_links::handle_session_closed(const std::string& name,
                                        const std::shared_ptr<session>& which)
 {
@@ -588,6 +657,7 @@
             session_for(of);
         return;
     }
+    find_domain(name, of);
     auto session = of.session;
     if (session->streams() > 0) {
         of.used_at = now;
--- a/src/process/sidecar/peer_server.hpp
+++ b/src/process/sidecar/peer_server.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "connection/peer/session.hpp"
+#include "process/sidecar/connection_state.hpp"
+#include "process/sidecar/cross_domain_traffic.hpp"
 #include "process/sidecar/local_executor.hpp"
 #include "process/sidecar/peer_codec.hpp"
 
@@ -36,7 +38,16 @@
 
     // Speeds of instances that requests name are recorded there, and replies
     // name those known there.
-    void set_speeds(routing::speed_board& speeds) { speeds_ = &speeds; }
+    void set_load_balancer(routing::load_balancer& load_balancer)
+    {
+        load_balancer_ = &load_balancer;
+    }
+
+    // Counts the bytes of new connections there.
+    void set_traffic(const cross_domain_traffic& traffic)
+    {
+        traffic_ = &traffic;
+    }
 
     std::string listen(const peer_address& address);
     // Closes all connections and cancels those of their attempts that may
@@ -51,9 +62,12 @@
     class incoming_attempt;
     class incoming_message;
     using session_ptr = std::shared_ptr<connection::peer::session>;
+    using state_ptr = std::shared_ptr<connection_state>;
 
+    void accept(int fd);
     std::shared_ptr<connection::peer::stream_events>
-    request(const session_ptr& from, connection::peer::stream_number stream,
+    request(const session_ptr& from, const state_ptr& state,
+            connection::peer::stream_number stream,
             connection::http::header_list&& headers);
 
     loop::reactor& loop_;
@@ -63,7 +77,8 @@
     revision_handler on_revision_;
     connection::net::tcp_listener listener_;
     std::set<session_ptr> sessions_;
-    routing::speed_board* speeds_ = nullptr;
+    const cross_domain_traffic* traffic_ = nullptr;
+    routing::load_balancer* load_balancer_ = nullptr;
 };
 
 } // namespace shallotwood::process::sidecar
