Limit the requests that a cold backend server gets

Cause: a backend server that has just started is slow and crashes when it gets many requests a second; the node started as many as there were slots.

Change: load::cold_start keeps the time until which the server is cold, from its announcements, new starts and connections that break together, and gives admission_controller a second limit of starts. The instance's entry carries the rate, and routing::cold_placement sends a cold instance the part of the calls that it can serve. Inactive unless the configuration names a rate.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -164,14 +164,24 @@
 
 void client_connection::on_end(net::stream_end how)
 {
-    if (events_ == nullptr)
+    bool idle = events_ == nullptr;
+    if (idle && keep_alive_ && lost_)
+        lost_();
+    if (idle)
         return;
     bool whole = how == net::stream_end::finished && answered_ && !dropping_ &&
                  reader_->put_end();
     if (whole)
         end_call(false);
     else
-        fail(false);
+        lose();
+}
+
+void client_connection::lose()
+{
+    if (was_connected_ && lost_)
+        lost_();
+    fail(false);
 }
 
 void client_connection::fail(bool malformed)
--- a/src/connection/http/client_connection.hpp
+++ b/src/connection/http/client_connection.hpp
@@ -9,6 +9,7 @@
 #include "connection/http/reader.hpp"
 #include "connection/net/byte_stream.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -75,6 +76,9 @@
     // How long the server keeps an idle connection, if it has said so.
     std::optional<process::duration> announced_idle() const { return keep_; }
     bool used() const { return calls_ > 1; }
+    // Called when the connection ends, other than by this side, while it had a
+    // request without a whole answer or could have taken one.
+    void on_lost(std::function<void()> tell) { lost_ = std::move(tell); }
 
 private:
     void on_connected() override;
@@ -88,6 +92,7 @@
     void new_reader();
     // The answer is whole.
     void end_call(bool more_bytes);
+    void lose();
     void fail(bool malformed);
     void note_keep_alive(const header_list& headers);
 
@@ -96,6 +101,7 @@
     call_events* events_ = nullptr;
     std::string echo_;
     std::string pending_;
+    std::function<void()> lost_;
     process::time_point idle_since_;
     std::optional<process::duration> keep_;
     int calls_ = 0;
--- a/src/connection/http/client_pool.hpp
+++ b/src/connection/http/client_pool.hpp
@@ -7,6 +7,11 @@
 
 #include "connection/http/client_connection.hpp"
 
+#include "process/callback_guard.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
 #include <vector>
 
 namespace shallotwood::connection::http
@@ -38,9 +43,28 @@
     void give_back(std::shared_ptr<client_connection> it);
     void close_idle();
 
+    // Called when all connections have broken within `loss_window` although
+    // several were open: the server may have restarted. Connections opened
+    // after the first one broke may be open.
+    void on_all_lost(std::function<void()> tell)
+    {
+        all_lost_ = std::move(tell);
+    }
+    // Connections that broke within `loss_window`.
+    std::size_t recent_losses();
+    static constexpr process::duration loss_window =
+        std::chrono::milliseconds(100);
+
     std::uint64_t opened() const { return opened_; }
 
 private:
+    struct open_connection {
+        std::weak_ptr<client_connection> it;
+        process::time_point opened_at;
+    };
+    std::shared_ptr<client_connection> open();
+    void handle_loss(const client_connection& it);
+    void forget_closed();
     bool is_fresh(const client_connection& it, process::duration newest) const;
 
     process::loop::reactor& loop_;
@@ -50,6 +74,12 @@
     // Used last at the end.
     std::vector<std::shared_ptr<client_connection>> idle_;
     std::uint64_t opened_ = 0;
+    // Busy ones and idle ones.
+    std::vector<open_connection> open_;
+    // Times of the latest losses, oldest first.
+    std::deque<process::time_point> losses_;
+    std::function<void()> all_lost_;
+    process::callback_guard guard_;
 };
 
 } // namespace shallotwood::connection::http
--- a/src/process/fleet/instance.cpp
+++ b/src/process/fleet/instance.cpp
@@ -23,6 +23,15 @@
 // Larger numbers are not of a backend server.
 constexpr int max_slots = 1'000'000;
 
+// Larger rates are not of a cold backend server.
+constexpr double max_cold_rate = 1e6;
+
+bool is_cold_rate(const Json::Value& from)
+{
+    return from.isNumeric() && from.asDouble() > 0 &&
+           from.asDouble() <= max_cold_rate;
+}
+
 bool has_fields(const Json::Value& from)
 {
     if (!from.isObject())
@@ -66,6 +75,8 @@
         to["backend_started_ms"] = Json::UInt64(it.backend_started_at_ms);
     to["state"] = std::string(name_of(it.state));
     to["slots"] = it.slots;
+    if (it.is_cold())
+        to["cold_rate"] = it.cold_rate;
     return to;
 }
 
@@ -92,6 +103,11 @@
         return std::nullopt;
     it.state = *state;
     it.slots = from["slots"].asInt();
+    // Sent only while the backend server is cold.
+    if (const auto& rate = from["cold_rate"]; is_cold_rate(rate))
+        it.cold_rate = rate.asDouble();
+    else if (!rate.isNull())
+        return std::nullopt;
     return it;
 }
 
--- a/src/process/fleet/instance.hpp
+++ b/src/process/fleet/instance.hpp
@@ -45,6 +45,9 @@
     std::uint64_t backend_started_at_ms = 0;
     backend_state state = backend_state::unknown;
     int slots = 0;
+    // Requests per second that the backend server takes while it is cold; 0 if
+    // it is warm.
+    double cold_rate = 0;
 
     std::uint64_t backend_key() const
     {
@@ -59,6 +62,7 @@
         return std::tie(incarnation, sequence) >
                std::tie(other.incarnation, other.sequence);
     }
+    bool is_cold() const { return cold_rate > 0; }
     bool takes_calls() const
     {
         return !leaving && state == backend_state::ready;
@@ -68,7 +72,7 @@
     {
         return std::tie(peer, failure_domain, incarnation, sequence, leaving,
                         service, backend_id, backend_started_at_ms, state,
-                        slots);
+                        slots, cold_rate);
     }
     friend bool operator==(const instance& a, const instance& b)
     {
--- a/src/process/load/admission_controller.cpp
+++ b/src/process/load/admission_controller.cpp
@@ -48,22 +48,37 @@
 
 bool admission_controller::has_room() const
 {
-    return running_ < limit_ && pacer_.may_start(clock_.now());
+    return running_ < limit_ && paced_wait(1).count() <= 0;
+}
+
+void admission_controller::record_start()
+{
+    pacer_.started(clock_.now());
+    cold_pacer_.started(clock_.now());
+}
+
+duration admission_controller::paced_wait(std::size_t count) const
+{
+    auto now = clock_.now();
+    return std::max(pacer_.wait_for(count, now),
+                    cold_pacer_.wait_for(count, now));
 }
 
 int admission_controller::limit() const
 {
-    if (!pacer_.rate())
+    auto rate = pacer_.rate();
+    if (cold_pacer_.rate())
+        rate =
+            std::min(rate.value_or(*cold_pacer_.rate()), *cold_pacer_.rate());
+    if (!rate)
         return limit_;
-    double paced =
-        *pacer_.rate() * std::chrono::duration<double>(service_time_).count();
+    double paced = *rate * std::chrono::duration<double>(service_time_).count();
     return std::clamp(static_cast<int>(std::ceil(paced)), 1, limit_);
 }
 
 duration admission_controller::retry_after() const
 {
-    return std::max(service_time_,
-                    pacer_.wait_for(waiting_.size() + 1, clock_.now()));
+    return std::max(service_time_, paced_wait(waiting_.size() + 1));
 }
 
 void admission_controller::set_rate_limit(std::optional<double> per_second)
@@ -72,6 +87,17 @@
     run_waiting();
 }
 
+void admission_controller::set_cold_limit(const std::optional<start_limit>& it)
+{
+    auto before = cold_pacer_.rate();
+    cold_pacer_.set_limit(it);
+    auto after = cold_pacer_.rate();
+    if (after && (!before || *after < *before))
+        cold_pacer_.drop_burst(clock_.now());
+    else if (before && (!after || *after > *before))
+        run_waiting();
+}
+
 void admission_controller::set_slots(int slots)
 {
     slots_ = std::max(slots, 1);
@@ -86,7 +112,7 @@
     set_period_timer();
     if (has_room() && waiting_.empty()) {
         ++running_;
-        pacer_.started(clock_.now());
+        record_start();
         observe();
         done(admission_decision::run);
         return;
@@ -142,8 +168,7 @@
     auto ahead = std::distance(waiting_.begin(),
                                waiting_.lower_bound(queue_position_of(it)));
     auto place = static_cast<std::size_t>(ahead) + 1;
-    return std::max(service_time_ * (ahead + 1) / limit_,
-                    pacer_.wait_for(place, clock_.now()));
+    return std::max(service_time_ * (ahead + 1) / limit_, paced_wait(place));
 }
 
 void admission_controller::run_waiting()
@@ -158,7 +183,7 @@
             continue;
         }
         ++running_;
-        pacer_.started(clock_.now());
+        record_start();
         it.done(admission_decision::run);
     }
     observe();
--- a/src/process/load/admission_controller.hpp
+++ b/src/process/load/admission_controller.hpp
@@ -7,7 +7,8 @@
 //
 // The limit is a part of the slots that the backend server announces: backend
 // servers slow down when nearly all of their slots are taken. A backend server
-// may also limit the rate at which calls start.
+// may also limit the rate at which calls start, and one that is cold gets calls
+// at a lower rate; the lower limit holds.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -61,8 +62,12 @@
     void set_slots(int slots);
     // Limits the calls that start in a second; nothing for no limit.
     void set_rate_limit(std::optional<double> per_second);
+    // The limit while the backend server is cold; nothing if it is warm.
+    void set_cold_limit(const std::optional<start_limit>& it);
     // An admitted call is sent to the backend server once more.
-    void resent() { pacer_.started(clock_.now()); }
+    void resent() { record_start(); }
+    // False if a cold backend server has no room for a call that is resent.
+    bool may_resend() const { return cold_pacer_.may_start(clock_.now()); }
 
     void arrive(const admission_request& it, decision done);
     // Removes a queued call; its decision callback isn't called.
@@ -96,6 +101,9 @@
     static queue_position queue_position_of(const admission_request& it);
 
     bool has_room() const;
+    void record_start();
+    // Time until `count` further calls may have started.
+    duration paced_wait(std::size_t count) const;
     void observe();
     void run_waiting();
     void expire();
@@ -109,6 +117,7 @@
     int limit_ = 1;
     int running_ = 0;
     start_pacer pacer_;
+    start_pacer cold_pacer_;
     std::map<queue_position, entry> waiting_;
     std::unordered_map<std::uint64_t, queue_position> queue_positions_;
     duration service_time_{};
--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -1,6 +1,9 @@
 #include "process/routing/load_balancer.hpp"
 
+#include "process/routing/cold_placement.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace shallotwood::process::routing
 {
@@ -50,6 +53,10 @@
 // Ejection time after a refusal for overload.
 constexpr duration overload_ejection_time = std::chrono::milliseconds(20);
 
+// Longest ejection time after a refusal by a cold instance, whose node says
+// when there will be room.
+constexpr duration max_cold_ejection_time = std::chrono::seconds(3);
+
 } // namespace
 
 load_balancer::load_balancer(const clock& time, random_source& random,
@@ -78,21 +85,36 @@
         if (!it->takes_calls() ||
             std::find(tried.begin(), tried.end(), *name) != tried.end())
             continue;
-        const auto& stats = stats_[*name];
+        auto& stats = stats_[*name];
         if (!stats.reachable)
             continue;
         // Its node may have restarted since and not know it.
         if (stats.notice.leaving && stats.notice.backend == it->backend_key())
             continue;
+        // Its limit was that of a cold server.
+        if (std::exchange(stats.cold, it->is_cold()) && !it->is_cold())
+            stats.last_report.limit = 0;
         double time = expected_time(stats, route, stated.of(*name));
         candidates.push_back({it, &stats, time});
-        if (time > 0)
+        if (time > 0 && !it->is_cold())
             times.push_back(time);
     }
     double usual = lower_quartile(times);
+    cold_placement placement(usual);
+    for (const auto& [it, stats, time] : candidates)
+        if (!it->is_cold())
+            placement.add_warm(it->slots);
+        else
+            placement.add_cold(
+                *it, now >= stats->ejected_until &&
+                         time <= static_cast<double>(remaining.count()));
+    if (const auto* it = placement.choose(random_))
+        return it;
     const fleet::instance* best = nullptr;
     double best_cost = 0;
     for (const auto& [it, stats, time] : candidates) {
+        if (it->is_cold())
+            continue;
         double value = cost(*it, *stats);
         if (time > 0)
             value += excess_time_cost *
@@ -163,7 +185,8 @@
 }
 
 void load_balancer::ended(const std::string& name, const std::string& route,
-                          attempt_outcome how, duration elapsed)
+                          attempt_outcome how, duration elapsed,
+                          std::optional<duration> retry_after)
 {
     auto& stats = stats_[name];
     stats.in_flight = std::max(0, stats.in_flight - 1);
@@ -183,6 +206,10 @@
         break;
     case attempt_outcome::refused_overload:
         stats.ejected_until = now + overload_ejection_time;
+        if (const auto* it = fleet_.find(name);
+            retry_after && it != nullptr && it->is_cold())
+            stats.ejected_until =
+                now + std::min(*retry_after, max_cold_ejection_time);
         break;
     case attempt_outcome::refused_unavailable:
     case attempt_outcome::failed: {
@@ -234,6 +261,17 @@
     speeds_.record(service, route, {name, it.route_time, {}, it.stamp_ms});
 }
 
+bool load_balancer::is_cold_among_warm(const std::string& name) const
+{
+    const auto* of = fleet_.find(name);
+    if (of == nullptr || !of->is_cold())
+        return false;
+    const auto& all = fleet_.instances_of(of->service);
+    return std::any_of(all.begin(), all.end(), [](const auto& entry) {
+        return entry.it->takes_calls() && !entry.it->is_cold();
+    });
+}
+
 backend_notice load_balancer::notice_of(const std::string& name) const
 {
     auto it = stats_.find(name);
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -13,6 +13,9 @@
 // look like a slow backend server. An instance that fails some of its calls is
 // penalized in proportion to its failure rate. A candidate that refuses, or
 // fails every call, is ejected for a time that doubles with each repetition.
+//
+// Cold instances get the calls that cold_placement decides on, and no others
+// while there is a warm one.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -22,6 +25,7 @@
 #include "process/routing/backend_notice.hpp"
 #include "process/routing/speed_board.hpp"
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -76,8 +80,10 @@
 
     // Called when a call is sent and when it has ended.
     void sent(const std::string& name);
+    // `retry_after` is what a refusal says of its duration.
     void ended(const std::string& name, const std::string& route,
-               attempt_outcome how, duration elapsed);
+               attempt_outcome how, duration elapsed,
+               std::optional<duration> retry_after = std::nullopt);
     void report(const std::string& name, const load_report& it);
     // Records the time that the instance states for the route in its report.
     void record_speed(const std::string& name, const std::string& service,
@@ -86,6 +92,10 @@
     // The latest notice of the instance's backend server.
     backend_notice notice_of(const std::string& name) const;
 
+    // True if the instance is cold while others of its service are warm. What
+    // it sheds then says nothing of the service.
+    bool is_cold_among_warm(const std::string& name) const;
+
     // Records whether the node of the instance responds.
     void set_reachable(const std::string& name, bool reachable);
 
@@ -102,6 +112,8 @@
         // in_flight when the last report arrived.
         int in_flight_at_report = 0;
         bool reachable = true;
+        // The last choice has seen it cold.
+        bool cold = false;
         int failures = 0;
         // Moving average: 1 for a failure, 0 for a response. The instance's own
         // report covers the calls of all nodes; this average also includes
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -51,6 +51,9 @@
 // An attempt is not started with less time than this before its deadline.
 constexpr duration min_execution_time = std::chrono::milliseconds(5);
 
+// A cold time is logged again if it ends later by more than this.
+constexpr duration cold_log_step = std::chrono::milliseconds(500);
+
 // The backend server runs on the same machine, so unacknowledged data means
 // that nothing listens any more.
 constexpr connection::net::liveness backend_liveness{
@@ -75,10 +78,14 @@
     load::crash_suspects& suspects)
     : loop_(loop), adapter_(adapter), counts_(counts), backend_(backend),
       shed_thresholds_(shed_thresholds), suspects_(suspects),
-      admission_controller_(loop, loop), service_times_(loop),
-      pool_(loop, backend_options(adapter))
+      admission_controller_(loop, loop),
+      cold_(
+          loop, loop, [this] { return capacity(); },
+          [this] { cold_changed(); }),
+      service_times_(loop), pool_(loop, backend_options(adapter))
 {
     pool_.set_address(backend.address());
+    pool_.on_all_lost([this] { cold_.suspect_restart(); });
 }
 
 local_executor::~local_executor()
@@ -123,6 +130,9 @@
         notice_ = {backend_.key(), 0, false};
         notice_recorded_ = false;
         admission_controller_.set_rate_limit(std::nullopt);
+        // They were opened to the server's earlier start.
+        if (cold_.limits())
+            pool_.close_idle();
     }
     pool_.set_address(backend_.address());
     if (backend_.slots() > 0)
@@ -131,6 +141,65 @@
         admission_controller_.refuse_all();
 }
 
+void local_executor::handle_announcement(const announcement& it,
+                                         bool started_in_traffic)
+{
+    cold_.handle_announcement(backend_.key(), started_in_traffic,
+                              it.warmup_left);
+}
+
+double local_executor::capacity() const
+{
+    auto time =
+        std::chrono::duration<double>(admission_controller_.service_time());
+    return backend_.slots() / std::max(time.count(), 1e-6);
+}
+
+bool local_executor::may_resend()
+{
+    // Several connections that break together are signs of a restart; what is
+    // sent again then would meet a cold server all at once.
+    return !cold_.limits() ||
+           (pool_.recent_losses() <= 1 && admission_controller_.may_resend());
+}
+
+void local_executor::cold_changed()
+{
+    admission_controller_.set_cold_limit(cold_.limit());
+    auto phase = cold_.phase();
+    auto until = loop_.now() + cold_.left();
+    bool was_cold = logged_phase_ == load::cold_phase::cold;
+    bool entered = phase == load::cold_phase::cold && !was_cold;
+    bool worth_a_line = entered || cold_.cause() != logged_cause_ ||
+                        until > logged_until_ + cold_log_step;
+    if (entered)
+        ++counts_.at("cold_starts");
+    if (phase == load::cold_phase::cold && worth_a_line) {
+        logged_cause_ = cold_.cause();
+        logged_until_ = until;
+        if (telemetry::allow(decision::state))
+            SHALLOTWOOD_LOG(info)
+                << "event=backend_cold" << field("backend", backend_.id())
+                << field("cause", name_of(cold_.cause()))
+                << field("rate", cold_.published_rate())
+                << field("until_ms",
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             cold_.left())
+                             .count())
+                << field("running", admission_controller_.running())
+                << field("waiting", admission_controller_.waiting());
+    }
+    if (phase == load::cold_phase::warm && phase != logged_phase_ &&
+        telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=backend_warm" << field("backend", backend_.id())
+            << field("running", admission_controller_.running())
+            << field("waiting", admission_controller_.waiting());
+    logged_phase_ = phase;
+    if (cold_listener_)
+        cold_listener_();
+}
+
 routing::load_report local_executor::load(const std::string& route) const
 {
     return {admission_controller_.running(),
@@ -283,6 +352,9 @@
 {
     if (it == load::admission_decision::refused) {
         auto why = owner_.refusal().value_or(reason::overload);
+        if (why == reason::overload &&
+            owner_.cold_.phase() == load::cold_phase::cold)
+            ++owner_.counts_.at("cold_refusals");
         refuse(why, owner_.admission_controller_.retry_after());
         return;
     }
@@ -440,7 +512,8 @@
     bool was_idle = connection_->used() && why.unanswered && !why.malformed &&
                     took < idle_close_limit;
     if (was_idle && request_.repeatable && !resent_ &&
-        request_.body->replayable() && remaining() > min_execution_time) {
+        request_.body->replayable() && remaining() > min_execution_time &&
+        owner_.may_resend()) {
         resent_ = true;
         ++owner_.counts_.at("backend_idle_closes");
         owner_.admission_controller_.resent();
@@ -450,8 +523,10 @@
     release_backend();
     owner_.record_outcome(true);
     if (why.unsent) {
-        if (owner_.backend_.unreachable() == local_backend::effect::changed)
+        if (owner_.backend_.unreachable() == local_backend::effect::changed) {
             owner_.handle_backend_crash();
+            owner_.cold_.suspect_restart();
+        }
         if (owner_.backend_listener_)
             owner_.backend_listener_("unreachable");
         refuse(reason::connection_failed);
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -10,6 +10,7 @@
 #include "process/callback_guard.hpp"
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
+#include "process/load/cold_start.hpp"
 #include "process/load/crash_suspects.hpp"
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
@@ -63,6 +64,22 @@
     // The backend server has crashed: reports the requests that were in flight,
     // any of which may be the cause.
     void handle_backend_crash();
+    // An announcement that `backend` has accepted; call it before
+    // backend_changed(), so that a cold server gets no burst.
+    // `started_in_traffic` as for load::cold_start.
+    void handle_announcement(const announcement& it, bool started_in_traffic);
+    void set_cold_bound(const load::cold_bound& it) { cold_.set_bound(it); }
+    // What the policy in force says of the backend server's service.
+    void set_cold_policy(const load::cold_policy& it) { cold_.set_policy(it); }
+    // Treats the backend server as cold for the time that it stays so after a
+    // start, for example at the end of an evacuation.
+    void assume_cold(load::cold_cause cause) { cold_.assume_cold(cause); }
+    const load::cold_start& cold() const { return cold_; }
+    // Called when cold() may have changed.
+    void on_cold_changed(std::function<void()> changed)
+    {
+        cold_listener_ = std::move(changed);
+    }
     // Refuses all new attempts from now on.
     void set_leaving() { leaving_ = true; }
 
@@ -104,6 +121,11 @@
 private:
     friend class local_attempt;
     std::optional<request::reason> refusal() const;
+    // What the backend server serves when it is warm, in requests per second.
+    double capacity() const;
+    void cold_changed();
+    // Whether a request whose idle connection was closed may be sent again.
+    bool may_resend();
     // The backend server's latest response says so.
     void record_notice(const routing::backend_notice& it);
     // Another node knows of an earlier response, which this node may have
@@ -122,9 +144,15 @@
     load::crash_suspects& suspects_;
     settings settings_;
     load::admission_controller admission_controller_;
+    load::cold_start cold_;
     load::service_times service_times_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
+    std::function<void()> cold_listener_;
+    // Phase and end of the cold time that were logged last.
+    load::cold_phase logged_phase_ = load::cold_phase::warm;
+    load::cold_cause logged_cause_ = load::cold_cause::announced;
+    time_point logged_until_{};
     std::function<bool(duration)> may_start_;
     crash_listener crash_listener_;
     // Attempts whose connections broke within the last seconds, oldest first.
--- a/src/process/sidecar/node_settings.cpp
+++ b/src/process/sidecar/node_settings.cpp
@@ -57,6 +57,14 @@
         return *value;
     }
 
+    std::optional<double> optional_number(const char* name, double least,
+                                          double most)
+    {
+        if (table_.get(name) == nullptr)
+            return std::nullopt;
+        return number(name, least, most);
+    }
+
     duration seconds(const char* name, double least, double most)
     {
         return std::chrono::duration_cast<duration>(
@@ -117,6 +125,8 @@
     to.retry_window = from.seconds("retry_window", 0.1, 3600);
     to.shutdown_limit = from.seconds("shutdown_limit", 0.1, 3600);
     to.isolation_limit = from.seconds("isolation_limit", 0.1, 3600);
+    to.cold_excess = from.optional_number("cold_excess", 0, 1000);
+    to.cold_slack = from.optional_number("cold_slack", 0, 1e6);
     auto descriptors = static_cast<std::int64_t>(
         from.number("max_descriptors", 300, 10'000'000));
     to.max_connections = static_cast<std::size_t>(std::max<std::int64_t>(
--- a/src/process/sidecar/node_settings.hpp
+++ b/src/process/sidecar/node_settings.hpp
@@ -4,6 +4,7 @@
 #include "process/event_loop.hpp"
 #include "process/peer_transport.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -43,6 +44,10 @@
     // node has been in contact for this time.
     duration isolation_limit = std::chrono::seconds(5);
     std::size_t max_connections = 1024;
+    // In any second a cold backend server may get its rate times the excess
+    // plus the slack; empty where the platform has no such bound.
+    std::optional<double> cold_excess;
+    std::optional<double> cold_slack;
     // True if the whole fleet starts for the first time.
     bool fleet_is_new = false;
 };
--- a/src/process/sidecar/protocol_adapter.hpp
+++ b/src/process/sidecar/protocol_adapter.hpp
@@ -40,6 +40,8 @@
     peer_address address;
     int slots = 0;
     bool draining = false;
+    // How long the backend server stays cold; empty if it does not say so.
+    std::optional<duration> warmup_left;
 };
 
 // Last message of a backend server, before it ends.
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -84,6 +84,16 @@
     return it;
 }
 
+void set_cold_bound(local_executor& to, const node_settings& from)
+{
+    load::cold_bound it;
+    if (!from.cold_excess && !from.cold_slack)
+        return;
+    it.excess = from.cold_excess.value_or(it.excess);
+    it.slack = from.cold_slack.value_or(it.slack);
+    to.set_cold_bound(it);
+}
+
 retry::budget_settings budget_of(const node_settings& from)
 {
     return {from.success_retry_budget, from.retry_allowance, from.retry_window};
@@ -96,8 +106,9 @@
                            const object_names& names,
                            const node_settings& settings,
                            std::uint64_t incarnation, std::uint64_t seed)
-    : loop_(loop), adapter_(adapter), settings_(settings), random_(seed),
-      counts_(counts), fleet_(initial_entry(settings, incarnation)),
+    : loop_(loop), adapter_(adapter), settings_(settings),
+      incarnation_(incarnation), random_(seed), counts_(counts),
+      fleet_(initial_entry(settings, incarnation)),
       isolation_detector_(loop, settings.isolation_limit),
       load_balancer_(loop, random_, fleet_, settings.failure_domain),
       split_(random_), retries_(loop, budget_of(settings)),
@@ -179,6 +190,8 @@
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     executor_.on_backend_changed(
         [this](std::string_view cause) { backend_changed(cause); });
+    executor_.on_cold_changed([this] { publish(); });
+    set_cold_bound(executor_, settings);
     executor_.on_start_check(
         [this](duration remaining) { return may_start_attempt(remaining); });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
@@ -236,6 +249,7 @@
     settings_.isolation_limit = settings.isolation_limit;
     isolation_detector_.set_limit(settings.isolation_limit);
     retries_.set_settings(budget_of(settings));
+    set_cold_bound(executor_, settings);
 }
 
 // ---- callers ----------------------------------------------------------------
@@ -434,6 +448,11 @@
         if (backend_.indicates_crash(*beat))
             executor_.handle_backend_crash();
         effect = backend_.handle_announcement(*beat);
+        // First, so that the calls that wait start at the cold server's rate.
+        if (effect != local_backend::effect::stale) {
+            apply_cold_policy();
+            executor_.handle_announcement(*beat, started_in_traffic(*beat));
+        }
     } else {
         effect = backend_.handle_departure(std::get<departure>(it));
         cause = "departed";
@@ -444,6 +463,23 @@
         backend_changed(cause);
 }
 
+bool sidecar_node::started_in_traffic(const announcement& it) const
+{
+    return it.started_at_ms > incarnation_ && !settings_.fleet_is_new;
+}
+
+// Without a policy, nothing is known of the service.
+void sidecar_node::apply_cold_policy()
+{
+    auto current = feed_.current();
+    if (!current)
+        return;
+    const auto* it = current->find_service(backend_.service());
+    executor_.set_cold_policy(
+        it == nullptr ? load::cold_policy{}
+                      : load::cold_policy{it->cold_rate, it->warmup});
+}
+
 void sidecar_node::backend_changed(std::string_view cause)
 {
     if (telemetry::allow(decision::state))
@@ -465,6 +501,7 @@
         it.backend_started_at_ms = backend_.started_at_ms();
         it.slots = backend_.slots();
         it.state = backend_.state();
+        it.cold_rate = executor_.cold().published_rate();
         if (it.state == fleet::backend_state::ready && !backend_.takes_calls())
             it.state = fleet::backend_state::unknown;
     });
@@ -617,6 +654,7 @@
     limits.head_time = it.limits().header_time;
     limits.idle_time = it.limits().idle_time;
     callers_.set_limits(limits);
+    apply_cold_policy();
     exchange_.announce_policy(from == policy_feed::origin::store);
 }
 
@@ -661,6 +699,10 @@
     counts_.at("runs_in_flight") = static_cast<std::uint64_t>(load.running);
     counts_.at("runs_waiting") = static_cast<std::uint64_t>(load.waiting);
     counts_.at("runs_limit") = static_cast<std::uint64_t>(load.limit);
+    counts_.at("backend_cold_ms") = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            executor_.cold().left())
+            .count());
     counts_.at("caller_connections") = callers_.connections();
     counts_.at("backend_connections_opened") = executor_.connections_opened();
     std::ostringstream out;
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -115,6 +115,10 @@
     void handle_former_read(std::string_view cause);
     void handle_backend_message(const backend_message& it);
     void backend_changed(std::string_view cause);
+    // Whether the backend server started while this process served, rather
+    // than before it or with a new fleet.
+    bool started_in_traffic(const announcement& it) const;
+    void apply_cold_policy();
     void backend_crashed(const std::vector<load::fingerprint>& in_flight);
     void publish();
     std::string handle_message(std::string_view path, const std::string& body);
@@ -135,6 +139,8 @@
     loop::reactor& loop_;
     const protocol_adapter& adapter_;
     node_settings settings_;
+    // Of this process; a start time by the platform's clock.
+    const std::uint64_t incarnation_;
     random_source random_;
     counters& counts_;
     latency_histogram latency_;
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -206,7 +206,9 @@
 {
     node_.load_balancer().report(instance_, it);
     node_.load_balancer().record_speed(instance_, service_, route_->name, it);
-    node_.shed_thresholds().record_threshold(route_->name, it.shed_threshold);
+    if (!node_.load_balancer().is_cold_among_warm(instance_))
+        node_.shed_thresholds().record_threshold(route_->name,
+                                                 it.shed_threshold);
 }
 
 void entry_call::on_body(std::string_view bytes)
@@ -408,7 +410,7 @@
                   : attempt_outcome::refused_unavailable;
     else if (why.what.why == reason::deadline)
         how = attempt_outcome::timed_out;
-    release_attempt(how);
+    release_attempt(how, why.retry_after);
     if (ended_)
         return;
     if (streaming_) {
@@ -465,7 +467,8 @@
            node_.retries().spend(service_);
 }
 
-void entry_call::release_attempt(attempt_outcome how)
+void entry_call::release_attempt(attempt_outcome how,
+                                 std::optional<duration> retry_after)
 {
     if (!listener_)
         return;
@@ -473,7 +476,7 @@
     listener_.reset();
     attempt_.reset();
     node_.load_balancer().ended(instance_, route_->name, how,
-                                node_.loop().now() - sent_at_);
+                                node_.loop().now() - sent_at_, retry_after);
 }
 
 void entry_call::on_deadline()
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -119,7 +119,9 @@
     void on_attempt_silent();
 
     bool may_retry(const attempt_failure& why);
-    void release_attempt(process::routing::attempt_outcome how);
+    void release_attempt(
+        process::routing::attempt_outcome how,
+        std::optional<process::duration> retry_after = std::nullopt);
     void on_deadline();
     void start_streaming();
     // Ends the call with the failure of its last attempt.
--- a/src/version/policy.hpp
+++ b/src/version/policy.hpp
@@ -87,8 +87,15 @@
     std::string health_path;
     // Connections that one backend server accepts from all callers.
     int max_connections = 0;
+    // How long a backend server stays cold after a start.
+    process::duration warmup{};
+    // Requests per second that a cold backend server tolerates; 0 for no limit.
+    double cold_rate = 0;
 
-    auto fields() const { return std::tie(name, health_path, max_connections); }
+    auto fields() const
+    {
+        return std::tie(name, health_path, max_connections, warmup, cold_rate);
+    }
     friend bool operator==(const service& a, const service& b)
     {
         return a.fields() == b.fields();
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -65,6 +65,8 @@
     to.success_retry_budget = 0.2;
     to.retry_allowance = 100;
     to.fleet_is_new = true;
+    to.cold_excess = 1.5;
+    to.cold_slack = 8;
     to.isolation_limit = isolation_limit;
     for (const auto& other : all)
         to.seeds.push_back(other->settings.announce_address);
@@ -120,6 +122,14 @@
         spec["anonymous"] = open_services.count(name) != 0;
         policy["resources"].append(route);
     }
+    for (const auto& name : services) {
+        if (cold_rate <= 0)
+            break;
+        auto service = entry("services", name);
+        service["spec"]["cold_per_s"] = cold_rate;
+        service["spec"]["warmup_s"] = 4;
+        policy["resources"].append(service);
+    }
     auto workspace = entry("tenants", "w");
     workspace["spec"]["api_keys"].append(key);
     workspace["spec"]["rate_per_s"] = rate;
@@ -153,7 +163,8 @@
     run_until(loop, [&] { return loop.now() > until; });
 }
 
-void small_fleet::announce(instance& at, const std::string& state)
+void small_fleet::announce(instance& at, const std::string& state,
+                           std::optional<double> warmup_left)
 {
     Json::Value beat;
     beat["address"] = at.settings.backend_address.host + ':' +
@@ -163,6 +174,8 @@
     beat["info"]["concurrency"] = Json::UInt64(slots);
     beat["status"]["state"] = state;
     beat["status"]["sequence"] = Json::UInt64(++at.beats);
+    if (warmup_left)
+        beat["status"]["warmup_left_s"] = *warmup_left;
     request_head head;
     head.method = "POST";
     head.target = "/shallotwood/Instances.Heartbeat/i-" + at.settings.name;
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -9,6 +9,7 @@
 #include "support/fake_object_store.hpp"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,7 +87,9 @@
     void restart(instance& at);
     // The same for all nodes at one moment.
     void restart_all();
-    void announce(instance& at, const std::string& state);
+    // `warmup_left` in seconds.
+    void announce(instance& at, const std::string& state,
+                  std::optional<double> warmup_left = std::nullopt);
     // The backend server of `at` deregisters. Returns the status of the answer.
     int depart(instance& at);
     caller_answer request(instance& at, const std::string& service,
@@ -116,6 +119,9 @@
 
     // Services whose routes need no key, for the next policies.
     std::set<std::string> open_services;
+    // Requests per second that a cold backend server tolerates, for the next
+    // policies; 0 for no limit.
+    double cold_rate = 0;
     // For the nodes added next.
     process::duration isolation_limit = std::chrono::seconds(5);
 
--- a/tests/sidecar/test_policy.cpp
+++ b/tests/sidecar/test_policy.cpp
@@ -25,7 +25,8 @@
  {"entry_kind":"tenants","metadata":{"name":"w"},"spec":{"api_keys":["k1","k2"],
   "priority":1,"rate_per_s":59,"burst":60}},
  {"entry_kind":"services","metadata":{"name":"s"},"spec":{
-  "health_path":"/health","max_connections":370}},
+  "health_path":"/health","max_connections":370,"warmup_s":4.5,
+  "cold_per_s":12}},
  {"entry_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,
   "max_body_bytes":1000,"header_timeout_s":3,"idle_timeout_s":15}}]})";
 
@@ -67,6 +68,10 @@
     CHECK(policy->workspace_of_key("k2")->name == "w");
     CHECK(policy->workspace_of_key("k3") == nullptr);
     CHECK(policy->limits().idle_time == std::chrono::seconds(15));
+    const auto* service = policy->find_service("s");
+    REQUIRE(service != nullptr);
+    CHECK(service->warmup == milliseconds(4500));
+    CHECK(service->cold_rate == 12);
 }
 
 // An entry that another program wrote badly must not take the others along.
@@ -86,6 +91,32 @@
         CHECK_FALSE(parse(text));
 }
 
+// Guards against a cold server that is taken for warm, and against a value that
+// limits a server for good.
+TEST_CASE("an announcement may say how long its server stays cold")
+{
+    platform::platform_protocol_adapter adapter;
+    auto read = [&](const std::string& value) {
+        return adapter.read_backend_message(
+            post(beat_path),
+            R"({"address":"127.0.0.1:80","info":{"service":"s",)"
+            R"("concurrency":4},"status":{"state":"ready","sequence":3)" +
+                value + "}}");
+    };
+    auto left = [&](const std::string& value) {
+        return std::get<announcement>(read(value)).warmup_left;
+    };
+    CHECK_FALSE(left(""));
+    CHECK_FALSE(left(R"(,"warmup_left_s":null)"));
+    CHECK(left(R"(,"warmup_left_s":2.25)") == milliseconds(2250));
+    CHECK(left(R"(,"warmup_left_s":0)") == milliseconds(0));
+    CHECK(left(R"(,"warmup_left_s":-3)") == milliseconds(0));
+    CHECK(left(R"(,"warmup_left_s":1e300)") <= std::chrono::hours(24));
+    for (const char* bad : {R"("2")", "[]", "{}", "true"})
+        CHECK(std::holds_alternative<malformed_message>(
+            read(std::string(R"(,"warmup_left_s":)") + bad)));
+}
+
 TEST_CASE("announcements that can't be read name no backend server")
 {
     platform::platform_protocol_adapter adapter;
