Let the soak's backend servers be cold after a restart

Cause: nothing checked, with real processes under faults, how many requests a cold backend server gets.

Change: the soak's servers announce how long they stay cold after a restart, under a configuration that names their rate, and a run fails if one gets more than the bound in a second.

--- a/tests/soak/node_process.cpp
+++ b/tests/soak/node_process.cpp
@@ -1,6 +1,7 @@
 #include "soak/node_process.hpp"
 
 #include "process/address.hpp"
+#include "soak/soak_backend.hpp"
 
 #include <csignal>
 #include <fcntl.h>
@@ -43,7 +44,9 @@
         file << '"' << process::to_text(it) << "\", ";
     file << "]\nretry_ratio = 0.2\nretry_allowance = 50\nretry_window = 10\n"
             "shutdown_limit = 6\nisolation_limit = 5\n"
-            "max_descriptors = 1024\nfleet_is_new = true\n";
+            "max_descriptors = 1024\nfleet_is_new = true\n"
+         << "cold_excess = " << cold.excess << "\ncold_slack = " << cold.slack
+         << '\n';
 }
 
 node_process::~node_process()
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -83,6 +83,9 @@
     born_ = std::max(born_ + 1, g_get_real_time() / 1000);
     sequence_ = 0;
     draining_ = false;
+    cold_arrivals_.clear();
+    if (starts_++ > 0)
+        cold_until_ = loop_.now() + cold.warmup;
     id_ = "i-" + node_.host + '-' + std::to_string(born_);
     return true;
 }
@@ -97,6 +100,9 @@
         beat["info"]["concurrency"] = slots;
         beat["status"]["state"] = draining_ ? "draining" : "ready";
         beat["status"]["sequence"] = Json::UInt64(++sequence_);
+        if (auto left = cold_until_ - loop_.now(); left.count() > 0)
+            beat["status"]["warmup_left_s"] =
+                std::chrono::duration<double>(left).count();
         connection::http::request_head head;
         head.method = "POST";
         head.target = "/shallotwood/Instances.Heartbeat/" + id_;
@@ -108,6 +114,20 @@
     timer_ = loop_.call_after(announce_period, [this] { announce(); });
 }
 
+void soak_backend::count_arrival()
+{
+    auto now = loop_.now();
+    if (now >= cold_until_)
+        return;
+    while (!cold_arrivals_.empty() &&
+           now - cold_arrivals_.front() >= std::chrono::seconds(1))
+        cold_arrivals_.pop_front();
+    cold_arrivals_.push_back(now);
+    if (static_cast<double>(cold_arrivals_.size()) >
+        cold.rate * cold.excess + cold.slack)
+        seen_.violation("a cold server got more than its bound: " + id_);
+}
+
 void soak_backend::serve(test::scripted_connection& from,
                          const std::string& head)
 {
@@ -121,6 +141,7 @@
         refuse("421 Misdirected", "");
         return;
     }
+    count_arrival();
     if (random_.unit() < bad.turn_away) {
         refuse("503 Busy", "X-Not-Executed: 1\r\n");
         return;
--- a/tests/soak/soak_backend.hpp
+++ b/tests/soak/soak_backend.hpp
@@ -9,6 +9,7 @@
 #include "soak/fault_proxy.hpp"
 #include "soak/ledger.hpp"
 
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -27,6 +28,17 @@
     double turn_away = 0;
 };
 
+// What a server tolerates while it is cold after a restart: in any second, its
+// rate times the excess plus the slack.
+struct cold_bounds {
+    double rate = 12;
+    double excess = 1.5;
+    double slack = 8;
+    process::duration warmup = std::chrono::milliseconds(1500);
+};
+
+constexpr cold_bounds cold;
+
 // The whole body of the right answer to a request.
 std::string body_for(const std::string& request_id);
 
@@ -54,6 +66,7 @@
 
 private:
     void announce();
+    void count_arrival();
     void serve(test::scripted_connection& from, const std::string& head);
     void answer(const std::shared_ptr<test::scripted_connection>& to,
                 const std::string& id);
@@ -71,6 +84,11 @@
     std::int64_t born_ = 0;
     std::uint64_t sequence_ = 0;
     bool draining_ = false;
+    // The first start is not in traffic.
+    int starts_ = 0;
+    process::time_point cold_until_{};
+    // Arrivals of the last second while it was cold.
+    std::deque<process::time_point> cold_arrivals_;
     process::timer_id timer_{};
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -212,6 +212,13 @@
         for (const auto& service : services)
             for (bool once : {false, true})
                 all["resources"].append(route(service, once, n));
+    for (const auto& service : services) {
+        auto it = entry("services", service);
+        it["spec"]["cold_per_s"] = cold.rate;
+        it["spec"]["warmup_s"] =
+            std::chrono::duration<double>(cold.warmup).count();
+        all["resources"].append(it);
+    }
     auto usual = tenant(workspace, 10'000, 10'000);
     for (std::size_t n = 0; n < keys_at_once; ++n)
         usual["spec"]["api_keys"].append(key_text(first_key_ + n));
