--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -1,6 +1,9 @@
 #include "process/routing/load_balancer.hpp"
 
+#include "process/routing/cold_placement.hpp"
+
 #include <algorithm>
+#include <utility>
 
 namespace shallotwood::process::routing
 {
@@ -56,6 +59,10 @@
 // Ejection time after a refusal for overload.
 constexpr duration overload_ejection_time = std::chrono::milliseconds(20);
 
+// Longest ejection time after a refusal by a cold instance, whose node says
+// when there will be room.
+constexpr duration max_cold_ejection_time = std::chrono::seconds(3);
+
 } // namespace
 
 load_balancer::load_balancer(const clock& time, random_source& random,
@@ -77,12 +84,15 @@
         if (!it->takes_calls() ||
             std::find(tried.begin(), tried.end(), *name) != tried.end())
             continue;
-        const auto& stats = stats_[*name];
+        auto& stats = stats_[*name];
         if (!stats.reachable)
             continue;
         // Its node may have restarted since and not know it.
         if (stats.notice.leaving && stats.notice.backend == it->backend_key())
             continue;
+        // Its limit was that of a cold server.
+        if (std::exchange(stats.cold, it->is_cold()) && !it->is_cold())
+            stats.last_report.limit = 0;
         double time = expected_time(stats, route, stated.of(*name));
         all.push_back({it, &stats, time});
     }
@@ -98,9 +108,15 @@
     auto candidates = candidates_of(service, route, tried);
     std::vector<double> times;
     for (const auto& it : candidates)
-        if (it.time > 0)
+        if (it.time > 0 && !it.it->is_cold())
             times.push_back(it.time);
     double usual = lower_quartile(times);
+    if (const auto* it = choose_cold(candidates, usual, remaining))
+        return it;
+    candidates.erase(
+        std::remove_if(candidates.begin(), candidates.end(),
+                       [](const candidate& it) { return it.it->is_cold(); }),
+        candidates.end());
     // A call that an instance has refused or failed may leave the domain as if
     // the others were near.
     auto far = tried.empty() ? remoteness_of(candidates) : remoteness();
@@ -138,6 +154,22 @@
     return best.it;
 }
 
+const fleet::instance*
+load_balancer::choose_cold(const std::vector<candidate>& all, double usual,
+                           duration remaining)
+{
+    auto now = clock_.now();
+    cold_placement placement(usual);
+    for (const auto& it : all)
+        if (!it.it->is_cold())
+            placement.add_warm(it.it->slots);
+        else
+            placement.add_cold(
+                *it.it, now >= it.stats->ejected_until &&
+                            it.time <= static_cast<double>(remaining.count()));
+    return placement.choose(random_);
+}
+
 remoteness load_balancer::remoteness_of(const std::vector<candidate>& all) const
 {
     double least = crossing_cost::far_cost;
@@ -220,7 +252,8 @@
 }
 
 void load_balancer::ended(const std::string& name, const std::string& route,
-                          attempt_outcome how, duration elapsed)
+                          attempt_outcome how, duration elapsed,
+                          std::optional<duration> retry_after)
 {
     auto& stats = stats_[name];
     stats.in_flight = std::max(0, stats.in_flight - 1);
@@ -240,6 +273,10 @@
         break;
     case attempt_outcome::refused_overload:
         stats.ejected_until = now + overload_ejection_time;
+        if (const auto* it = fleet_.find(name);
+            retry_after && it != nullptr && it->is_cold())
+            stats.ejected_until =
+                now + std::min(*retry_after, max_cold_ejection_time);
         break;
     case attempt_outcome::refused_unavailable:
     case attempt_outcome::failed: {
@@ -318,6 +355,17 @@
     return all;
 }
 
+bool load_balancer::is_cold_among_warm(const std::string& name) const
+{
+    const auto* of = fleet_.find(name);
+    if (of == nullptr || !of->is_cold())
+        return false;
+    const auto& all = fleet_.instances_of(of->service);
+    return std::any_of(all.begin(), all.end(), [](const auto& entry) {
+        return entry.it->takes_calls() && !entry.it->is_cold();
+    });
+}
+
 backend_notice load_balancer::notice_of(const std::string& name) const
 {
     auto it = stats_.find(name);
