Watch the names of all objects of a kind

Evacuations are objects of one kind, and their removal matters as much as their creation; the store could only watch versions of one object.

object_store::watch_all() reports all names with the store's era and revision: after the list, then after each event.

--- a/src/process/object_store.hpp
+++ b/src/process/object_store.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -50,6 +51,24 @@
 using put_result = std::variant<std::uint64_t, store_error>;
 using list_result = std::variant<std::vector<stored_object>, store_error>;
 
+// The names of all objects with a prefix, as they were at one point of the
+// store's history.
+struct stored_names {
+    // Era and revision of the store. Sets of an earlier era are older.
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+    // Without the prefix.
+    std::set<std::string> names;
+
+    friend bool operator==(const stored_names& a, const stored_names& b)
+    {
+        return std::tie(a.era, a.revision, a.names) ==
+               std::tie(b.era, b.revision, b.names);
+    }
+};
+
+using names_result = std::variant<stored_names, store_error>;
+
 // Identifies a running watch; 0 is never used.
 enum class watch_id : std::uint64_t {};
 
@@ -90,6 +109,19 @@
     virtual watch_id watch(const std::string& name, std::uint64_t after_version,
                            std::function<void(get_result)> on_change) = 0;
 
+    // Calls `on_change` with the names of all objects that start with `prefix`:
+    // first as they are, then after each creation or removal. Values are not
+    // read. Errors are reported and the watch continues; it reports the names
+    // again once the store answers. A store without it reports nothing.
+    virtual watch_id watch_all(const std::string& prefix,
+                               std::function<void(names_result)> on_change)
+    {
+        static_cast<void>(prefix);
+        static_cast<void>(on_change);
+        return watch_id{0};
+    }
+
+    // Does nothing if the watch is not known.
     virtual void cancel(watch_id id) = 0;
 
     // Rises when the store was restored from an older copy; 0 if unknown.
--- a/tests/sidecar/support/object_api.cpp
+++ b/tests/sidecar/support/object_api.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <tuple>
+#include <utility>
 
 namespace shallotwood::test
 {
@@ -69,13 +70,31 @@
 void object_api::put(const std::string& kind, const std::string& name,
                      const Json::Value& spec)
 {
-    kinds_[kind][name] = {++revision_, spec};
+    kinds_[kind][name] = {++revision_, spec, false, false};
+    deleted_[kind].erase(name);
+    wake();
+}
+
+void object_api::remove(const std::string& kind, const std::string& name)
+{
+    kinds_[kind].erase(name);
+    deleted_[kind][name] = {++revision_, Json::Value(Json::objectValue), false,
+                            true};
+    wake();
+}
+
+void object_api::mark_deletion(const std::string& kind, const std::string& name)
+{
+    auto& it = kinds_[kind][name];
+    it.revision = ++revision_;
+    it.deletion_pending = true;
     wake();
 }
 
 void object_api::restore()
 {
     std::tie(revision_, kinds_) = copy_;
+    deleted_.clear();
     ++era_;
 }
 
@@ -182,7 +201,7 @@
         answer(to, 409, to_json(name, it->second));
         return;
     }
-    objects[name] = {++revision_, (*json)["spec"]};
+    objects[name] = {++revision_, (*json)["spec"], false, false};
     answer(to, 200, to_json(name, objects[name]));
     wake();
 }
@@ -210,6 +229,8 @@
     Json::Value it;
     it["metadata"]["name"] = name;
     it["metadata"]["rev"] = Json::UInt64(of.revision);
+    if (of.deletion_pending)
+        it["metadata"]["deletion_pending"] = true;
     it["spec"] = of.spec;
     it["status"] = Json::Value();
     return it;
@@ -218,16 +239,17 @@
 Json::Value object_api::events_since(const std::string& kind,
                                      std::uint64_t from) const
 {
+    std::map<std::uint64_t, std::pair<std::string, object>> newer;
+    for (const auto* from_map : {&kinds_, &deleted_})
+        if (auto objects = from_map->find(kind); objects != from_map->end())
+            for (const auto& [name, it] : objects->second)
+                if (it.revision > from)
+                    newer[it.revision] = {name, it};
     Json::Value events(Json::arrayValue);
-    auto objects = kinds_.find(kind);
-    if (objects == kinds_.end())
-        return events;
-    for (const auto& [name, it] : objects->second) {
-        if (it.revision <= from)
-            continue;
+    for (const auto& [revision, it] : newer) {
         Json::Value event;
-        event["deleted"] = false;
-        event["object"] = to_json(name, it);
+        event["deleted"] = it.second.deleted;
+        event["object"] = to_json(it.first, it.second);
         events.append(event);
     }
     return events;
@@ -266,7 +288,8 @@
         Json::Value body;
         body["events"] = events;
         body["at_rev"] = Json::UInt64(revision_);
-        answer(to, 200, body);
+        if (!std::exchange(lose_next_event, false))
+            answer(to, 200, body);
     }
 }
 
--- a/tests/sidecar/support/object_api.hpp
+++ b/tests/sidecar/support/object_api.hpp
@@ -37,6 +37,10 @@
     // What somebody else writes; false if the text is no JSON.
     void put(const std::string& kind, const std::string& name,
              const Json::Value& spec);
+    // Deletes an object, as somebody else does.
+    void remove(const std::string& kind, const std::string& name);
+    // The object is to be deleted, and exists until then.
+    void mark_deletion(const std::string& kind, const std::string& name);
     // An item that another writer left in the list, as JSON text; it comes
     // first.
     void put_text(const std::string& kind, const std::string& item)
@@ -52,6 +56,8 @@
     void drop_history() { history_from_ = revision_ + 1; }
 
     fault now = fault::none;
+    // The response to the next watch that an event ends is lost.
+    bool lose_next_event = false;
     std::size_t page = 500;
     int calls = 0;
 
@@ -59,6 +65,9 @@
     struct object {
         std::uint64_t revision = 0;
         Json::Value spec;
+        bool deletion_pending = false;
+        // Gone; kept for the event.
+        bool deleted = false;
     };
     struct waiting_watch {
         std::string kind;
@@ -92,6 +101,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t history_from_ = 0;
     std::map<std::string, std::map<std::string, object>> kinds_;
+    decltype(kinds_) deleted_;
     std::map<std::string, std::string> texts_;
     std::vector<waiting_watch> watches_;
     std::pair<std::uint64_t, decltype(kinds_)> copy_;
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -53,6 +53,7 @@
     if (expected_version != process::any_version && current != expected_version)
         return store_error::conflict;
     objects_[name] = {name, current + 1, value};
+    notify_all_names();
     for (const auto& [id, it_watcher] : watchers_) {
         if (it_watcher.name == name)
             timers_.call_after(delay, [this, id = id] { notify(id); });
@@ -80,6 +81,7 @@
                                done(store_error::conflict);
                            else {
                                objects_.erase(it);
+                               notify_all_names();
                                done(expected_version);
                            }
                        });
@@ -115,8 +117,50 @@
     return process::watch_id{id};
 }
 
+process::watch_id fake_object_store::watch_all(
+    const std::string& prefix,
+    std::function<void(process::names_result)> on_change)
+{
+    auto id = ++last_watch_;
+    names_watchers_[id] = {prefix, {}, false, std::move(on_change)};
+    timers_.call_after(delay, [this, id] { notify_names(id); });
+    return process::watch_id{id};
+}
+
+void fake_object_store::notify_names(std::uint64_t id)
+{
+    auto it = names_watchers_.find(id);
+    if (it == names_watchers_.end())
+        return;
+    auto on_change = it->second.on_change;
+    if (down || names_down) {
+        timers_.call_after(std::chrono::milliseconds(500),
+                           [this, id] { notify_names(id); });
+        on_change(store_error::unavailable);
+        return;
+    }
+    const auto& prefix = it->second.prefix;
+    process::stored_names found{era(), revision_, {}};
+    for (const auto& [name, object] : objects_)
+        if (name.compare(0, prefix.size(), prefix) == 0)
+            found.names.insert(name.substr(prefix.size()));
+    if (it->second.told && found.names == it->second.seen)
+        return;
+    it->second.told = true;
+    it->second.seen = found.names;
+    on_change(found);
+}
+
+void fake_object_store::notify_all_names()
+{
+    ++revision_;
+    for (const auto& [id, it] : names_watchers_)
+        timers_.call_after(delay, [this, id = id] { notify_names(id); });
+}
+
 void fake_object_store::cancel(process::watch_id id)
 {
+    names_watchers_.erase(static_cast<std::uint64_t>(id));
     watchers_.erase(static_cast<std::uint64_t>(id));
 }
 
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -27,6 +27,9 @@
     process::watch_id
     watch(const std::string& name, std::uint64_t after_version,
           std::function<void(process::get_result)> on_change) override;
+    process::watch_id
+    watch_all(const std::string& prefix,
+              std::function<void(process::names_result)> on_change) override;
     void cancel(process::watch_id id) override;
 
     // Tells each watch of an error, as when the platform has become silent.
@@ -55,6 +58,11 @@
     int answers_to_lose = 0;
     process::duration delay{std::chrono::milliseconds(2)};
 
+    // While true, watches of names tell errors only.
+    bool names_down = false;
+
+    // Watches of names that run.
+    std::size_t names_watches() const { return names_watchers_.size(); }
     // Totals of calls that arrived.
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
@@ -69,6 +77,8 @@
     process::put_result write(const std::string& name, const std::string& value,
                               std::uint64_t expected_version);
     void notify(std::uint64_t id);
+    void notify_names(std::uint64_t id);
+    void notify_all_names();
     // Each watch reports the current version anew.
     void enter_next_era();
 
@@ -77,6 +87,14 @@
     std::map<std::string, process::stored_object> copy_;
     std::uint64_t last_watch_ = 0;
     std::map<std::uint64_t, watcher> watchers_;
+    struct names_watcher {
+        std::string prefix;
+        std::set<std::string> seen;
+        bool told = false;
+        std::function<void(process::names_result)> on_change;
+    };
+    std::map<std::uint64_t, names_watcher> names_watchers_;
+    std::uint64_t revision_ = 0;
 };
 
 } // namespace shallotwood::test
