Keep requests from evacuated failure domains

An operator evacuates a domain by an object in the store. From 5 s after its acknowledgement no request may reach a backend server there, and a node may be cut off from the store, start, or have been paused meanwhile.

fleet::evacuation_set holds the domains and the position at which the store had them; a newer position replaces an older one. evacuation_feed watches the store together with the policy. The load balancer skips evacuated domains, the executing node refuses new and queued attempts as not run (evacuated) and does not resend there. A node that does not know a set, or whose process was paused for half of the limit, asks first, for at most a second. Nothing is watched or sent without the setting evacuation_limit.

fleet_exchange takes a peer_channel and an event_loop, so that 82 nodes run without a network in tests. A number in the settings that is NaN is refused.

--- a/bench/bench_sidecar_path.cpp
+++ b/bench/bench_sidecar_path.cpp
@@ -59,7 +59,7 @@
             soak::node_addresses at{network +
                                     std::to_string(nodes_.size() + 1)};
             nodes_.push_back(std::make_unique<soak::node_process>(
-                program, directory_, service, at, server_.address(),
+                program, directory_, service, "d", at, server_.address(),
                 store_.address(), seeds));
             nodes_.back()->start();
             seeds.push_back(at.announcements());
--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -50,6 +50,11 @@
 // Ejection time after a refusal for overload.
 constexpr duration overload_ejection_time = std::chrono::milliseconds(20);
 
+// After a refusal because of an evacuation that this node does not know yet,
+// the instance's failure domain is avoided for this time. The set of
+// evacuations arrives within it.
+constexpr duration evacuation_avoid_time = std::chrono::milliseconds(300);
+
 } // namespace
 
 load_balancer::load_balancer(const clock& time, random_source& random,
@@ -75,7 +80,7 @@
     std::vector<double> times;
     auto stated = speeds_.times(service, route);
     for (const auto& [name, it] : fleet_.instances_of(service)) {
-        if (!it->takes_calls() ||
+        if (!it->takes_calls() || evacuated_.count(it->failure_domain) != 0 ||
             std::find(tried.begin(), tried.end(), *name) != tried.end())
             continue;
         const auto& stats = stats_[*name];
@@ -100,7 +105,7 @@
         if (time > static_cast<double>(remaining.count()))
             value += late_cost;
         // Ejected candidates are used only if there is no other.
-        if (now < stats->ejected_until)
+        if (now < stats->ejected_until || is_avoided(*it, now))
             value += 1e3;
         // Breaks ties and keeps nodes from choosing in lockstep.
         value += 0.05 * random_.unit();
@@ -112,6 +117,25 @@
     return best;
 }
 
+bool load_balancer::is_avoided(const fleet::instance& it, time_point now) const
+{
+    auto found = avoided_until_.find(it.failure_domain);
+    return found != avoided_until_.end() && now < found->second;
+}
+
+bool load_balancer::is_evacuated(const std::string& service) const
+{
+    bool found = false;
+    for (const auto& [name, it] : fleet_.instances_of(service)) {
+        if (!it->takes_calls())
+            continue;
+        if (evacuated_.count(it->failure_domain) == 0)
+            return false;
+        found = true;
+    }
+    return found;
+}
+
 double load_balancer::recent_latency(const instance_stats& stats,
                                      const std::string& route) const
 {
@@ -184,6 +208,10 @@
     case attempt_outcome::refused_overload:
         stats.ejected_until = now + overload_ejection_time;
         break;
+    case attempt_outcome::refused_evacuated:
+        if (const auto* it = fleet_.find(name))
+            avoided_until_[it->failure_domain] = now + evacuation_avoid_time;
+        break;
     case attempt_outcome::refused_unavailable:
     case attempt_outcome::failed: {
         auto factor = std::min(stats.failures++, 6);
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -13,6 +13,7 @@
 // look like a slow backend server. An instance that fails some of its calls is
 // penalized in proportion to its failure rate. A candidate that refuses, or
 // fails every call, is ejected for a time that doubles with each repetition.
+// Instances of evacuated failure domains are never chosen.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -22,6 +23,7 @@
 #include "process/routing/backend_notice.hpp"
 #include "process/routing/speed_board.hpp"
 
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -53,6 +55,8 @@
     refused_overload,
     // The instance accepts no calls (draining, no backend server); not run.
     refused_unavailable,
+    // The instance's failure domain is evacuated; not run.
+    refused_evacuated,
     // The backend server or the connection to the node failed.
     failed,
     // No response before the timeout.
@@ -86,6 +90,14 @@
     // The latest notice of the instance's backend server.
     backend_notice notice_of(const std::string& name) const;
 
+    // No instance of these failure domains is chosen.
+    void set_evacuated(std::set<std::string> domains)
+    {
+        evacuated_ = std::move(domains);
+    }
+    // True if evacuations leave no instance of the service that accepts calls.
+    bool is_evacuated(const std::string& service) const;
+
     // Records whether the node of the instance responds.
     void set_reachable(const std::string& name, bool reachable);
 
@@ -116,6 +128,7 @@
     double cost(const fleet::instance& it, const instance_stats& stats) const;
     void record_latency(latency_average& stats, duration elapsed) const;
     double decayed_failure_rate(const instance_stats& stats) const;
+    bool is_avoided(const fleet::instance& it, time_point now) const;
     double recent_latency(const instance_stats& stats,
                           const std::string& route) const;
     // Of a call of the route at the instance, in microseconds; 0 if it is not
@@ -129,6 +142,10 @@
     std::string own_domain_;
     speed_board speeds_;
     std::unordered_map<std::string, instance_stats> stats_;
+    std::set<std::string> evacuated_;
+    // Failure domains in which an instance refused a call as evacuated; they
+    // are avoided until then. At most one entry for each domain of the fleet.
+    std::unordered_map<std::string, time_point> avoided_until_;
 };
 
 } // namespace shallotwood::process::routing
--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "process/json_text.hpp"
 #include "process/log.hpp"
+#include "process/sidecar/peer_codec.hpp"
 #include "process/telemetry/decision_log.hpp"
 
 #include <algorithm>
@@ -29,6 +30,15 @@
 // updates.
 constexpr duration compare_period = std::chrono::seconds(1);
 
+// A new set of evacuations is sent a second time after this delay, to other
+// nodes. The first messages miss some nodes in a hundred, which would otherwise
+// learn of it from a comparison only, after up to a second.
+constexpr duration evacuation_repeat_delay = std::chrono::milliseconds(300);
+
+// Interval at which a node that does not know the set of evacuations asks other
+// nodes for it.
+constexpr duration ask_period = std::chrono::milliseconds(200);
+
 // Parts of a view in one message; keeps a reply below 2 MB.
 constexpr std::size_t max_buckets_per_message = 32;
 
@@ -292,6 +302,19 @@
 }
 
 void fleet_exchange::announce_policy(bool first_hand)
+{
+    announce(first_hand);
+}
+
+void fleet_exchange::announce_evacuations(bool first_hand)
+{
+    announce(first_hand);
+    dependencies_.loop.call_after(
+        evacuation_repeat_delay,
+        guard_.wrap([this, first_hand] { announce(first_hand); }));
+}
+
+void fleet_exchange::announce(bool first_hand)
 {
     if (first_hand)
         send_to_random_nodes(origin_fan_out, scope::fleet, make_message({}));
@@ -299,6 +322,22 @@
         send_to_random_nodes(fan_out, scope::failure_domain, make_message({}));
 }
 
+void fleet_exchange::ask_for_evacuations()
+{
+    auto* evacuations = dependencies_.evacuations;
+    if (evacuations == nullptr || !evacuations->is_awaited())
+        return;
+    for (const auto* it : random_nodes(fan_out, scope::fleet))
+        exchange_with(it->peer, make_message({}),
+                      fleet::fleet_view::bucket_count + 1,
+                      [evacuations](const Json::Value& reply) {
+                          if (reply["evacuations"].isObject())
+                              evacuations->confirm();
+                      });
+    dependencies_.loop.call_after(
+        ask_period, guard_.wrap([this] { ask_for_evacuations(); }));
+}
+
 void fleet_exchange::send_to_random_nodes(std::size_t count, scope where,
                                           const Json::Value& message)
 {
@@ -306,18 +345,21 @@
         exchange_with(it->peer, message);
 }
 
-void fleet_exchange::exchange_with(const peer_address& to,
-                                   const Json::Value& message,
-                                   std::size_t differing)
+void fleet_exchange::exchange_with(
+    const peer_address& to, const Json::Value& message, std::size_t differing,
+    std::function<void(const Json::Value&)> answered)
 {
     dependencies_.links.call(
         to, peer_path::fleet, write_json(message), message_timeout,
-        [this, to, differing](const std::optional<std::string>& reply) {
+        [this, to, differing, answered = std::move(answered)](
+            const std::optional<std::string>& reply) {
             auto json = reply ? parse_json(*reply) : std::nullopt;
             if (!json || !json->isObject())
                 return;
             apply_former((*json)["former"]);
             apply_message(*json);
+            if (answered)
+                answered(*json);
             repair(to, (*json)["parts"], differing);
         });
 }
@@ -334,6 +376,8 @@
         dependencies_.watcher_election.store_unreachable_from(self.name());
     message["store_era"] =
         Json::UInt64(std::max(store_era_, dependencies_.store.era()));
+    if (const auto* it = dependencies_.evacuations; it && it->current())
+        message["evacuations"] = fleet::to_json(*it->current());
     message["entries"] = Json::Value(Json::arrayValue);
     for (const auto& name : names)
         if (const auto* it = dependencies_.fleet.find(name))
@@ -476,6 +520,8 @@
         dependencies_.watcher_election.store_unreachable(from->name());
     if (message["store_era"].isUInt64())
         record_store_era(message["store_era"].asUInt64());
+    if (auto* it = dependencies_.evacuations)
+        it->handle_peer_set(from->name(), message["evacuations"]);
     if (message["policy"].isUInt64())
         dependencies_.feed.handle_peer_revision(from->name(),
                                                 message["policy"].asUInt64());
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -1,7 +1,8 @@
 // Gossip protocol that spreads the fleet view between nodes.
 //
 // Each message carries the sender's own entry, its policy revision, a digest of
-// its view, and whether the store answers it; the reply carries the same. Each
+// its view, whether the store answers it, and the evacuated failure domains as
+// far as it knows them; the reply carries the same. Each
 // node forwards an update once, when it is new to it, so the cost to a node
 // doesn't depend on the number of nodes; only the origin of an update sends it
 // to other failure domains. Anti-entropy repairs lost updates: once a second, a
@@ -17,7 +18,8 @@
 #include "process/fleet/watcher_election.hpp"
 #include "process/object_store.hpp"
 #include "process/random_source.hpp"
-#include "process/sidecar/peer_links.hpp"
+#include "process/sidecar/evacuation_feed.hpp"
+#include "process/sidecar/peer_channel.hpp"
 #include "process/sidecar/policy_feed.hpp"
 
 #include <functional>
@@ -36,14 +38,16 @@
 public:
     // All referenced objects must outlive the exchange.
     struct dependencies {
-        loop::reactor& loop;
+        event_loop& loop;
         random_source& random;
         object_store& store;
         fleet::fleet_view& fleet;
         fleet::watcher_election& watcher_election;
         fleet::isolation_detector& isolation_detector;
-        peer_links& links;
+        peer_channel& links;
         policy_feed& feed;
+        // Null on deployments without evacuations.
+        evacuation_feed* evacuations = nullptr;
     };
 
     // An entry in the store is named by `entry_prefix` and the instance's name.
@@ -86,11 +90,17 @@
     // Announces that this node has a new policy; `first_hand` if it came from
     // the store.
     void announce_policy(bool first_hand);
+    // The same for a new set of evacuations, which is sent twice.
+    void announce_evacuations(bool first_hand);
+    // Asks some nodes for the set of evacuations, and again while it is
+    // awaited.
+    void ask_for_evacuations();
 
     // Returns the reply to another node's message.
     std::string handle_message(const Json::Value& message);
 
 private:
+    void announce(bool first_hand);
     void queue_update(const std::string& name);
     void send_updates();
     enum class scope { fleet, failure_domain };
@@ -104,7 +114,8 @@
     // this exchange.
     void exchange_with(const peer_address& to, const Json::Value& message,
                        std::size_t differing = fleet::fleet_view::bucket_count +
-                                               1);
+                                               1,
+                       std::function<void(const Json::Value&)> answered = {});
     Json::Value make_message(const std::set<std::string>& names) const;
     Json::Value make_comparison() const;
     void apply_message(const Json::Value& message);
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -220,8 +220,38 @@
         backend_listener_("leaving");
 }
 
+void local_executor::set_evacuated(bool evacuated)
+{
+    if (evacuated == evacuated_)
+        return;
+    evacuated_ = evacuated;
+    if (evacuated_)
+        admission_controller_.refuse_all();
+    else
+        evacuation_ended();
+}
+
+void local_executor::evacuation_ended()
+{
+    if (telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=evacuation_ended" << field("backend", backend_.id())
+            << field("running", admission_controller_.running());
+}
+
+std::optional<reason> local_executor::evacuation_refusal() const
+{
+    if (evacuated_)
+        return reason::evacuated;
+    if (evacuations_known_ && !evacuations_known_())
+        return reason::no_backend_server;
+    return std::nullopt;
+}
+
 std::optional<reason> local_executor::refusal() const
 {
+    if (auto why = evacuation_refusal())
+        return why;
     if (leaving_)
         return reason::draining;
     if (backend_.takes_calls())
@@ -287,10 +317,14 @@
         return;
     }
     bool too_late = remaining() < min_execution_time;
-    if (too_late || (owner_.may_start_ && !owner_.may_start_(remaining()))) {
+    auto evacuated = owner_.evacuation_refusal();
+    if (too_late || evacuated ||
+        (owner_.may_start_ && !owner_.may_start_(remaining()))) {
         owner_.admission_controller_.finished(
             owner_.admission_controller_.service_time());
-        refuse(too_late ? reason::deadline : reason::draining);
+        refuse(too_late    ? reason::deadline
+               : evacuated ? *evacuated
+                           : reason::draining);
         return;
     }
     state_ = state::running;
@@ -439,8 +473,10 @@
     auto took = owner_.loop_.now() - started_;
     bool was_idle = connection_->used() && why.unanswered && !why.malformed &&
                     took < idle_close_limit;
+    // A request that is sent again counts as one that reaches the server.
     if (was_idle && request_.repeatable && !resent_ &&
-        request_.body->replayable() && remaining() > min_execution_time) {
+        !owner_.evacuation_refusal() && request_.body->replayable() &&
+        remaining() > min_execution_time) {
         resent_ = true;
         ++owner_.counts_.at("backend_idle_closes");
         owner_.admission_controller_.resent();
@@ -497,6 +533,8 @@
     auto self = shared_from_this();
     state_ = state::ended;
     ++owner_.counts_.at("runs_refused");
+    if (why == reason::evacuated)
+        ++owner_.counts_.at("runs_refused_evacuated");
     if (telemetry::allow(decision::refused))
         SHALLOTWOOD_LOG(info)
             << "event=run_refused" << field("request", request_.request_id)
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -65,6 +65,18 @@
     void handle_backend_crash();
     // Refuses all new attempts from now on.
     void set_leaving() { leaving_ = true; }
+    // Refuses new and queued attempts while the failure domain of this node is
+    // evacuated; running ones end.
+    void set_evacuated(bool evacuated);
+    // The evacuation of the failure domain was withdrawn. Called by
+    // set_evacuated().
+    void evacuation_ended();
+    // Called before an attempt is queued or started; false refuses it, because
+    // it is not known whether the failure domain is evacuated.
+    void on_evacuation_check(std::function<bool()> known)
+    {
+        evacuations_known_ = std::move(known);
+    }
 
     // Load report for calls on the route.
     routing::load_report load(const std::string& route) const;
@@ -104,6 +116,8 @@
 private:
     friend class local_attempt;
     std::optional<request::reason> refusal() const;
+    // The part of it that holds for queued attempts as well.
+    std::optional<request::reason> evacuation_refusal() const;
     // The backend server's latest response says so.
     void record_notice(const routing::backend_notice& it);
     // Another node knows of an earlier response, which this node may have
@@ -134,6 +148,8 @@
     };
     std::deque<broken_attempt> broken_attempts_;
     bool leaving_ = false;
+    bool evacuated_ = false;
+    std::function<bool()> evacuations_known_;
     routing::backend_notice notice_;
     // True once the backend server has answered this process.
     bool notice_recorded_ = false;
--- a/src/process/sidecar/node_settings.cpp
+++ b/src/process/sidecar/node_settings.cpp
@@ -49,7 +49,8 @@
     double number(const char* name, double least, double most)
     {
         auto value = table_[name].value<double>();
-        if (!value || *value < least || *value > most) {
+        // Negated, so that NaN fails as well.
+        if (!value || !(*value >= least && *value <= most)) {
             add_error(name, "a number from " + std::to_string(least) + " to " +
                                 std::to_string(most) + " is required");
             return least;
@@ -63,6 +64,14 @@
             std::chrono::duration<double>(number(name, least, most)));
     }
 
+    std::optional<duration> optional_seconds(const char* name, double least,
+                                             double most)
+    {
+        if (!table_.contains(name))
+            return std::nullopt;
+        return seconds(name, least, most);
+    }
+
     std::vector<std::string> take_errors() { return std::move(faults_); }
 
 private:
@@ -117,6 +126,7 @@
     to.retry_window = from.seconds("retry_window", 0.1, 3600);
     to.shutdown_limit = from.seconds("shutdown_limit", 0.1, 3600);
     to.isolation_limit = from.seconds("isolation_limit", 0.1, 3600);
+    to.evacuation_limit = from.optional_seconds("evacuation_limit", 0.1, 3600);
     auto descriptors = static_cast<std::int64_t>(
         from.number("max_descriptors", 300, 10'000'000));
     to.max_connections = static_cast<std::size_t>(std::max<std::int64_t>(
--- a/src/process/sidecar/node_settings.hpp
+++ b/src/process/sidecar/node_settings.hpp
@@ -4,6 +4,7 @@
 #include "process/event_loop.hpp"
 #include "process/peer_transport.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -42,6 +43,9 @@
     // Requests that need a key are refused when neither the store nor another
     // node has been in contact for this time.
     duration isolation_limit = std::chrono::seconds(5);
+    // Time after which no request may reach a backend server of an evacuated
+    // failure domain; nothing on deployments without evacuations.
+    std::optional<duration> evacuation_limit;
     std::size_t max_connections = 1024;
     // True if the whole fleet starts for the first time.
     bool fleet_is_new = false;
--- a/src/process/sidecar/peer_channel.hpp
+++ b/src/process/sidecar/peer_channel.hpp
@@ -43,6 +43,13 @@
     // Number of nodes that do not answer now.
     virtual std::size_t unreachable() const = 0;
 
+    // There is news of the node: tries a link to it that is lost or hangs again
+    // at once.
+    virtual void reconnect_now(const std::string& name)
+    {
+        static_cast<void>(name);
+    }
+
 protected:
     ~peer_channel() = default;
 };
--- a/src/process/sidecar/peer_links.hpp
+++ b/src/process/sidecar/peer_links.hpp
@@ -63,7 +63,7 @@
     // Reconnects without waiting for the backoff if the node was unreachable or
     // its connection is not established yet. Call when an update about
     // the node has arrived.
-    void reconnect_now(const std::string& name);
+    void reconnect_now(const std::string& name) override;
 
     bool reachable(const std::string& name) const override;
     bool answers(const std::string& name) const override;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -129,11 +129,23 @@
           [this](const version::policy& it, policy_feed::origin from) {
               policy_adopted(it, from);
           }),
+      evacuations_(
+          settings.evacuation_limit
+              ? std::make_unique<evacuation_feed>(
+                    evacuation_feed::dependencies{loop, store, fleet_, counts},
+                    names.evacuation_prefix, *settings.evacuation_limit,
+                    [this](const fleet::evacuation_change& change,
+                           evacuation_feed::origin from) {
+                        evacuations_changed(change, from);
+                    },
+                    [this] { exchange_.ask_for_evacuations(); })
+              : nullptr),
       watcher_election_(
           loop, fleet_, names.policy,
           [this](const std::string& name) { return links_.reachable(name); }),
-      store_watch_({loop, fleet_, watcher_election_, links_, feed_},
-                   [this] { return isolation_detector_.isolated(); }),
+      store_watch_(
+          {loop, fleet_, watcher_election_, links_, feed_, evacuations_.get()},
+          [this] { return isolation_detector_.isolated(); }),
       probes_(loop, random_, fleet_, links_),
       token_buckets_(loop, settings.fleet_is_new),
       tokens_(
@@ -144,7 +156,7 @@
           token_buckets_),
       token_cache_(loop, tokens_, counts),
       exchange_({loop, random_, store, fleet_, watcher_election_,
-                 isolation_detector_, links_, feed_},
+                 isolation_detector_, links_, feed_, evacuations_.get()},
                 names.instance_prefix, [this] { apply_membership_change(); }),
       callers_(loop,
                [this](const connection_ptr& from, request_head&& head,
@@ -166,6 +178,7 @@
           return metrics_request(from, head);
       })
 {
+    executor_.on_evacuation_check([this] { return may_serve(); });
     links_.on_revision([this](const std::string& name, std::uint64_t revision) {
         feed_.handle_peer_revision(name, revision);
     });
@@ -573,6 +586,8 @@
             << field("unreachable", links_.unreachable())
             << field("ready", ready() ? 1 : 0);
     }
+    if (evacuations_)
+        evacuations_->check_domains();
     log_load();
     periodic_check_timer_ = loop_.call_after(periodic_check_interval,
                                              [this] { run_periodic_checks(); });
@@ -618,11 +633,25 @@
     limits.idle_time = it.limits().idle_time;
     callers_.set_limits(limits);
     exchange_.announce_policy(from == policy_feed::origin::store);
+    if (evacuations_ && !policy_arrived_)
+        evacuations_->handle_first_policy();
+    policy_arrived_ = true;
+}
+
+void sidecar_node::evacuations_changed(const fleet::evacuation_change& change,
+                                       evacuation_feed::origin from)
+{
+    // The load balancer first: calls that the executor refuses now are sent to
+    // other instances.
+    load_balancer_.set_evacuated(evacuations_->current()->domains());
+    executor_.set_evacuated(evacuations_->contains(settings_.failure_domain));
+    if (!change.empty())
+        exchange_.announce_evacuations(from == evacuation_feed::origin::store);
 }
 
 bool sidecar_node::ready()
 {
-    return feed_.current() && !leaving_ && !is_partitioned();
+    return feed_.current() && may_serve() && !leaving_ && !is_partitioned();
 }
 
 std::optional<rate::rate_limit>
@@ -654,6 +683,10 @@
     }
     auto load = executor_.load({});
     counts_.at("policy_revision") = feed_.revision();
+    if (evacuations_)
+        counts_.at("domains_evacuated") =
+            evacuations_->current() ? evacuations_->current()->domains().size()
+                                    : 0;
     counts_.at("store_watching") = feed_.watching() ? 1 : 0;
     counts_.at("instances_known") = fleet_.size();
     counts_.at("peers_unreachable") = links_.unreachable();
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -13,6 +13,7 @@
 #include "process/object_store.hpp"
 #include "process/random_source.hpp"
 #include "process/routing/service_split.hpp"
+#include "process/sidecar/evacuation_feed.hpp"
 #include "process/sidecar/fleet_exchange.hpp"
 #include "process/sidecar/indirect_probes.hpp"
 #include "process/sidecar/local_executor.hpp"
@@ -36,6 +37,8 @@
     std::string policy;
     // An instance's object is named by this prefix and the instance's name.
     std::string instance_prefix;
+    // An evacuation is named by this prefix and the failure domain.
+    std::string evacuation_prefix;
 };
 
 class sidecar_node final : private request::entry_services
@@ -66,7 +69,10 @@
     const protocol_adapter& adapter() override { return adapter_; }
     counters& counts() override { return counts_; }
     latency_histogram& latency() override { return latency_; }
-    version::policy_ptr policy() override { return feed_.current(); }
+    version::policy_ptr policy() override
+    {
+        return may_serve() ? feed_.current() : nullptr;
+    }
     rate::token_cache& rates() override { return token_cache_; }
     routing::load_balancer& load_balancer() override { return load_balancer_; }
     retry::retry_budget& retries() override { return retries_; }
@@ -131,6 +137,14 @@
     void leave_fleet();
     void stop_if_idle();
     bool ready();
+    // False while the node does not know which domains are evacuated, and may
+    // still learn it.
+    bool may_serve() const
+    {
+        return !evacuations_ || !evacuations_->is_awaited();
+    }
+    void evacuations_changed(const fleet::evacuation_change& change,
+                             evacuation_feed::origin from);
 
     loop::reactor& loop_;
     const protocol_adapter& adapter_;
@@ -150,6 +164,8 @@
     peer_links links_;
     peer_server peers_;
     policy_feed feed_;
+    // Null on deployments without evacuations.
+    std::unique_ptr<evacuation_feed> evacuations_;
     fleet::watcher_election watcher_election_;
     store_watch store_watch_;
     indirect_probes probes_;
@@ -169,6 +185,8 @@
     // Backend server whose departure the entry in the store tells; 0 if none.
     std::uint64_t stored_departure_ = 0;
 
+    // The first policy has come.
+    bool policy_arrived_ = false;
     std::uint64_t last_attempt_ = 0;
     std::uint64_t last_crash_ = 0;
     std::size_t calls_ = 0;
--- a/src/process/sidecar/store_watch.cpp
+++ b/src/process/sidecar/store_watch.cpp
@@ -38,9 +38,16 @@
     dependencies_.feed.on_store_state({});
 }
 
+void store_watch::set_watching(bool watch)
+{
+    dependencies_.feed.set_watching(watch);
+    if (auto* it = dependencies_.evacuations)
+        it->set_watching(watch);
+}
+
 void store_watch::start()
 {
-    dependencies_.feed.set_watching(true);
+    set_watching(true);
     run_check();
 }
 
@@ -57,7 +64,10 @@
     auto& feed = dependencies_.feed;
     auto election = dependencies_.election.elect();
     bool isolated = isolated_();
-    bool watch = !feed.current() || isolated || election.chosen;
+    const auto* evacuations = dependencies_.evacuations;
+    bool starting = !feed.current() ||
+                    (evacuations != nullptr && evacuations->is_awaited());
+    bool watch = starting || isolated || election.chosen;
     if (watch == feed.watching())
         return;
     if (telemetry::allow(decision::state))
@@ -68,7 +78,7 @@
             << field("wanted", election.wanted)
             << field("policy", feed.revision())
             << field("isolated", isolated ? 1 : 0);
-    feed.set_watching(watch);
+    set_watching(watch);
 }
 
 void store_watch::report()
--- a/src/process/sidecar/store_watch.hpp
+++ b/src/process/sidecar/store_watch.hpp
@@ -9,6 +9,7 @@
 #include "process/event_loop.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/fleet/watcher_election.hpp"
+#include "process/sidecar/evacuation_feed.hpp"
 #include "process/sidecar/peer_channel.hpp"
 #include "process/sidecar/policy_feed.hpp"
 
@@ -28,6 +29,9 @@
         fleet::watcher_election& election;
         peer_channel& peers;
         policy_feed& feed;
+        // Watched together with the policy; null on deployments without
+        // evacuations.
+        evacuation_feed* evacuations = nullptr;
     };
 
     // `isolated` tells whether this node has lost contact with all others; it
@@ -37,13 +41,15 @@
     store_watch(const store_watch&) = delete;
     store_watch& operator=(const store_watch&) = delete;
 
-    // Watches until the first policy has arrived, then as the election says.
+    // Watches until the first policy and the first set of evacuations have
+    // arrived, then as the election says.
     void start();
 
     // Handles another node's message about its watch.
     void handle_message(const Json::Value& message);
 
 private:
+    void set_watching(bool watch);
     void run_check();
     void update();
     void report();
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -48,12 +48,27 @@
 // An isolated node takes about this long to reach other nodes again.
 constexpr duration isolated_retry_after = std::chrono::seconds(1);
 
+// Retry-After while all instances of the service are evacuated.
+constexpr duration evacuated_retry_after = std::chrono::seconds(1);
+
 attempt_failure not_run(reason why,
                         std::optional<duration> retry_after = std::nullopt)
 {
     return {{execution::not_run, why}, retry_after};
 }
 
+attempt_outcome refusal_outcome(reason why)
+{
+    switch (why) {
+    case reason::overload:
+        return attempt_outcome::refused_overload;
+    case reason::evacuated:
+        return attempt_outcome::refused_evacuated;
+    default:
+        return attempt_outcome::refused_unavailable;
+    }
+}
+
 } // namespace
 
 // Forwards the events of one attempt to the call, until the call releases the
@@ -284,6 +299,11 @@
     }
     const auto* at = node_.load_balancer().choose(service_, route_->name,
                                                   tried_, remaining());
+    // Waiting does not help: nothing is sent there until the operator says so.
+    if (at == nullptr && node_.load_balancer().is_evacuated(service_)) {
+        fail(not_run(reason::evacuated, evacuated_retry_after));
+        return;
+    }
     if (at == nullptr && workspace_ == nullptr && tried_.empty() &&
         node_.loop().now() - arrived_ + instance_retry_interval <
             max_queue_time()) {
@@ -403,9 +423,7 @@
         ++refusals_;
     auto how = attempt_outcome::failed;
     if (why.what.run == execution::not_run && !arrived)
-        how = why.what.why == reason::overload
-                  ? attempt_outcome::refused_overload
-                  : attempt_outcome::refused_unavailable;
+        how = refusal_outcome(why.what.why);
     else if (why.what.why == reason::deadline)
         how = attempt_outcome::timed_out;
     release_attempt(how);
--- a/src/request/verdict.cpp
+++ b/src/request/verdict.cpp
@@ -14,7 +14,7 @@
      {execution::may_have_run, "may-have-run"},
      {execution::ran, "ran"}}};
 
-constexpr std::array<std::pair<reason, std::string_view>, 23> reason_names{
+constexpr std::array<std::pair<reason, std::string_view>, 24> reason_names{
     {{reason::none, "none"},
      {reason::no_route, "no-route"},
      {reason::unknown_key, "unknown-key"},
@@ -31,6 +31,7 @@
      {reason::duplicate, "duplicate"},
      {reason::suspected_crash, "suspected-crash"},
      {reason::no_backend_server, "no-backend-server"},
+     {reason::evacuated, "evacuated"},
      {reason::deadline, "deadline"},
      {reason::cancelled, "cancelled"},
      {reason::fenced, "fenced"},
--- a/src/request/verdict.hpp
+++ b/src/request/verdict.hpp
@@ -30,6 +30,8 @@
     duplicate,
     suspected_crash,
     no_backend_server,
+    // The failure domain of the backend server is evacuated.
+    evacuated,
     // Other failures, possibly during execution.
     deadline,
     cancelled,
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -15,6 +15,7 @@
 using process::sidecar::object_names;
 
 const char* const policy_name = "config/main";
+const char* const evacuation_prefix = "evacuations/";
 
 Json::Value entry(const char* kind, const std::string& name)
 {
@@ -53,7 +54,7 @@
     auto host = host_ + std::to_string(all.size() + 1);
     auto& to = it->settings;
     to.name = host;
-    to.failure_domain = "d";
+    to.failure_domain = failure_domain;
     to.service = service;
     to.backend_address = it->backend->address();
     to.caller_address = {host, 8001};
@@ -66,6 +67,7 @@
     to.retry_allowance = 100;
     to.fleet_is_new = true;
     to.isolation_limit = isolation_limit;
+    to.evacuation_limit = evacuation_limit;
     for (const auto& other : all)
         to.seeds.push_back(other->settings.announce_address);
     start_node(*it);
@@ -79,8 +81,8 @@
     auto& store = at.store ? *at.store : *all.front()->store;
     at.node = std::make_unique<process::sidecar::sidecar_node>(
         loop, adapter, store, at.counts,
-        object_names{policy_name, "instances/"}, at.settings, at.incarnation,
-        all.size() + 1);
+        object_names{policy_name, "instances/", evacuation_prefix}, at.settings,
+        at.incarnation, all.size() + 1);
     REQUIRE(at.node->start().empty());
 }
 
@@ -153,6 +155,37 @@
     run_until(loop, [&] { return loop.now() > until; });
 }
 
+void small_fleet::evacuate(const std::string& domain)
+{
+    bool done = false;
+    all.front()->store->put(evacuation_prefix + domain, "{}",
+                            process::any_version,
+                            [&](const auto&) { done = true; });
+    REQUIRE(run_until(loop, [&] { return done; }));
+}
+
+void small_fleet::withdraw_evacuation(const std::string& domain)
+{
+    std::optional<process::put_result> result;
+    all.front()->store->remove(
+        evacuation_prefix + domain, 1,
+        [&](const process::put_result& it) { result = it; });
+    REQUIRE(run_until(loop, [&] { return result.has_value(); }));
+    REQUIRE(std::holds_alternative<std::uint64_t>(*result));
+}
+
+void small_fleet::settle_evacuations(std::size_t domains)
+{
+    auto wanted =
+        "shallotwood_domains_evacuated " + std::to_string(domains) + '\n';
+    for (auto& it : all) {
+        bool reached = false;
+        for (int n = 0; n < 1000 && !reached; ++n)
+            reached = metrics(*it).find(wanted) != std::string::npos;
+        REQUIRE(reached);
+    }
+}
+
 void small_fleet::announce(instance& at, const std::string& state)
 {
     Json::Value beat;
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -79,6 +79,11 @@
     void write_policy(int revision, const std::vector<std::string>& services,
                       const std::string& kind, const std::string& key = "key",
                       double rate = 1000);
+    // What the operator does; returns after the store's acknowledgement.
+    void evacuate(const std::string& domain);
+    void withdraw_evacuation(const std::string& domain);
+    // Waits until each node counts this many evacuated domains.
+    void settle_evacuations(std::size_t domains);
     // Waits until all nodes know all backend servers and the policy.
     void settle(int revision);
 
@@ -118,6 +123,8 @@
     std::set<std::string> open_services;
     // For the nodes added next.
     process::duration isolation_limit = std::chrono::seconds(5);
+    std::string failure_domain = "d";
+    std::optional<process::duration> evacuation_limit;
 
     process::loop::reactor loop;
     platform::platform_protocol_adapter adapter;
--- a/tests/sidecar/test_fleet_exchange.cpp
+++ b/tests/sidecar/test_fleet_exchange.cpp
@@ -1,5 +1,6 @@
 #include "process/json_text.hpp"
 #include "process/sidecar/fleet_exchange.hpp"
+#include "process/sidecar/peer_links.hpp"
 #include "process/sidecar/peer_server.hpp"
 #include "sidecar/support/live_loop.hpp"
 #include "sidecar/support/local_node.hpp"
--- a/tests/sidecar/test_placement.cpp
+++ b/tests/sidecar/test_placement.cpp
@@ -204,4 +204,40 @@
     CHECK(it.choose() == "a");
 }
 
+TEST_CASE("no instance of an evacuated domain is chosen")
+{
+    // Guards against evacuated instances that are only avoided.
+    fixture it;
+    it.add("a", "near");
+    it.add("b", "far");
+    CHECK(it.choose() == "a");
+    it.load_balancer.set_evacuated({"near", "unknown"});
+    CHECK(it.choose() == "b");
+    CHECK(it.choose({"b:1"}).empty());
+    CHECK_FALSE(it.load_balancer.is_evacuated("s"));
+    it.load_balancer.set_evacuated({"near", "far"});
+    CHECK(it.choose().empty());
+    CHECK(it.load_balancer.is_evacuated("s"));
+    CHECK_FALSE(it.load_balancer.is_evacuated("none"));
+    it.load_balancer.set_evacuated({});
+    CHECK(it.choose() == "a");
+}
+
+TEST_CASE("a refusal because of an evacuation is valid for its domain, briefly")
+{
+    // Guards against tries at one evacuated instance after the other, and
+    // against an ejection that outlasts the evacuation.
+    fixture it;
+    auto first = it.add("a", "near");
+    it.add("b", "near");
+    it.add("c", "far");
+    it.load_balancer.sent(first.name());
+    it.load_balancer.ended(first.name(), "r",
+                           attempt_outcome::refused_evacuated, milliseconds(1));
+    CHECK(it.choose() == "c");
+    CHECK_FALSE(it.choose({"10.0.0.1:1", "c:1"}).empty());
+    it.loop.advance(milliseconds(400));
+    CHECK(it.choose() != "c");
+}
+
 } // namespace shallotwood::test
--- a/tests/sidecar/test_policy.cpp
+++ b/tests/sidecar/test_policy.cpp
@@ -158,4 +158,18 @@
     CHECK(head.headers.find("X-Tenant") == nullptr);
 }
 
+TEST_CASE("a refusal because of an evacuation says that nothing has run")
+{
+    // Guards against a name that a node writes and another one cannot read.
+    platform::platform_protocol_adapter adapter;
+    auto head = adapter.failure_response(
+        {{execution::not_run, reason::evacuated}, milliseconds(1000)});
+    CHECK(head.status == 503);
+    CHECK(*head.headers.find("Retry-After") == "1.000");
+    CHECK(request::name_of(reason::evacuated) == "evacuated");
+    auto why = reason::none;
+    CHECK(request::parse_reason("evacuated", why));
+    CHECK(why == reason::evacuated);
+}
+
 } // namespace shallotwood::test
