Evacuate domains in the soak

The soak had one failure domain and no evacuations. Its nodes now are in two domains, of which one is evacuated now and then; a request that reaches a server there later than 3 s after the evacuation, or after the last fault of the store, fails the run.

--- a/tests/soak/node_process.cpp
+++ b/tests/soak/node_process.cpp
@@ -16,7 +16,8 @@
 {
 
 node_process::node_process(std::string program, const std::string& directory,
-                           const std::string& service, node_addresses at,
+                           const std::string& service,
+                           const std::string& domain, node_addresses at,
                            const process::peer_address& backend,
                            const process::peer_address& store,
                            const std::vector<process::peer_address>& seeds)
@@ -29,7 +30,8 @@
     auto address = [&file](const char* name, const process::peer_address& to) {
         file << name << " = \"" << process::to_text(to) << "\"\n";
     };
-    file << "name = \"" << at_.host << "\"\nfailure_domain = \"d\"\n"
+    file << "name = \"" << at_.host << "\"\nfailure_domain = \"" << domain
+         << "\"\n"
          << "service = \"" << service << "\"\n";
     address("backend_address", backend);
     address("caller_address", at_.callers());
@@ -42,7 +44,7 @@
     for (const auto& it : seeds)
         file << '"' << process::to_text(it) << "\", ";
     file << "]\nretry_ratio = 0.2\nretry_allowance = 50\nretry_window = 10\n"
-            "shutdown_limit = 6\nisolation_limit = 5\n"
+            "shutdown_limit = 6\nisolation_limit = 5\nevacuation_limit = 3\n"
             "max_descriptors = 1024\nfleet_is_new = true\n";
 }
 
--- a/tests/soak/node_process.hpp
+++ b/tests/soak/node_process.hpp
@@ -25,8 +25,8 @@
 public:
     // Files are kept in `directory`.
     node_process(std::string program, const std::string& directory,
-                 const std::string& service, node_addresses at,
-                 const process::peer_address& backend,
+                 const std::string& service, const std::string& domain,
+                 node_addresses at, const process::peer_address& backend,
                  const process::peer_address& store,
                  const std::vector<process::peer_address>& seeds);
     ~node_process();
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -121,6 +121,8 @@
         refuse("421 Misdirected", "");
         return;
     }
+    if (must_be_idle && must_be_idle())
+        seen_.violation("reached a server of an evacuated domain: " + id);
     if (random_.unit() < bad.turn_away) {
         refuse("503 Busy", "X-Not-Executed: 1\r\n");
         return;
--- a/tests/soak/soak_backend.hpp
+++ b/tests/soak/soak_backend.hpp
@@ -9,6 +9,7 @@
 #include "soak/fault_proxy.hpp"
 #include "soak/ledger.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -51,6 +52,9 @@
     void set_draining(bool draining) { draining_ = draining; }
 
     misbehaviour bad;
+    // Asked at each request: true if none may come, because the failure domain
+    // is evacuated.
+    std::function<bool()> must_be_idle;
 
 private:
     void announce();
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -37,6 +37,12 @@
 
 constexpr milliseconds send_period{10};
 
+// From this time after an evacuation, or after the last fault of the store, no
+// request reaches a server of the domain. The platform allows 5 s.
+constexpr duration evacuation_limit = seconds(3);
+
+const std::array<std::string, 2> domains{"d0", "d1"};
+
 // Ends a run whose nodes do not come back; no check depends on a time.
 constexpr duration recovery_limit = seconds(60);
 
@@ -169,8 +175,13 @@
         node_addresses at{network + std::to_string(n + 1)};
         it->backend = std::make_unique<soak_backend>(
             loop_, random_, seen_, service, at.announcements());
+        // Each service has instances in both domains.
+        it->domain = domains.at(n / services.size() % domains.size());
+        it->backend->must_be_idle = [this, domain = it->domain] {
+            return is_evacuated(domain);
+        };
         it->node = std::make_unique<node_process>(
-            settings_.program, settings_.directory, service, at,
+            settings_.program, settings_.directory, service, it->domain, at,
             it->backend->address(), store_line_.address(), seeds);
         it->line = std::make_unique<fault_proxy>(loop_, at.callers());
         it->pool = std::make_unique<connection::http::client_pool>(
@@ -404,8 +415,13 @@
         store_.take_copy();
         later(some_time(500, 4000), [this] {
             store_.restore();
-            // The operator finds the loss and writes the configuration again.
-            later(some_time(100, 1000), [this] { put_configuration(); });
+            ++store_faults_;
+            // The operator finds the loss and writes all objects again.
+            later(some_time(100, 1000), [this] {
+                put_configuration();
+                put_evacuations();
+                store_fault_ended();
+            });
         });
         return;
     case 2:
@@ -418,13 +434,20 @@
         note("store is silent");
         store_line_.set_line(line::silent);
         store_line_.silence_open();
-        later(some_time(500, 3000),
-              [this] { store_line_.set_line(line::clear); });
+        ++store_faults_;
+        later(some_time(500, 3000), [this] {
+            store_line_.set_line(line::clear);
+            store_fault_ended();
+        });
         return;
     default:
         note("store fails");
         store_.now = kinds.at(random_.below(kinds.size()));
-        later(some_time(500, 3000), [this] { store_.now = fault::none; });
+        ++store_faults_;
+        later(some_time(500, 3000), [this] {
+            store_.now = fault::none;
+            store_fault_ended();
+        });
     }
 }
 
@@ -455,6 +478,45 @@
     later(some_time(300, 2000), [&it] { it.set_line(line::clear); });
 }
 
+void soak_run::store_fault_ended()
+{
+    --store_faults_;
+    store_clear_since_ = loop_.now();
+}
+
+void soak_run::next_evacuation()
+{
+    later(some_time(50, 400), [this] {
+        const auto& domain = domains.at(random_.below(domains.size()));
+        note("evacuate " + domain);
+        evacuations_[domain] = loop_.now();
+        put_evacuations();
+        later(some_time(4000, 7000), [this, domain] {
+            note("restore " + domain);
+            evacuations_.erase(domain);
+            put_evacuations();
+            next_evacuation();
+        });
+    });
+}
+
+void soak_run::put_evacuations()
+{
+    for (const auto& it : domains)
+        if (evacuations_.count(it) != 0)
+            store_.put("evacuations", it, Json::Value(Json::objectValue));
+        else
+            store_.remove("evacuations", it);
+}
+
+bool soak_run::is_evacuated(const std::string& domain) const
+{
+    auto it = evacuations_.find(domain);
+    return it != evacuations_.end() && store_faults_ == 0 &&
+           loop_.now() >
+               std::max(it->second, store_clear_since_) + evacuation_limit;
+}
+
 // ---- the run ----------------------------------------------------------------
 
 // As the platform does, starts a process again that has ended.
@@ -491,6 +553,7 @@
     auto started = loop_.now();
     ends_at_ = loop_.now() + settings_.length;
     next_fault();
+    next_evacuation();
     send_requests();
     wait_until([this] { return loop_.now() > ends_at_; });
     playing_ = false;
@@ -514,6 +577,8 @@
 {
     store_.now = test::object_api::fault::none;
     store_line_.set_line(line::clear);
+    evacuations_.clear();
+    put_evacuations();
     for (auto& it : instances_) {
         it->paused = false;
         it->node->signal(SIGCONT);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -15,6 +15,7 @@
 #include "soak/node_process.hpp"
 #include "soak/soak_backend.hpp"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -51,6 +52,7 @@
     struct instance {
         std::unique_ptr<node_process> node;
         std::unique_ptr<soak_backend> backend;
+        std::string domain;
         // Callers reach the node through it.
         std::unique_ptr<fault_proxy> line;
         std::unique_ptr<connection::http::client_pool> pool;
@@ -86,6 +88,12 @@
     void backend_fault(std::size_t at);
     void store_fault();
     void line_fault(std::size_t at);
+    // The operator evacuates a domain now and then.
+    void next_evacuation();
+    void put_evacuations();
+    // No request may reach a server of the domain now.
+    bool is_evacuated(const std::string& domain) const;
+    void store_fault_ended();
     void later(process::duration delay, std::function<void()> task);
     void note(const std::string& text);
     process::duration some_time(int least_ms, int most_ms);
@@ -112,6 +120,11 @@
     std::uint64_t last_request_ = 0;
     process::time_point ends_at_{};
     bool playing_ = false;
+    // Evacuated domains, and since when.
+    std::map<std::string, process::time_point> evacuations_;
+    // Faults of the store that go on, and when the last one ended.
+    int store_faults_ = 0;
+    process::time_point store_clear_since_{};
     std::vector<std::string> faults_;
 };
 
