--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -62,6 +62,10 @@
 // Longest ejection time after a refusal by a cold instance, whose node says
 // when there will be room.
 constexpr duration max_cold_ejection_time = std::chrono::seconds(3);
+// After a refusal because of an evacuation that this node does not know yet,
+// the instance's failure domain is avoided for this time. The set of
+// evacuations arrives within it.
+constexpr duration evacuation_avoid_time = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -81,7 +85,7 @@
     std::vector<candidate> all;
     auto stated = speeds_.times(service, route);
     for (const auto& [name, it] : fleet_.instances_of(service)) {
-        if (!it->takes_calls() ||
+        if (!it->takes_calls() || evacuated_.count(it->failure_domain) != 0 ||
             std::find(tried.begin(), tried.end(), *name) != tried.end())
             continue;
         auto& stats = stats_[*name];
@@ -135,7 +139,7 @@
         if (it.time > static_cast<double>(remaining.count()))
             it.cost += late_cost;
         // Ejected candidates are used only if there is no other.
-        if (now < it.stats->ejected_until)
+        if (now < it.stats->ejected_until || is_avoided(*it.it, now))
             it.cost += 1e3;
         // Breaks ties and keeps nodes from choosing in lockstep.
         it.cost += 0.05 * random_.unit();
@@ -166,6 +170,7 @@
         else
             placement.add_cold(
                 *it.it, now >= it.stats->ejected_until &&
+                            !is_avoided(*it.it, now) &&
                             it.time <= static_cast<double>(remaining.count()));
     return placement.choose(random_);
 }
@@ -200,6 +205,25 @@
     return value - far.value() * crossing_hysteresis * std::max(0.0, 1 - age);
 }
 
+bool load_balancer::is_avoided(const fleet::instance& it, time_point now) const
+{
+    auto found = avoided_until_.find(it.failure_domain);
+    return found != avoided_until_.end() && now < found->second;
+}
+
+bool load_balancer::is_evacuated(const std::string& service) const
+{
+    bool found = false;
+    for (const auto& [name, it] : fleet_.instances_of(service)) {
+        if (!it->takes_calls())
+            continue;
+        if (evacuated_.count(it->failure_domain) == 0)
+            return false;
+        found = true;
+    }
+    return found;
+}
+
 double load_balancer::recent_latency(const instance_stats& stats,
                                      const std::string& route) const
 {
@@ -278,6 +302,10 @@
             stats.ejected_until =
                 now + std::min(*retry_after, max_cold_ejection_time);
         break;
+    case attempt_outcome::refused_evacuated:
+        if (const auto* it = fleet_.find(name))
+            avoided_until_[it->failure_domain] = now + evacuation_avoid_time;
+        break;
     case attempt_outcome::refused_unavailable:
     case attempt_outcome::failed: {
         auto factor = std::min(stats.failures++, 6);
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -20,6 +20,7 @@
 //
 // Cold instances get the calls that cold_placement decides on, and no others
 // while there is a warm one.
+// Instances of evacuated failure domains are never chosen.
 #pragma once
 
 #include "process/event_loop.hpp"
@@ -31,6 +32,7 @@
 #include "process/routing/speed_board.hpp"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -62,6 +64,8 @@
     refused_overload,
     // The instance accepts no calls (draining, no backend server); not run.
     refused_unavailable,
+    // The instance's failure domain is evacuated; not run.
+    refused_evacuated,
     // The backend server or the connection to the node failed.
     failed,
     // No response before the timeout.
@@ -112,6 +116,13 @@
     // True if the instance is cold while others of its service are warm. What
     // it sheds then says nothing of the service.
     bool is_cold_among_warm(const std::string& name) const;
+    // No instance of these failure domains is chosen.
+    void set_evacuated(std::set<std::string> domains)
+    {
+        evacuated_ = std::move(domains);
+    }
+    // True if evacuations leave no instance of the service that accepts calls.
+    bool is_evacuated(const std::string& service) const;
 
     // Records whether the node of the instance responds.
     void set_reachable(const std::string& name, bool reachable);
@@ -171,6 +182,7 @@
     }
     void record_latency(latency_average& stats, duration elapsed) const;
     double decayed_failure_rate(const instance_stats& stats) const;
+    bool is_avoided(const fleet::instance& it, time_point now) const;
     double recent_latency(const instance_stats& stats,
                           const std::string& route) const;
     // Of a call of the route at the instance, in microseconds; 0 if it is not
@@ -187,6 +199,10 @@
     std::unordered_map<std::string, time_point> crossed_at_;
     speed_board speeds_;
     std::unordered_map<std::string, instance_stats> stats_;
+    std::set<std::string> evacuated_;
+    // Failure domains in which an instance refused a call as evacuated; they
+    // are avoided until then. At most one entry for each domain of the fleet.
+    std::unordered_map<std::string, time_point> avoided_until_;
 };
 
 } // namespace shallotwood::process::routing
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -71,9 +71,6 @@
     void set_cold_bound(const load::cold_bound& it) { cold_.set_bound(it); }
     // What the policy in force says of the backend server's service.
     void set_cold_policy(const load::cold_policy& it) { cold_.set_policy(it); }
-    // Treats the backend server as cold for the time that it stays so after a
-    // start, for example at the end of an evacuation.
-    void assume_cold(load::cold_cause cause) { cold_.assume_cold(cause); }
     const load::cold_start& cold() const { return cold_; }
     // Called when cold() may have changed.
     void on_cold_changed(std::function<void()> changed)
@@ -82,6 +79,15 @@
     }
     // Refuses all new attempts from now on.
     void set_leaving() { leaving_ = true; }
+    // Refuses new and queued attempts while the failure domain of this node is
+    // evacuated; running ones end.
+    void set_evacuated(bool evacuated);
+    // Called before an attempt is queued or started; false refuses it, because
+    // it is not known whether the failure domain is evacuated.
+    void on_evacuation_check(std::function<bool()> known)
+    {
+        evacuations_known_ = std::move(known);
+    }
 
     // Load report for calls on the route.
     routing::load_report load(const std::string& route) const;
@@ -126,6 +132,9 @@
     void cold_changed();
     // Whether a request whose idle connection was closed may be sent again.
     bool may_resend();
+    void evacuation_ended();
+    // The part of it that holds for queued attempts as well.
+    std::optional<request::reason> evacuation_refusal() const;
     // The backend server's latest response says so.
     void record_notice(const routing::backend_notice& it);
     // Another node knows of an earlier response, which this node may have
@@ -162,6 +171,8 @@
     };
     std::deque<broken_attempt> broken_attempts_;
     bool leaving_ = false;
+    bool evacuated_ = false;
+    std::function<bool()> evacuations_known_;
     routing::backend_notice notice_;
     // True once the backend server has answered this process.
     bool notice_recorded_ = false;
--- a/src/process/sidecar/node_settings.hpp
+++ b/src/process/sidecar/node_settings.hpp
@@ -43,6 +43,9 @@
     // Requests that need a key are refused when neither the store nor another
     // node has been in contact for this time.
     duration isolation_limit = std::chrono::seconds(5);
+    // Time after which no request may reach a backend server of an evacuated
+    // failure domain; nothing on deployments without evacuations.
+    std::optional<duration> evacuation_limit;
     std::size_t max_connections = 1024;
     // In any second a cold backend server may get its rate times the excess
     // plus the slack; empty where the platform has no such bound.
--- a/tests/soak/soak_backend.hpp
+++ b/tests/soak/soak_backend.hpp
@@ -10,6 +10,7 @@
 #include "soak/ledger.hpp"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -63,6 +64,9 @@
     void set_draining(bool draining) { draining_ = draining; }
 
     misbehaviour bad;
+    // Asked at each request: true if none may come, because the failure domain
+    // is evacuated.
+    std::function<bool()> must_be_idle;
 
 private:
     void announce();
