Pace a cold server within a bound whose excess is below 1

Cause: with cold_excess = 0 the paced rate was 0, which counted as no limit: a cold server would have got calls as fast as there were slots.

Change: the least rate is half of the slack a second, which the bound allows at any rate. Whether starts are limited follows from the policy alone.

--- a/src/process/load/cold_start.cpp
+++ b/src/process/load/cold_start.cpp
@@ -33,9 +33,14 @@
 // that the network delays and then delivers together.
 constexpr double burst_share = 0.5;
 
-// Rate until the policy is known, as a share of the bound's slack in a second.
-// The bound allows the slack at any rate that the policy may name.
-constexpr double unknown_policy_share = 0.5;
+// Rate until the policy is known, and the least one with an excess below 1, as
+// a share of the bound's slack in a second. The bound allows the slack at any
+// rate that the policy names.
+constexpr double slack_rate_share = 0.5;
+
+// The least rate with an excess below 1, in requests per second; a server that
+// gets nothing at all does not become warm.
+constexpr double min_rate = 0.5;
 
 constexpr std::array<std::string_view, 4> cause_names = {
     "announced", "started", "restart_suspected", "evacuation_ended"};
@@ -118,11 +123,20 @@
     update();
 }
 
+bool cold_start::limits() const
+{
+    return policy_ ? policy_->rate > 0 : bound_ && bound_->slack > 0;
+}
+
 double cold_start::rate() const
 {
-    if (policy_)
-        return policy_->rate * (bound_ ? std::min(1.0, bound_->excess) : 1);
-    return bound_ ? unknown_policy_share * bound_->slack : 0;
+    if (!limits())
+        return 0;
+    double from_slack = slack_rate_share * bound_.value_or(cold_bound{}).slack;
+    if (!policy_)
+        return from_slack;
+    double most = policy_->rate * bound_.value_or(cold_bound{}).excess;
+    return std::min(policy_->rate, std::max({most, from_slack, min_rate}));
 }
 
 double cold_start::max_burst() const
--- a/src/process/load/cold_start.hpp
+++ b/src/process/load/cold_start.hpp
@@ -96,7 +96,7 @@
     void assume_cold(cold_cause cause);
 
     // True if the server's starts are limited while it is cold.
-    bool limits() const { return rate() > 0; }
+    bool limits() const;
     cold_phase phase() const { return phase_; }
     // The cause of the current or the last cold time.
     cold_cause cause() const { return cause_; }
--- a/tests/sidecar/test_cold_start.cpp
+++ b/tests/sidecar/test_cold_start.cpp
@@ -118,7 +118,8 @@
         double rate;
         cold_bound bound;
     } const all[] = {{12, {1.5, 8}}, {100, {1, 2}}, {100, {1, 30}},
-                     {12, {0.8, 8}}, {1, {1, 0}},   {40, {2, 0}}};
+                     {12, {0.8, 8}}, {12, {0, 8}},  {1, {1, 0}},
+                     {40, {2, 0}}};
     for (const auto& [rate, bound] : all) {
         INFO(rate << " x " << bound.excess << " + " << bound.slack);
         cold_server it(rate, bound);
