Notice a crash of the backend server when it happens

A node noticed a crash from the next call or the next announcement of a later start.

Ruled out: lost reports (the origin logged suspects=0) and a response that cleared the request.

The node now connects to the server when a connection breaks with a request on it. If the connection is refused, the crash is reported at once; if it stays open, one response was lost. Broken attempts are kept for 10 s, and for 2.5 s if the server was found listening, so lost responses are suspected less than before. A restarted node asks three nodes of its service for the suspects that they know.

"a crash of the backend server is noticed without another call" and the restart in "a request that crashed three backend servers is refused" failed before.

--- a/src/process/load/crash_suspects.cpp
+++ b/src/process/load/crash_suspects.cpp
@@ -41,6 +41,22 @@
         suspects_.erase(it);
 }
 
+std::map<std::string, std::vector<fingerprint>>
+crash_suspects::crashes(std::size_t limit) const
+{
+    std::vector<std::pair<time_point, fingerprint>> latest;
+    for (const auto& [it, of] : suspects_)
+        if (clock_.now() - of.last <= suspect_lifetime)
+            latest.emplace_back(of.last, it);
+    std::sort(latest.rbegin(), latest.rend());
+    latest.resize(std::min(limit, latest.size()));
+    std::map<std::string, std::vector<fingerprint>> all;
+    for (const auto& [last, it] : latest)
+        for (const auto& crash : suspects_.at(it).crashes)
+            all[crash].push_back(it);
+    return all;
+}
+
 bool crash_suspects::is_refused(fingerprint it) const
 {
     auto found = suspects_.find(it);
--- a/src/process/load/crash_suspects.hpp
+++ b/src/process/load/crash_suspects.hpp
@@ -14,6 +14,7 @@
 #include "process/event_loop.hpp"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -49,6 +50,11 @@
     // A backend server answered the request.
     void record_response(fingerprint it);
 
+    // Crashes with their suspects, for a node that has lost what it knew; at
+    // most `limit` suspects, those of the latest crashes first.
+    std::map<std::string, std::vector<fingerprint>>
+    crashes(std::size_t limit) const;
+
     bool is_refused(fingerprint it) const;
     bool is_suspect(fingerprint it) const { return suspects_.count(it) != 0; }
     bool empty() const { return suspects_.empty(); }
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -39,8 +39,15 @@
 constexpr double failure_rate_weight = 0.04;
 
 // A crash of the backend server is detected at most this long after its
-// connections broke: by the next call, or by its next announcement.
-constexpr duration crash_window = std::chrono::seconds(5);
+// connections broke. The slowest sign is the first announcement of its next
+// start: it comes back within about 5 s and announces itself within 1.5 s.
+constexpr duration crash_window = std::chrono::seconds(10);
+
+// The same for a connection that broke although the backend server was found
+// listening afterwards: it has lost one response, or has restarted so fast that
+// no connection was refused. In that case its next announcement, after 1.5 s at
+// most, tells.
+constexpr duration fast_restart_window = std::chrono::milliseconds(2500);
 
 // Broken attempts kept to find the request that caused a crash.
 constexpr std::size_t max_broken_attempts = 1000;
@@ -76,7 +83,9 @@
     : loop_(loop), adapter_(adapter), counts_(counts), backend_(backend),
       shed_thresholds_(shed_thresholds), suspects_(suspects),
       admission_controller_(loop, loop), service_times_(loop),
-      pool_(loop, backend_options(adapter))
+      pool_(loop, backend_options(adapter)),
+      listen_check_(loop, backend_liveness,
+                    [this](bool listens) { handle_listen_check(listens); })
 {
     pool_.set_address(backend.address());
 }
@@ -156,19 +165,49 @@
 void local_executor::record_broken_attempt(
     load::fingerprint request_fingerprint)
 {
+    // What breaks after a crash was noticed has been reported with it.
+    if (!backend_.takes_calls())
+        return;
     auto now = loop_.now();
     while (!broken_attempts_.empty() &&
            (now - broken_attempts_.front().at > crash_window ||
             broken_attempts_.size() >= max_broken_attempts))
         broken_attempts_.pop_front();
-    broken_attempts_.push_back({now, request_fingerprint});
+    broken_attempts_.push_back({now, request_fingerprint, false});
+    // In a quiet service, no call would show a crash before the request at
+    // fault has crashed the next backend server.
+    listen_check_.start(pool_.address());
+}
+
+void local_executor::handle_listen_check(bool listens)
+{
+    if (!listens) {
+        handle_unreachable();
+        return;
+    }
+    auto checked = loop_.now() - connection::net::listen_check::settle_time;
+    for (auto& it : broken_attempts_)
+        it.listened_later |= it.at <= checked;
+    // What broke during the check may be the beginning of a crash.
+    if (!broken_attempts_.empty() && !broken_attempts_.back().listened_later &&
+        backend_.takes_calls())
+        listen_check_.start(pool_.address());
+}
+
+void local_executor::handle_unreachable()
+{
+    if (backend_.unreachable() == local_backend::effect::changed)
+        handle_backend_crash();
+    if (backend_listener_)
+        backend_listener_("unreachable");
 }
 
 void local_executor::handle_backend_crash()
 {
     std::vector<load::fingerprint> in_flight;
     for (const auto& it : broken_attempts_)
-        if (loop_.now() - it.at <= crash_window)
+        if (loop_.now() - it.at <=
+            (it.listened_later ? fast_restart_window : crash_window))
             in_flight.push_back(it.request_fingerprint);
     for (const auto& [id, it] : running_requests_)
         in_flight.push_back(it.request_fingerprint);
@@ -450,10 +489,7 @@
     release_backend();
     owner_.record_outcome(true);
     if (why.unsent) {
-        if (owner_.backend_.unreachable() == local_backend::effect::changed)
-            owner_.handle_backend_crash();
-        if (owner_.backend_listener_)
-            owner_.backend_listener_("unreachable");
+        owner_.handle_unreachable();
         refuse(reason::connection_failed);
         return;
     }
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "connection/http/client_pool.hpp"
+#include "connection/net/listen_check.hpp"
 #include "process/callback_guard.hpp"
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
@@ -113,6 +114,8 @@
     void forget(const std::string& attempt_id);
     void record_outcome(bool failed);
     void record_broken_attempt(load::fingerprint request_fingerprint);
+    void handle_listen_check(bool listens);
+    void handle_unreachable();
 
     loop::reactor& loop_;
     const protocol_adapter& adapter_;
@@ -131,8 +134,11 @@
     struct broken_attempt {
         time_point at;
         load::fingerprint request_fingerprint;
+        // The backend server was found listening after that.
+        bool listened_later;
     };
     std::deque<broken_attempt> broken_attempts_;
+    connection::net::listen_check listen_check_;
     bool leaving_ = false;
     routing::backend_notice notice_;
     // True once the backend server has answered this process.
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -30,6 +30,9 @@
 // Largest number of requests in one crash report.
 constexpr Json::ArrayIndex max_reported_suspects = 2000;
 
+// Nodes that a restarted node asks for requests that crash backend servers.
+constexpr std::size_t max_suspect_sources = 3;
+
 // The platform probes readiness once a second and routes callers away after two
 // failures; new callers keep arriving until then.
 constexpr duration caller_drain_time = std::chrono::milliseconds(2300);
@@ -524,6 +527,43 @@
     suspects_.record_crash(message["crash"].asString(), in_flight);
 }
 
+std::string sidecar_node::suspects_reply() const
+{
+    Json::Value reply;
+    reply["crashes"] = Json::Value(Json::arrayValue);
+    for (const auto& [crash, suspects] :
+         suspects_.crashes(max_reported_suspects)) {
+        Json::Value it;
+        it["crash"] = crash;
+        for (auto one : suspects)
+            it["suspects"].append(Json::UInt64(one));
+        reply["crashes"].append(it);
+    }
+    return write_json(reply);
+}
+
+void sidecar_node::ask_for_suspects()
+{
+    if (settings_.fleet_is_new)
+        return;
+    for (const auto& [name, it] : fleet_.instances_of(settings_.service)) {
+        if (suspects_asked_.size() >= max_suspect_sources)
+            return;
+        if (it == &fleet_.self() || !suspects_asked_.insert(*name).second)
+            continue;
+        links_.call(it->peer, peer_path::crash, R"({"ask":true})",
+                    crash_report_timeout,
+                    [this](const std::optional<std::string>& reply) {
+                        auto told = parse_json(reply.value_or("{}"));
+                        if (!told || !told->isObject())
+                            return;
+                        for (const auto& one : (*told)["crashes"])
+                            if (one.isObject())
+                                handle_crash_report(one);
+                    });
+    }
+}
+
 // ---- other nodes ------------------------------------------------------------
 
 std::string sidecar_node::handle_message(std::string_view path,
@@ -543,6 +583,8 @@
         return write_json(tokens_.handle_message(*message));
     if (path == peer_path::probe)
         return write_json(probes_.handle_message(*message));
+    if (path == peer_path::crash && (*message)["ask"].isBool())
+        return suspects_reply();
     if (path == peer_path::crash)
         handle_crash_report(*message);
     return "{}";
@@ -605,6 +647,7 @@
     membership_ = fleet_.membership();
     retries_.set_nodes(fleet_.size());
     tokens_.owners_changed();
+    ask_for_suspects();
 }
 
 // ---- policy, readiness, metrics, shutdown -----------------------------------
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -119,6 +119,10 @@
     void publish();
     std::string handle_message(std::string_view path, const std::string& body);
     void handle_crash_report(const Json::Value& message);
+    // An earlier process of this node may have known requests that crash
+    // backend servers; asks the other nodes of the service for them.
+    void ask_for_suspects();
+    std::string suspects_reply() const;
 
     void policy_adopted(const version::policy& it, policy_feed::origin from);
     std::optional<rate::rate_limit>
@@ -171,6 +175,8 @@
 
     std::uint64_t last_attempt_ = 0;
     std::uint64_t last_crash_ = 0;
+    // Nodes that were asked for suspects since the start.
+    std::set<std::string> suspects_asked_;
     std::size_t calls_ = 0;
     // Membership revision of the fleet that was applied last.
     std::uint64_t membership_ = 0;
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -122,4 +122,40 @@
     CHECK(it.executor.running_attempts() == 1);
 }
 
+// Otherwise a request that crashes backend servers of a quiet service is never
+// known as their cause: no later call shows that the server is gone.
+TEST_CASE("a crash of the backend server is noticed without another call")
+{
+    fixture it(
+        [](scripted_connection&, const std::string&, const std::string&) {});
+    std::vector<std::size_t> suspects;
+    it.executor.on_crash(
+        [&](const auto& in_flight) { suspects.push_back(in_flight.size()); });
+    auto got = std::make_shared<run_recorder>();
+    it.executor.start(it.once("a"), got);
+    REQUIRE(run_until(it.loop, [&] { return !it.server.heads.empty(); }));
+    it.server.stop();
+    CHECK(run_until(it.loop, [&] { return !suspects.empty(); }));
+    CHECK(suspects == std::vector<std::size_t>{1});
+    CHECK(got->done());
+    CHECK_FALSE(it.node.backend.takes_calls());
+}
+
+// Otherwise innocent requests are blamed for crashes that did not happen.
+TEST_CASE("a lost response is no crash")
+{
+    fixture it([](scripted_connection& from, const std::string&,
+                  const std::string&) { from.abort(); });
+    bool crashed = false;
+    it.executor.on_crash([&](const auto&) { crashed = true; });
+    for (const auto* attempt : {"a", "b", "c"}) {
+        auto got = std::make_shared<run_recorder>();
+        it.executor.start(it.once(attempt), got);
+        REQUIRE(run_until(it.loop, [&] { return got->done(); }));
+    }
+    run_for(it.loop, std::chrono::milliseconds(300));
+    CHECK_FALSE(crashed);
+    CHECK(it.node.backend.takes_calls());
+}
+
 } // namespace shallotwood::test
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -684,6 +684,16 @@
     // Others pass, also with the same path.
     CHECK(fleet.request(entry, "s", "key", "POST", "other body").status == 502);
     CHECK(fleet.request(entry, "s").status == 200);
+    // Nodes that restart learn of it from those that have not.
+    for (std::size_t n = 1; n + 1 < fleet.all.size(); ++n) {
+        fleet.restart(*fleet.all[n]);
+        fleet.announce(*fleet.all[n], "ready");
+    }
+    fleet.settle(1);
+    before = arrivals();
+    for (int n = 0; n < 10; ++n)
+        CHECK(fleet.request(entry, "s", "key", "POST").status == 503);
+    CHECK(arrivals() == before);
 }
 
 } // namespace shallotwood::test
