Charge repeats beside the backend server to a budget

A repeatable request on a reused connection that broke within 50 ms was sent again without asking the retry budget, as if the connection had been closed while idle. If the second connection was refused, the request was reported as not run although it may have run.

Connections whose end has arrived are not reused, and a request of which the kernel took no byte is sent on another connection; both are certain. All else is charged to a resend budget of 0.15 of the retry budget. Without room the attempt fails as "may have run", and the entry node decides. A request that must not run twice is never sent again.

Ruled out: leaving all repeats to the entry nodes, which need a second instance and do not repeat calls of repeated runs.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -31,6 +31,7 @@
     keep_alive_ = true;
     answered_ = false;
     ++calls_;
+    taken_before_ = taken();
     body_chunked_ = body.how == framing::kind::chunked;
     body_sent_ =
         body.how == framing::kind::none || (body.how == framing::kind::length &&
@@ -182,7 +183,8 @@
     if (events == nullptr)
         return;
     call_failure why;
-    why.unsent = !was_connected_;
+    why.refused = !was_connected_;
+    why.unsent = taken() == taken_before_;
     why.malformed = malformed;
     why.unanswered = !answered_ && !reader_->started();
     events->on_failure(why);
--- a/src/connection/http/client_connection.hpp
+++ b/src/connection/http/client_connection.hpp
@@ -17,7 +17,10 @@
 {
 
 struct call_failure {
-    // No byte of the request has been sent.
+    // The connection could not be established.
+    bool refused = false;
+    // No byte of the request has been sent: refused, or the connection had
+    // ended before the request was written.
     bool unsent = false;
     // The server sent bytes that are no answer in the protocol.
     bool malformed = false;
@@ -99,6 +102,8 @@
     process::time_point idle_since_;
     std::optional<process::duration> keep_;
     int calls_ = 0;
+    // Bytes that were sent on the connection before the request.
+    std::uint64_t taken_before_ = 0;
     bool to_head_ = false;
     bool keep_alive_ = true;
     bool answered_ = false;
--- a/src/connection/http/client_pool.cpp
+++ b/src/connection/http/client_pool.cpp
@@ -38,7 +38,8 @@
 {
     while (!idle_.empty()) {
         auto& last = idle_.back();
-        if (!last->reusable()) {
+        // Its end may have arrived since the loop last read.
+        if (!last->reusable() || last->has_input()) {
             last->close();
             idle_.pop_back();
             continue;
--- a/src/connection/net/byte_stream.cpp
+++ b/src/connection/net/byte_stream.cpp
@@ -125,8 +125,10 @@
             update_watch();
             return;
         }
-        if (n > 0)
+        if (n > 0) {
+            taken_ += static_cast<std::uint64_t>(n);
             bytes.remove_prefix(static_cast<std::size_t>(n));
+        }
         if (bytes.empty())
             return;
         blocked_ = true;
@@ -135,6 +137,14 @@
     update_watch();
 }
 
+bool byte_stream::has_input() const
+{
+    char byte = 0;
+    return fd_ >= 0 && !connecting_ &&
+           (recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+            !would_block(errno));
+}
+
 void byte_stream::pause_reading()
 {
     reading_ = false;
@@ -281,6 +291,7 @@
             return;
         }
         sent_ += static_cast<std::size_t>(n);
+        taken_ += static_cast<std::uint64_t>(n);
     }
     if (unsent() == 0) {
         output_.clear();
--- a/src/connection/net/byte_stream.hpp
+++ b/src/connection/net/byte_stream.hpp
@@ -43,12 +43,16 @@
     // Sends at once what the kernel takes and queues the rest.
     void send(std::string_view bytes);
     std::size_t unsent() const { return output_.size() - sent_; }
+    // Bytes that the kernel has taken since the connection began.
+    std::uint64_t taken() const { return taken_; }
 
     // Stops and resumes reading. While paused, only a reset is seen.
     void pause_reading();
     void resume_reading();
 
     bool is_open() const { return fd_ >= 0; }
+    // Input, or the end of the connection, has arrived and was not read yet.
+    bool has_input() const;
 
     // Closes without further callbacks. Unsent output is lost.
     void close();
@@ -103,6 +107,7 @@
     std::uint32_t watched_ = 0;
     std::string output_;
     std::size_t sent_ = 0;
+    std::uint64_t taken_ = 0;
 };
 
 // A listening socket that hands each accepted connection to its handler.
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -32,7 +32,8 @@
 constexpr duration abandoned_attempt_timeout = std::chrono::seconds(2);
 
 // A reused connection that breaks within this time after the request was sent
-// counts as closed while idle.
+// may have been closed while idle, as far as can be told. The response may as
+// well have been lost.
 constexpr duration idle_close_limit = std::chrono::milliseconds(50);
 
 // Weight of the newest call in the moving average of the failure rate.
@@ -81,9 +82,9 @@
     local_backend& backend, const load::shed_threshold_table& shed_thresholds,
     load::crash_suspects& suspects)
     : loop_(loop), adapter_(adapter), counts_(counts), backend_(backend),
-      shed_thresholds_(shed_thresholds), suspects_(suspects),
-      admission_controller_(loop, loop), service_times_(loop),
-      pool_(loop, backend_options(adapter)),
+      resend_budget_(loop, {}), shed_thresholds_(shed_thresholds),
+      suspects_(suspects), admission_controller_(loop, loop),
+      service_times_(loop), pool_(loop, backend_options(adapter)),
       listen_check_(loop, backend_liveness,
                     [this](bool listens) { handle_listen_check(listens); })
 {
@@ -126,6 +127,13 @@
     return nullptr;
 }
 
+void local_executor::set_resend_budget(const retry::budget_settings& budget,
+                                       std::size_t nodes)
+{
+    resend_budget_.set_settings(budget);
+    resend_budget_.set_nodes(nodes);
+}
+
 void local_executor::backend_changed()
 {
     if (notice_.backend != backend_.key()) {
@@ -340,6 +348,7 @@
     timer_ = owner_.loop_.call_after(
         remaining() + deadline_grace,
         [self = shared_from_this()] { self->expire(); });
+    owner_.resend_budget_.record_call(request_.service);
     first_sent_ = owner_.loop_.now();
     owner_.service_times_.record_start(request_.route, first_sent_);
     send();
@@ -475,12 +484,9 @@
 void local_attempt::on_failure(const connection::http::call_failure& why)
 {
     auto self = shared_from_this();
-    auto took = owner_.loop_.now() - started_;
-    bool was_idle = connection_->used() && why.unanswered && !why.malformed &&
-                    took < idle_close_limit;
-    if (was_idle && request_.repeatable && !resent_ &&
-        request_.body->replayable() && remaining() > min_execution_time) {
+    if (may_resend(why)) {
         resent_ = true;
+        earlier_may_have_run_ = !why.unsent;
         ++owner_.counts_.at("backend_idle_closes");
         owner_.admission_controller_.resent();
         send();
@@ -488,17 +494,31 @@
     }
     release_backend();
     owner_.record_outcome(true);
-    if (why.unsent) {
+    bool sent = !why.unsent || earlier_may_have_run_;
+    if (sent && !why.malformed)
+        owner_.record_broken_attempt(fingerprint_);
+    if (why.refused)
         owner_.handle_unreachable();
+    if (!sent) {
         refuse(reason::connection_failed);
         return;
     }
-    if (!why.malformed)
-        owner_.record_broken_attempt(fingerprint_);
     fail(execution::may_have_run,
          why.malformed ? reason::malformed : reason::connection_failed);
 }
 
+bool local_attempt::may_resend(const connection::http::call_failure& why)
+{
+    if (resent_ || why.refused || why.malformed ||
+        !request_.body->replayable() || remaining() <= min_execution_time)
+        return false;
+    if (why.unsent)
+        return true;
+    return request_.repeatable && connection_->used() && why.unanswered &&
+           owner_.loop_.now() - started_ < idle_close_limit &&
+           owner_.resend_budget_.spend(request_.service);
+}
+
 void local_attempt::release_backend()
 {
     if (state_ != state::running)
@@ -544,7 +564,9 @@
             << field("waiting", owner_.admission_controller_.waiting())
             << field("limit", owner_.admission_controller_.limit())
             << field("backend_state", fleet::name_of(owner_.backend_.state()));
-    failure_ = request::attempt_failure{{execution::not_run, why}, retry_after};
+    auto known =
+        earlier_may_have_run_ ? execution::may_have_run : execution::not_run;
+    failure_ = request::attempt_failure{{known, why}, retry_after};
     auto to = receiver_;
     end();
     if (to) {
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -14,6 +14,7 @@
 #include "process/load/crash_suspects.hpp"
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
+#include "process/retry/retry_budget.hpp"
 #include "process/sidecar/local_backend.hpp"
 #include "process/sidecar/protocol_adapter.hpp"
 #include "request/attempt.hpp"
@@ -64,6 +65,10 @@
     // The backend server has crashed: reports the requests that were in flight,
     // any of which may be the cause.
     void handle_backend_crash();
+    // Bounds how often requests are sent to the backend server again because
+    // their connection broke. `nodes` share the allowance.
+    void set_resend_budget(const retry::budget_settings& budget,
+                           std::size_t nodes);
     // Refuses all new attempts from now on.
     void set_leaving() { leaving_ = true; }
 
@@ -121,6 +126,7 @@
     const protocol_adapter& adapter_;
     counters& counts_;
     local_backend& backend_;
+    retry::retry_budget resend_budget_;
     const load::shed_threshold_table& shed_thresholds_;
     load::crash_suspects& suspects_;
     settings settings_;
@@ -184,6 +190,7 @@
     void handle_admission(load::admission_decision it);
     void send();
     void send_more_body();
+    bool may_resend(const connection::http::call_failure& why);
     void refuse(request::reason why,
                 std::optional<duration> retry_after = std::nullopt);
     void fail(request::execution known, request::reason why);
@@ -220,6 +227,8 @@
     // Something may have been sent to the backend server.
     bool sending_started_ = false;
     bool resent_ = false;
+    // The request was sent before, and may have run then.
+    bool earlier_may_have_run_ = false;
     bool paused_ = false;
     // The backend server answered that it did not run the request.
     bool refused_by_backend_ = false;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -67,6 +67,12 @@
 // server after this time.
 constexpr duration former_read_limit = std::chrono::milliseconds(1500);
 
+// Share of the retry budget for requests that a node sends to its own backend
+// server again. It is small because entry nodes use three quarters of the
+// ratio; a call that gets none of it goes back to its entry node, which may
+// retry it.
+constexpr double resend_share = 0.15;
+
 constexpr duration idle_check_period = std::chrono::milliseconds(50);
 
 response_head response_with_status(int status)
@@ -92,6 +98,14 @@
     return {from.success_retry_budget, from.retry_allowance, from.retry_window};
 }
 
+retry::budget_settings resend_budget_of(const node_settings& from)
+{
+    auto it = budget_of(from);
+    it.ratio *= resend_share;
+    it.allowance *= resend_share;
+    return it;
+}
+
 } // namespace
 
 sidecar_node::sidecar_node(loop::reactor& loop, const protocol_adapter& adapter,
@@ -239,6 +253,7 @@
     settings_.isolation_limit = settings.isolation_limit;
     isolation_detector_.set_limit(settings.isolation_limit);
     retries_.set_settings(budget_of(settings));
+    executor_.set_resend_budget(resend_budget_of(settings), fleet_.size());
 }
 
 // ---- callers ----------------------------------------------------------------
@@ -646,6 +661,7 @@
         return;
     membership_ = fleet_.membership();
     retries_.set_nodes(fleet_.size());
+    executor_.set_resend_budget(resend_budget_of(settings_), fleet_.size());
     tokens_.owners_changed();
     ask_for_suspects();
 }
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -5,6 +5,7 @@
 #include "sidecar/support/small_fleet.hpp"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace shallotwood::test
 {
@@ -158,4 +159,97 @@
     CHECK(it.node.backend.takes_calls());
 }
 
+// Otherwise a request fails, or is sent twice, because a server closed an idle
+// connection in time.
+TEST_CASE("a connection whose end has arrived is not used")
+{
+    for (bool repeatable : {true, false}) {
+        std::shared_ptr<scripted_connection> kept;
+        fixture it([&](scripted_connection& from, const std::string& head,
+                       const std::string&) {
+            if (!kept)
+                kept = std::static_pointer_cast<scripted_connection>(
+                    from.shared_from_this());
+            from.send(good_answer(head, "whole"));
+        });
+        auto first = std::make_shared<run_recorder>();
+        it.executor.start(run_on_s("a", repeatable), first);
+        REQUIRE(run_until(it.loop, [&] { return first->done(); }));
+        // The loop doesn't run in between, so that the node has not read it.
+        kept->abort();
+        auto second = std::make_shared<run_recorder>();
+        it.executor.start(run_on_s("b", repeatable), second);
+        REQUIRE(run_until(it.loop, [&] { return second->done(); }));
+        CAPTURE(repeatable);
+        CHECK(second->ended);
+        CHECK(it.server.heads.size() == 2);
+        CHECK(it.node.counts.at("backend_idle_closes") == 0);
+        kept.reset();
+    }
+}
+
+// Guards against repeats outside the retry budget: a response that is lost
+// looks like a connection that was closed while idle.
+TEST_CASE("a request on a reused connection is sent again within the budget")
+{
+    constexpr std::size_t requests = 200;
+    for (bool repeatable : {true, false}) {
+        std::set<scripted_connection*> used;
+        fixture it([&](scripted_connection& from, const std::string& head,
+                       const std::string&) {
+            if (used.insert(&from).second)
+                from.send(good_answer(head, "whole"));
+            else
+                from.abort();
+        });
+        std::size_t failed = 0;
+        for (std::size_t n = 0; n < requests; ++n) {
+            auto got = std::make_shared<run_recorder>();
+            it.executor.start(run_on_s(std::to_string(n), repeatable), got);
+            REQUIRE(run_until(it.loop, [&] { return got->done(); }));
+            if (!got->failure)
+                continue;
+            ++failed;
+            CHECK(got->failure->what.run == execution::may_have_run);
+        }
+        auto repeats = it.server.heads.size() - requests;
+        CAPTURE(repeatable, failed, repeats);
+        CHECK(failed > 0);
+        if (repeatable) {
+            CHECK(repeats > 0);
+            CHECK(repeats <= requests / 10);
+        } else {
+            CHECK(repeats == 0);
+        }
+    }
+}
+
+// Otherwise a caller repeats what has run, and the request that crashed its
+// backend server is not suspected.
+TEST_CASE("a request that was sent before a crash is not reported as not run")
+{
+    scripted_server* server = nullptr;
+    int requests = 0;
+    fixture it([&](scripted_connection& from, const std::string& head,
+                   const std::string&) {
+        if (++requests == 1)
+            from.send(good_answer(head, "whole"));
+        else
+            server->stop();
+    });
+    server = &it.server;
+    std::size_t suspects = 0;
+    it.executor.on_crash(
+        [&](const auto& in_flight) { suspects += in_flight.size(); });
+    auto first = std::make_shared<run_recorder>();
+    it.executor.start(run_on_s("a", true), first);
+    REQUIRE(run_until(it.loop, [&] { return first->ended; }));
+    auto second = std::make_shared<run_recorder>();
+    it.executor.start(run_on_s("b", true), second);
+    REQUIRE(run_until(it.loop, [&] { return second->done(); }));
+    REQUIRE(second->failure);
+    CHECK(second->failure->what.run == execution::may_have_run);
+    CHECK(run_until(it.loop, [&] { return suspects > 0; }));
+}
+
 } // namespace shallotwood::test
