Tell nothing of a call after its connection was closed

close() drops the pointer, and the reader stops. local_attempt does not call a receiver that has cancelled in on_load().

A sanitized node was not run.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "connection/http/client_connection.hpp"
 
+#include <utility>
+
 namespace shallotwood::connection::http
 {
 
@@ -45,6 +47,12 @@
     send(text);
 }
 
+void client_connection::close()
+{
+    events_ = nullptr;
+    byte_stream::close();
+}
+
 void client_connection::send_body(std::string_view bytes, bool last)
 {
     if (body_sent_ || !is_open())
@@ -102,6 +110,9 @@
             fail(true);
             return;
         }
+        // An event has closed the connection.
+        if (events_ == nullptr)
+            return;
         if (message_ended_ && !dropping_) {
             end_call(!bytes.empty());
             return;
@@ -117,11 +128,10 @@
 
 void client_connection::end_call(bool more_bytes)
 {
+    auto* events = std::exchange(events_, nullptr);
     // Bytes after a complete answer belong to no request.
     if (more_bytes || !keep_alive_ || !body_sent_)
         close();
-    auto* events = events_;
-    events_ = nullptr;
     idle_since_ = loop().now();
     if (events != nullptr)
         events->on_response_end();
@@ -177,9 +187,8 @@
 
 void client_connection::fail(bool malformed)
 {
+    auto* events = std::exchange(events_, nullptr);
     close();
-    auto* events = events_;
-    events_ = nullptr;
     if (events == nullptr)
         return;
     call_failure why;
--- a/src/connection/http/client_connection.hpp
+++ b/src/connection/http/client_connection.hpp
@@ -68,6 +68,9 @@
     void start_call(const request_head& head, const framing& body,
                     std::string_view first_bytes, std::string echo,
                     call_events& events);
+    // Closes the connection. Its owner may end from within an event of the
+    // call, so none follows.
+    void close();
     // More of the body; nothing follows the last piece.
     void send_body(std::string_view bytes, bool last);
 
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -432,9 +432,11 @@
     response_length_ = info.length;
     if (!request_.repeatable)
         response_head_ = head;
-    if (receiver_) {
-        receiver_->on_load(owner_.load(request_.route));
-        receiver_->on_response(std::move(head), info.length);
+    if (auto to = receiver_) {
+        to->on_load(owner_.load(request_.route));
+        // The receiver may have cancelled the attempt.
+        if (receiver_)
+            to->on_response(std::move(head), info.length);
     } else {
         response_head_ = std::move(head);
     }
--- a/tests/sidecar/test_client_connection.cpp
+++ b/tests/sidecar/test_client_connection.cpp
@@ -176,4 +176,60 @@
     CHECK(it.server.accepted() == 2);
 }
 
+namespace
+{
+
+// Closes its connection at the first event, as an owner does that ends.
+class closing_recorder final : public call_events
+{
+public:
+    explicit closing_recorder(bool at_body) : at_body_(at_body) {}
+
+    void on_response(response_head&&, const message_info&) override
+    {
+        record(!at_body_);
+    }
+    void on_response_body(std::string_view) override { record(at_body_); }
+    void on_response_end() override { record(false); }
+    void on_failure(const call_failure&) override { record(false); }
+
+    std::shared_ptr<client_connection> connection;
+    bool closed = false;
+    int events_after_close = 0;
+
+private:
+    void record(bool last)
+    {
+        events_after_close += closed ? 1 : 0;
+        closed = closed || last;
+        if (last)
+            connection->close();
+    }
+
+    bool at_body_;
+};
+
+} // namespace
+
+// Guards against use after free: the owner of a call may be destroyed from
+// inside an event, once it has closed the connection.
+TEST_CASE("nothing is told of a call whose connection was closed")
+{
+    for (bool at_body : {false, true}) {
+        fixture it([](scripted_connection& from, const std::string&,
+                      const std::string&) { from.send(answer("a", "body")); });
+        closing_recorder events(at_body);
+        events.connection = it.pool.take(std::chrono::seconds(1));
+        request_head head;
+        head.method = "GET";
+        head.target = "/";
+        events.connection->start_call(head, {}, {}, "a", events);
+        REQUIRE(run_until(it.loop, [&] { return events.closed; }));
+        run_for(it.loop, std::chrono::milliseconds(20));
+        CAPTURE(at_body);
+        CHECK(events.events_after_close == 0);
+        CHECK_FALSE(events.connection->busy());
+    }
+}
+
 } // namespace shallotwood::test
