Fail responses with a status outside 200 to 599

The reader takes any three digits as a status and nothing checked them, so 000, 001, 099, 600 and 999 reached callers, and a 101 that nobody asked for was skipped like an interim response and held the caller until its timeout. A "not run" refusal was passed on only at the end of its body.

Such a response is a failed one in both data paths, for the store and between nodes: the connection is closed and the caller gets 502, "may have run", whatever else the response says. It is counted (backend_bad_status) and logged. A refusal is passed on after 64 KB or 1 s of its body.

Ruled out: a check in the reader, which would report the status only as malformed input.

--- a/src/connection/http/client_connection.cpp
+++ b/src/connection/http/client_connection.cpp
@@ -79,6 +79,7 @@
 void client_connection::new_reader()
 {
     dropping_ = false;
+    bad_status_.reset();
     message_ended_ = false;
     reader_events& events = *this;
     reader_ =
@@ -106,7 +107,7 @@
         read_error ec = read_error::none;
         auto n = reader_->put(bytes, ec);
         bytes.remove_prefix(n);
-        if (ec != read_error::none) {
+        if (ec != read_error::none || bad_status_) {
             fail(true);
             return;
         }
@@ -140,7 +141,9 @@
 void client_connection::on_head(const message_info& info)
 {
     auto& head = reader_->head();
-    if (head.status / 100 == 1) {
+    if (!is_interim(head.status) && !is_final(head.status))
+        bad_status_ = head.status;
+    if (!is_final(head.status)) {
         dropping_ = true;
         return;
     }
@@ -195,6 +198,7 @@
     why.refused = !was_connected_;
     why.unsent = taken() == taken_before_;
     why.malformed = malformed;
+    why.bad_status = bad_status_;
     why.unanswered = !answered_ && !reader_->started();
     events->on_failure(why);
 }
--- a/src/connection/http/client_connection.hpp
+++ b/src/connection/http/client_connection.hpp
@@ -24,6 +24,8 @@
     bool unsent = false;
     // The server sent bytes that are no answer in the protocol.
     bool malformed = false;
+    // The answer's status, if no answer may have it; it is malformed, too.
+    std::optional<int> bad_status;
     // Nothing of an answer had arrived.
     bool unanswered = true;
 };
@@ -111,6 +113,7 @@
     bool keep_alive_ = true;
     bool answered_ = false;
     bool dropping_ = false;
+    std::optional<int> bad_status_;
     bool message_ended_ = false;
     bool body_chunked_ = false;
     bool body_sent_ = true;
--- a/src/connection/http/message.cpp
+++ b/src/connection/http/message.cpp
@@ -180,6 +180,16 @@
     return {text.data(), text.size()};
 }
 
+bool is_interim(int status)
+{
+    return status / 100 == 1 && status != 101;
+}
+
+bool is_final(int status)
+{
+    return status >= 200 && status <= 599;
+}
+
 bool is_bodiless(int status)
 {
     return status / 100 == 1 || status == 204 || status == 304;
--- a/src/connection/http/message.hpp
+++ b/src/connection/http/message.hpp
@@ -84,6 +84,12 @@
 
 std::string_view reason_phrase(int status);
 
+// Interim responses precede the response to a request. 101 is none: nobody
+// here asks for another protocol.
+bool is_interim(int status);
+// True for 200 to 599, the statuses that a response may end with.
+bool is_final(int status);
+
 // True if a response with this status never has a body.
 bool is_bodiless(int status);
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,5 +1,7 @@
 #include "connection/http_client.hpp"
 
+#include "connection/http/message.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -171,7 +173,12 @@
 void client_call::got_informational(SoupMessage* /*unused*/, gpointer data)
 {
     auto* self = static_cast<client_call*>(data);
-    if (++self->interim_responses_ > max_interim_responses)
+    auto status = soup_message_get_status(self->message_.get());
+    // No request asks for another protocol.
+    if (status == SOUP_STATUS_SWITCHING_PROTOCOLS)
+        self->bad_status_ = status;
+    if (++self->interim_responses_ > max_interim_responses ||
+        self->bad_status_ != 0)
         g_cancellable_cancel(self->cancellable_.get());
 }
 
@@ -191,8 +198,13 @@
         soup_session_send_finish(SOUP_SESSION(session), result, &error));
     g_signal_handlers_disconnect_by_data(self->message_.get(), self.get());
     error_handle failure(error);
+    auto status = soup_message_get_status(self->message_.get());
+    if (self->stream_ && !http::is_final(static_cast<int>(status)))
+        self->bad_status_ = status;
     if (self->ended_)
         self->release_stream();
+    else if (self->bad_status_ != 0)
+        self->fail("status outside 200 to 599");
     else if (!self->stream_)
         self->fail(failure ? failure->message : "no response");
     else if (!has_known_end(self->message_.get()))
@@ -282,7 +294,7 @@
         return;
     auto handlers = handlers_;
     cancel();
-    handlers->on_failure({written_, message});
+    handlers->on_failure({written_, message, bad_status_});
 }
 
 void client_call::cancel()
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -48,6 +48,8 @@
     // False if no byte of the request can have been written.
     bool written = false;
     std::string message;
+    // The response's status, if no response may have it; 0 otherwise.
+    unsigned bad_status = 0;
 };
 
 // The internal headers that a node or backend server may set on a response;
@@ -112,6 +114,7 @@
     std::shared_ptr<client_handlers> handlers_;
     std::vector<char> buffer_;
     int interim_responses_ = 0;
+    unsigned bad_status_ = 0;
     bool written_ = false;
     bool ended_ = false;
     // A read was asked for and has not been answered yet.
--- a/src/process/http/http_client.cpp
+++ b/src/process/http/http_client.cpp
@@ -1,5 +1,7 @@
 #include "process/http/http_client.hpp"
 
+#include "connection/http/message.hpp"
+
 namespace shallotwood::process::http
 {
 
@@ -84,9 +86,13 @@
         ++self->response_.sends;
     }
 
-    // Cancels the exchange unless the response is known to be within the limit.
+    // Cancels the exchange unless the response is known to be within the limit
+    // and has a status that a response may end with.
     static void on_headers(SoupMessage* message, exchange* self)
     {
+        if (!connection::http::is_final(
+                static_cast<int>(soup_message_get_status(message))))
+            g_cancellable_cancel(self->cancellable_);
         if (soup_message_get_status(message) == SOUP_STATUS_NO_CONTENT)
             return;
         auto* headers = soup_message_get_response_headers(message);
--- a/src/process/http/http_execution.cpp
+++ b/src/process/http/http_execution.cpp
@@ -24,6 +24,11 @@
 
 constexpr int max_service_bytes = 128;
 
+// The body of the backend server's refusal is read up to these bounds, so that
+// the connection can be kept. The sender waits meanwhile.
+constexpr std::size_t max_refusal_bytes = std::size_t{64} * 1024;
+constexpr duration max_refusal_time = std::chrono::seconds(1);
+
 std::variant<request::call, refusal> parse_call(const server_exchange& exchange,
                                                 const std::string& fleet_secret)
 {
@@ -125,6 +130,8 @@
     it.on_data = [self](std::string_view bytes) { self->data_received(bytes); };
     it.on_end = [self] { self->end_received(); };
     it.on_failure = [self](const client_failure& failure) {
+        if (failure.bad_status != 0)
+            self->record_bad_status(failure.bad_status);
         self->failed(failure.written);
     };
     token_ = permit.token;
@@ -162,10 +169,32 @@
              feedback_text({execution::ran, reason::none}, std::nullopt)});
         exchange_->start_response(head);
     }
-    start_progress_timer();
+    if (backend_refusal_)
+        progress_timer_.start(max_refusal_time, [self = shared_from_this()] {
+            self->finish_refusal();
+        });
+    else
+        start_progress_timer();
     client_->read();
 }
 
+void http_execution::finish_refusal()
+{
+    if (finished_)
+        return;
+    client_->cancel();
+    refuse_with_feedback(*backend_refusal_);
+    ended(execution_end::refused);
+}
+
+void http_execution::record_bad_status(unsigned status)
+{
+    ++in_.counts.at("backend_bad_status");
+    SHALLOTWOOD_LOG(warning) << "event=backend_bad_status"
+                             << field("request", call_.context.request_id)
+                             << field("status", status);
+}
+
 void http_execution::start_progress_timer()
 {
     progress_timer_.start(in_.settings.body_progress_limit,
@@ -174,6 +203,14 @@
 
 void http_execution::data_received(std::string_view bytes)
 {
+    if (backend_refusal_) {
+        relayed_bytes_ += bytes.size();
+        if (relayed_bytes_ > max_refusal_bytes)
+            finish_refusal();
+        else
+            client_->read();
+        return;
+    }
     progress_timer_.cancel();
     auto more = [self = shared_from_this()] {
         if (self->finished_)
@@ -181,8 +218,6 @@
         self->start_progress_timer();
         self->client_->read();
     };
-    if (backend_refusal_)
-        return more();
     relayed_bytes_ += bytes.size();
     if (length_ && relayed_bytes_ >= *length_) {
         // Reads the end of the body while the last bytes are being written.
--- a/src/process/http/http_execution.hpp
+++ b/src/process/http/http_execution.hpp
@@ -31,6 +31,9 @@
                        const connection::internal_headers& internal);
     void data_received(std::string_view bytes);
     void end_received();
+    // Enough of the backend server's refusal has been read.
+    void finish_refusal();
+    void record_bad_status(unsigned status);
     void failed(bool written);
     void sender_disconnected();
     void stop(request::execution_end how, const request::refusal& refused);
--- a/src/process/http/http_forward.cpp
+++ b/src/process/http/http_forward.cpp
@@ -176,7 +176,8 @@
     start_progress_timer(in_.settings.body_progress_limit);
     if (feedback_.what.run != execution::ran) {
         // The body of a refusal is small and not relayed; it is read so that
-        // the connection can be reused.
+        // the connection can be reused, until body_progress_limit has passed
+        // since its head.
         phase_ = phase::refused;
         return client_->read();
     }
@@ -213,6 +214,8 @@
         if (buffered_body_.size() > max_recorded_bytes)
             return record_response(false);
         break;
+    case phase::refused:
+        return client_->read();
     default:
         break;
     }
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -53,6 +53,11 @@
 // Broken attempts kept to find the request that caused a crash.
 constexpr std::size_t max_broken_attempts = 1000;
 
+// The body of a refusal is read up to these bounds, so that the connection can
+// be kept. One that exceeds them is closed, since the caller waits meanwhile.
+constexpr std::size_t max_refusal_bytes = std::size_t{64} * 1024;
+constexpr duration max_refusal_time = std::chrono::seconds(1);
+
 // Retry-After for a request that is suspected to crash backend servers.
 constexpr duration suspect_retry_after = std::chrono::seconds(60);
 
@@ -418,6 +423,12 @@
         adapter.is_not_run_response(head)) {
         misdirected_ = adapter.is_misdirected_response(head);
         refused_by_backend_ = true;
+        if (state_ != state::running)
+            return;
+        owner_.loop_.cancel(timer_);
+        timer_ = owner_.loop_.call_after(
+            std::min(max_refusal_time, remaining() + deadline_grace),
+            [self] { self->finish_refusal(); });
         return;
     }
     // A success without the backend server's mark and the echoed request ID may
@@ -450,11 +461,32 @@
     fail(execution::may_have_run, reason::malformed);
 }
 
+void local_attempt::finish_refusal()
+{
+    if (state_ != state::running)
+        return;
+    auto self = shared_from_this();
+    // Within a message; a connection whose call has ended is kept.
+    if (connection_->busy())
+        connection_->close();
+    release_backend();
+    owner_.record_outcome(true);
+    if (misdirected_)
+        owner_.backend_.unreachable();
+    refuse(reason::backend_server_failed);
+}
+
 void local_attempt::on_response_body(std::string_view bytes)
 {
-    if (refused_by_backend_ || state_ != state::running)
+    if (state_ != state::running)
         return;
     auto self = shared_from_this();
+    if (refused_by_backend_) {
+        refusal_bytes_ += bytes.size();
+        if (refusal_bytes_ > max_refusal_bytes)
+            finish_refusal();
+        return;
+    }
     if (!request_.repeatable || !receiver_) {
         if (response_copy_.size() + bytes.size() > max_copy_bytes)
             copy_complete_ = false;
@@ -468,14 +500,12 @@
 void local_attempt::on_response_end()
 {
     auto self = shared_from_this();
-    release_backend();
-    owner_.record_outcome(refused_by_backend_);
     if (refused_by_backend_) {
-        if (misdirected_)
-            owner_.backend_.unreachable();
-        refuse(reason::backend_server_failed);
+        finish_refusal();
         return;
     }
+    release_backend();
+    owner_.record_outcome(false);
     response_ended_ = true;
     auto to = receiver_;
     end();
@@ -496,6 +526,14 @@
     }
     release_backend();
     owner_.record_outcome(true);
+    if (why.bad_status) {
+        ++owner_.counts_.at("backend_bad_status");
+        if (telemetry::allow(decision::failed))
+            SHALLOTWOOD_LOG(warning) << "event=backend_bad_status"
+                                     << field("request", request_.request_id)
+                                     << field("backend", owner_.backend_.id())
+                                     << field("status", *why.bad_status);
+    }
     bool sent = !why.unsent || earlier_may_have_run_;
     if (sent && !why.malformed)
         owner_.record_broken_attempt(fingerprint_);
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -196,6 +196,8 @@
     void fail(request::execution known, request::reason why);
     // The response can't be told to belong to this request.
     void reject_response();
+    // The backend server's refusal is whole, or as much of it as is read.
+    void finish_refusal();
     void release_backend();
     // The executor is being destroyed.
     void abandon();
@@ -233,6 +235,7 @@
     // The backend server answered that it did not run the request.
     bool refused_by_backend_ = false;
     bool misdirected_ = false;
+    std::size_t refusal_bytes_ = 0;
 
     // Copy of the response for a sender that reconnects.
     std::optional<connection::http::response_head> response_head_;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -304,7 +304,9 @@
         return reply;
     }
     connection::http::response_head head;
-    head.status = static_cast<int>(*status);
+    head.status = static_cast<int>(std::min<std::uint64_t>(*status, 1000));
+    if (!connection::http::is_final(head.status))
+        return std::nullopt;
     head.headers = message_headers(headers);
     reply.response = std::move(head);
     reply.length = number_in(headers, "sw-length");
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -138,6 +138,8 @@
         auto self = shared_from_this();
         auto reply = reply_from_headers(std::move(headers));
         if (!reply) {
+            session_->reset(std::exchange(stream_, -1));
+            body_->on_more({});
             fail(execution::may_have_run, reason::malformed);
             return;
         }
--- a/tests/sidecar/test_client_connection.cpp
+++ b/tests/sidecar/test_client_connection.cpp
@@ -232,4 +232,38 @@
     }
 }
 
+// A caller would get a status that HTTP does not have, or wait until its
+// deadline.
+TEST_CASE("a final status outside 200 to 599 is a failure")
+{
+    for (const std::string status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        fixture it([&](scripted_connection& from, const std::string&,
+                       const std::string&) {
+            from.send("HTTP/1.1 " + status +
+                      " Oops\r\nId: a\r\nContent-Length: 4\r\n\r\nbody");
+        });
+        CAPTURE(status);
+        auto got = it.call("a");
+        REQUIRE(got.failure);
+        CHECK(got.failure->malformed);
+        CHECK(got.failure->bad_status == std::stoi(status));
+        CHECK(got.head.status == 0);
+        CHECK(run_until(it.loop, [&] { return it.server.all_ended(); }));
+    }
+}
+
+TEST_CASE("interim responses are skipped")
+{
+    fixture it(
+        [](scripted_connection& from, const std::string&, const std::string&) {
+            from.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n"
+                      "HTTP/1.1 199 Other\r\n\r\n" +
+                      answer("a", "body"));
+        });
+    auto got = it.call("a");
+    CHECK(got.ended);
+    CHECK(got.body == "body");
+}
+
 } // namespace shallotwood::test
--- a/tests/sidecar/test_faulty_server.cpp
+++ b/tests/sidecar/test_faulty_server.cpp
@@ -194,4 +194,70 @@
         }
 }
 
+// Guards against a status that a caller can't read, and against a false "not
+// run": the request may have run.
+TEST_CASE("a response with a bad status may have run")
+{
+    for (const std::string status : {"000", "099", "101", "600", "999"})
+        for (bool repeatable : {true, false}) {
+            fixture it([&](scripted_connection& from, const std::string&,
+                           const std::string&) {
+                from.send("HTTP/1.1 " + status +
+                          " Oops\r\nX-Request-Id: r\r\nX-Server-Seal: s\r\n"
+                          "X-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nok");
+            });
+            CAPTURE(status, repeatable);
+            auto got = it.run("r", repeatable, std::chrono::seconds(3));
+            REQUIRE(got->failure);
+            CHECK(got->failure->what.run == execution::may_have_run);
+            CHECK(got->failure->what.why == request::reason::malformed);
+            CHECK(it.node.counts.at("backend_bad_status") == 1);
+            CHECK(run_until(it.loop, [&] { return it.server.all_ended(); }));
+        }
+}
+
+TEST_CASE("a caller gets 502 for a response with a bad status")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", [](auto&, auto&, auto&) {});
+    fleet.add("s", [](scripted_connection& from, const std::string& head,
+                      const std::string&) {
+        from.send("HTTP/1.1 000 Oops\r\nX-Request-Id: " +
+                  header_of(head, "X-Request-Id") +
+                  "\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+    });
+    fleet.write_policy(1, {"front", "s"}, "non_idempotent");
+    fleet.settle(1);
+    CHECK(fleet.request(entry, "s", "key", "DELETE").status == 502);
+}
+
+// Otherwise a caller waits for a refusal as long as its server sends.
+TEST_CASE("a refusal whose body does not end is passed on")
+{
+    const std::string head = "HTTP/1.1 503 Busy\r\nX-Request-Id: r\r\n"
+                             "X-Not-Executed: 1\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string many_bytes =
+        "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+    // Many bytes, few, and none.
+    for (const auto& again :
+         {many_bytes, std::string("1\r\nx\r\n"), std::string()}) {
+        loop::reactor* loop = nullptr;
+        fixture faulty([&](scripted_connection& from, const std::string&,
+                           const std::string&) {
+            from.send(head);
+            if (!again.empty())
+                send_without_end(*loop, from.shared_from_this(), again);
+        });
+        loop = &faulty.loop;
+        CAPTURE(again.size());
+        auto got = faulty.run("r", false, std::chrono::seconds(4));
+        REQUIRE(got->failure);
+        CHECK(got->failure->what.run == execution::not_run);
+        CHECK(faulty.node.executor.running_attempts() == 0);
+        CHECK(
+            run_until(faulty.loop, [&] { return faulty.server.all_ended(); }));
+    }
+}
+
 } // namespace shallotwood::test
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -385,3 +385,37 @@
     CHECK(response.status == 400);
     CHECK(support::get(node.port(2), "/metrics").status == 200);
 }
+
+// Guards against a status that a caller can't read, and against a 101 that
+// holds it until its timeout.
+TEST_CASE("a final status outside 200 to 599 is a failure", "[process]")
+{
+    for (const std::string status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        raw_backend backend(
+            {"HTTP/1.1 " + status + " Oops\r\nContent-Length: 2\r\n\r\nok"});
+        controlled_node node;
+        node.pass_through.set_backend("127.0.0.1", backend.port());
+        auto it = node.get("/x");
+        CAPTURE(status);
+        CHECK(it.status == 502);
+        CHECK(it.header("Shallotwood-Verdict") == "may-have-run");
+        // libsoup reports an error, and no status, for those below 100.
+        CHECK(node.counts.at("backend_bad_status") ==
+              (std::stoi(status) < 100 ? 0 : 1));
+    }
+}
+
+TEST_CASE("a refusal whose body does not end is passed on", "[process]")
+{
+    const std::string head = "HTTP/1.1 503 Busy\r\nShallotwood-Verdict: "
+                             "not-run\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string bytes = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+    raw_backend backend({head, bytes}, true);
+    controlled_node node;
+    node.pass_through.set_backend("127.0.0.1", backend.port());
+    auto it = node.get("/x");
+    CHECK(it.status == 503);
+    CHECK(it.header("Shallotwood-Verdict") == "not-run");
+    CHECK(support::eventually([&] { return backend.was_closed(); }));
+}
