--- a/tests/sidecar/support/exchange_fleet.cpp
+++ b/tests/sidecar/support/exchange_fleet.cpp
@@ -61,6 +61,8 @@
     {
         auto peer = static_cast<std::size_t>(to.port) - 1;
         count(peer, body.size());
+        if (peer % world.domains_ != number % world.domains_)
+            world.contacts.emplace(number, peer % world.domains_);
         auto way = world.one_way(number, peer);
         if (world.lost(number, peer)) {
             world.loop.call_after(limit, [done] { done({}); });
--- a/tests/sidecar/support/exchange_fleet.hpp
+++ b/tests/sidecar/support/exchange_fleet.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace shallotwood::test
@@ -67,6 +68,8 @@
     virtual_loop loop;
     // What crossed domains.
     traffic crossed;
+    // Nodes, each with another domain to which it sent a message.
+    std::set<std::pair<std::size_t, std::size_t>> contacts;
 
 private:
     struct node;
--- a/tests/sidecar/test_fleet_traffic.cpp
+++ b/tests/sidecar/test_fleet_traffic.cpp
@@ -90,6 +90,19 @@
     CHECK(time_to_start(fleet) < milliseconds(2000));
 }
 
+// Guards against a node that sends no calls to another domain and no longer
+// measures the round trip to it.
+TEST_CASE("each node sends a message to each other domain every 10 s")
+{
+    exchange_fleet fleet(fleet_size, domain_count, 1);
+    fleet.advance(seconds(15));
+    for (int n = 0; n < 3; ++n) {
+        fleet.contacts.clear();
+        fleet.advance(seconds(10));
+        CHECK(fleet.contacts.size() == fleet_size * (domain_count - 1));
+    }
+}
+
 // Guards against rules for domains of many nodes that make small fleets slower
 // or have them send more.
 TEST_CASE("small domains exchange updates as fast as before")
