Learn from a backend server's rejections how many calls it takes

Cause: a backend server that sheds by itself answers at once, so its node goes on admitting to its announced slots and it takes more calls than a healthy one.

load::concurrency_backoff lowers the limit of running calls with each rejection, not below the calls that the server keeps, and raises it again in steps. Rejections that are as frequent with few running calls as with many return the limit to the slots and set the failure rate instead. The load report shows the limit.

--- a/src/process/load/admission_controller.cpp
+++ b/src/process/load/admission_controller.cpp
@@ -75,8 +75,21 @@
 void admission_controller::set_slots(int slots)
 {
     slots_ = std::max(slots, 1);
-    limit_ = std::max(
+    slot_limit_ = std::max(
         1, static_cast<int>(std::floor(slots_ * settings_.usable_slot_share)));
+    update_limit();
+}
+
+void admission_controller::set_concurrency_limit(std::optional<int> most)
+{
+    concurrency_limit_ = most;
+    update_limit();
+}
+
+void admission_controller::update_limit()
+{
+    limit_ =
+        std::clamp(concurrency_limit_.value_or(slot_limit_), 1, slot_limit_);
     run_waiting();
 }
 
--- a/src/process/load/admission_controller.hpp
+++ b/src/process/load/admission_controller.hpp
@@ -59,6 +59,8 @@
     admission_controller& operator=(const admission_controller&) = delete;
 
     void set_slots(int slots);
+    // Further limits the running calls; nothing for no further limit.
+    void set_concurrency_limit(std::optional<int> most);
     // Limits the calls that start in a second; nothing for no limit.
     void set_rate_limit(std::optional<double> per_second);
     // An admitted call is sent to the backend server once more.
@@ -76,6 +78,8 @@
     int running() const { return running_; }
     // Calls that can execute at once, within the slots and the rate limit.
     int limit() const;
+    // The same, within the slots alone.
+    int slot_limit() const { return slot_limit_; }
     std::size_t waiting() const { return waiting_.size(); }
     // Time until such a call would start if it arrived now.
     duration expected_wait(const admission_request& it) const;
@@ -95,6 +99,7 @@
     using queue_position = std::tuple<bool, shed_key, std::uint64_t>;
     static queue_position queue_position_of(const admission_request& it);
 
+    void update_limit();
     bool has_room() const;
     void observe();
     void run_waiting();
@@ -106,7 +111,10 @@
     scheduler& timers_;
     admission_settings settings_;
     int slots_ = 1;
+    int slot_limit_ = 1;
+    // slot_limit_, or the concurrency limit if that is lower.
     int limit_ = 1;
+    std::optional<int> concurrency_limit_;
     int running_ = 0;
     start_pacer pacer_;
     std::map<queue_position, entry> waiting_;
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -76,8 +76,9 @@
     : loop_(loop), adapter_(adapter), counts_(counts), backend_(backend),
       shed_thresholds_(shed_thresholds), suspects_(suspects),
       admission_controller_(loop, loop), service_times_(loop),
-      pool_(loop, backend_options(adapter))
+      backoff_(loop, loop), pool_(loop, backend_options(adapter))
 {
+    backoff_.on_change([this] { apply_backoff(); });
     pool_.set_address(backend.address());
 }
 
@@ -123,10 +124,13 @@
         notice_ = {backend_.key(), 0, false};
         notice_recorded_ = false;
         admission_controller_.set_rate_limit(std::nullopt);
+        backoff_.reset();
     }
     pool_.set_address(backend_.address());
-    if (backend_.slots() > 0)
+    if (backend_.slots() > 0) {
         admission_controller_.set_slots(backend_.slots());
+        backoff_.set_maximum(admission_controller_.slot_limit());
+    }
     if (!backend_.takes_calls())
         admission_controller_.refuse_all();
 }
@@ -153,6 +157,40 @@
     failure_rate_ += failure_rate_weight * ((failed ? 1 : 0) - failure_rate_);
 }
 
+void local_executor::record_answer(
+    const load::concurrency_backoff::sent_call& call, bool rejected)
+{
+    using state = load::concurrency_backoff::state;
+    if (rejected)
+        ++counts_.at("backend_rejections");
+    bool was_independent = backoff_.current() == state::load_independent;
+    backoff_.record(call, rejected, admission_controller_.running() - 1);
+    bool independent = backoff_.current() == state::load_independent;
+    record_outcome(rejected);
+    if (independent && !was_independent)
+        failure_rate_ = std::max(failure_rate_, backoff_.independent_share());
+}
+
+void local_executor::apply_backoff()
+{
+    using state = load::concurrency_backoff::state;
+    bool reduced = backoff_.current() == state::reduced;
+    bool lower = reduced && backoff_.limit() < admission_controller_.limit();
+    if (lower)
+        ++counts_.at("concurrency_reductions");
+    if ((lower || !reduced) && telemetry::allow(decision::state))
+        SHALLOTWOOD_LOG(info)
+            << "event=concurrency_limited" << field("backend", backend_.id())
+            << field("state", name_of(backoff_.current()))
+            << field("limit", backoff_.limit())
+            << field("slots", backend_.slots())
+            << field("rejected_share", backoff_.rejected_share())
+            << field("running", admission_controller_.running())
+            << field("waiting", admission_controller_.waiting());
+    admission_controller_.set_concurrency_limit(
+        reduced ? std::optional<int>(backoff_.limit()) : std::nullopt);
+}
+
 void local_executor::record_broken_attempt(
     load::fingerprint request_fingerprint)
 {
@@ -302,6 +340,7 @@
         remaining() + deadline_grace,
         [self = shared_from_this()] { self->expire(); });
     first_sent_ = owner_.loop_.now();
+    others_ = owner_.admission_controller_.running() - 1;
     owner_.service_times_.record_start(request_.route, first_sent_);
     send();
 }
@@ -418,8 +457,12 @@
 void local_attempt::on_response_end()
 {
     auto self = shared_from_this();
+    // Before the slot is free, so that a reduced limit applies to it.
+    if (misdirected_)
+        owner_.record_outcome(true);
+    else
+        owner_.record_answer({first_sent_, others_}, refused_by_backend_);
     release_backend();
-    owner_.record_outcome(refused_by_backend_);
     if (refused_by_backend_) {
         if (misdirected_)
             owner_.backend_.unreachable();
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -10,6 +10,7 @@
 #include "process/callback_guard.hpp"
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
+#include "process/load/concurrency_backoff.hpp"
 #include "process/load/crash_suspects.hpp"
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
@@ -112,6 +113,10 @@
     void apply_notice(const routing::backend_notice& it);
     void forget(const std::string& attempt_id);
     void record_outcome(bool failed);
+    // The backend server answered; `rejected` if it did not run the request.
+    void record_answer(const load::concurrency_backoff::sent_call& call,
+                       bool rejected);
+    void apply_backoff();
     void record_broken_attempt(load::fingerprint request_fingerprint);
 
     loop::reactor& loop_;
@@ -123,6 +128,7 @@
     settings settings_;
     load::admission_controller admission_controller_;
     load::service_times service_times_;
+    load::concurrency_backoff backoff_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
     std::function<bool(duration)> may_start_;
@@ -208,6 +214,8 @@
     time_point started_;
     // As started_, or earlier if the request was sent again.
     time_point first_sent_;
+    // Other calls that ran on the backend server at that time.
+    int others_ = 0;
     std::shared_ptr<connection::http::client_connection> connection_;
     timer_id timer_{};
     std::uint64_t body_sent_ = 0;
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -97,6 +97,47 @@
     CHECK(got->failure->what.run == execution::not_run);
 }
 
+// Guards against entry nodes that go on placing calls by the announced slots of
+// a backend server that sheds by itself.
+TEST_CASE("the load report shows how many calls a backend server takes")
+{
+    fixture it([](scripted_connection& from, const std::string& head,
+                  const std::string&) {
+        auto id = header_of(head, "X-Request-Id");
+        if (id != "held")
+            from.send(
+                "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+                id + "\r\nContent-Length: 0\r\n\r\n");
+    });
+    auto start = [&](const std::string& id) {
+        auto got = std::make_shared<run_recorder>();
+        auto what = run_on_s(id, true);
+        what.request_id = id;
+        it.executor.start(what, got);
+        return got;
+    };
+    auto full = it.executor.load("route").limit;
+    REQUIRE(full > 1);
+    auto held = start("held");
+    for (int n = 0; n < 8; ++n) {
+        auto got = start("rejected-" + std::to_string(n));
+        REQUIRE(run_until(it.loop, [&] { return got->done(); }));
+        REQUIRE(got->failure);
+    }
+    CHECK(it.executor.load("route").limit == 1);
+    CHECK(it.node.counts.at("backend_rejections") == 8);
+    // A new start of the backend server is not judged by the former one.
+    announcement next;
+    next.backend_id = "another";
+    next.started_at_ms = 10;
+    next.service = "s";
+    next.address = it.server.address();
+    next.slots = 4;
+    it.node.backend.handle_announcement(next);
+    it.executor.backend_changed();
+    CHECK(it.executor.load("route").limit == full);
+}
+
 TEST_CASE("a success that names no request is nobody's")
 {
     fixture it(
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -583,6 +583,41 @@
     }
 }
 
+// Guards against the loss of a whole tree to one server that sheds by itself.
+TEST_CASE("a call of a run that a backend server rejects goes to another one")
+{
+    small_fleet fleet;
+    std::string running;
+    auto& entry =
+        fleet.add("front", [&](scripted_connection&, const std::string& head,
+                               const std::string&) {
+            running = header_of(head, "X-Request-Id");
+        });
+    int rejected = 0;
+    fleet.add("t", [&](scripted_connection& from, const std::string& head,
+                       const std::string&) {
+        ++rejected;
+        from.send("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
+                  header_of(head, "X-Request-Id") +
+                  "\r\nContent-Length: 0\r\n\r\n");
+    });
+    fleet.add("t", serve);
+    fleet.open_services = {"t"};
+    fleet.write_policy(1, {"front", "t"}, "non_idempotent");
+    fleet.settle(1);
+    silent_events events;
+    auto caller = fleet.start_request(entry, "front", events);
+    REQUIRE(run_until(fleet.loop, [&] { return !running.empty(); }));
+    constexpr int calls = 40;
+    auto begin = fleet.loop.now();
+    for (int n = 0; n < calls; ++n)
+        CHECK(fleet.inner_request(entry, "t", running).status == 200);
+    // At once, and the server is avoided once it is known.
+    CHECK(fleet.loop.now() - begin < std::chrono::seconds(2));
+    CHECK(rejected >= 1);
+    CHECK(rejected < calls / 4);
+}
+
 // The work done for it would be lost.
 TEST_CASE("a call of a run waits for a backend server that comes back")
 {
