Judge the wait of a call by the work ahead of it

Cause: the queue was bounded by calls per slot, and the wait computed with one mean time for all routes. A check of 55 ms behind reads of 880 ms waited until its time was over; a read with seconds to spare was refused because many short calls waited.

Calls carry the expected time of their route. The wait is the expected time of the queued calls ahead over the slots, and the time until a running call ends. retry_after is the wait for that key, within +-25% by a hash of the call's number. The bound of calls per slot, now 16, only bounds the memory.

--- a/src/process/load/admission_controller.cpp
+++ b/src/process/load/admission_controller.cpp
@@ -18,6 +18,14 @@
 // How often calls past their latest start are removed from the queue.
 constexpr duration expiry_period = std::chrono::milliseconds(10);
 
+// Retry-After differs by up to this part in both directions, so that calls that
+// were refused together do not return together.
+constexpr double retry_after_spread = 0.25;
+
+// Fibonacci hashing: consecutive numbers of calls are spread evenly.
+constexpr std::uint64_t spread_multiplier = 0x9e3779b97f4a7c15;
+constexpr int spread_bits = 16;
+
 } // namespace
 
 admission_controller::admission_controller(const clock& time, scheduler& timers,
@@ -60,10 +68,14 @@
     return std::clamp(static_cast<int>(std::ceil(paced)), 1, limit_);
 }
 
-duration admission_controller::retry_after() const
+duration admission_controller::retry_after(const admission_request& it) const
 {
-    return std::max(service_time_,
-                    pacer_.wait_for(waiting_.size() + 1, clock_.now()));
+    auto own = it.expected.count() > 0 ? it.expected : service_time_;
+    auto least = std::max(own, expected_wait(it));
+    auto place = (it.id * spread_multiplier) >> (64 - spread_bits);
+    auto unit = static_cast<double>(place) / (1 << spread_bits);
+    return std::chrono::duration_cast<duration>(
+        least * (1 + retry_after_spread * (2 * unit - 1)));
 }
 
 void admission_controller::set_rate_limit(std::optional<double> per_second)
@@ -98,8 +110,7 @@
     controller_.arrived(it.key);
     set_period_timer();
     if (has_room() && waiting_.empty()) {
-        ++running_;
-        pacer_.started(clock_.now());
+        started(it.expected);
         observe();
         done(admission_decision::run);
         return;
@@ -113,7 +124,7 @@
         return;
     }
     waiting_.emplace(queue_position_of(it),
-                     entry{it.latest_start, std::move(done)});
+                     entry{it.latest_start, it.expected, std::move(done)});
     queue_positions_.emplace(it.id, queue_position_of(it));
     observe();
     set_timer();
@@ -129,9 +140,26 @@
     observe();
 }
 
-void admission_controller::finished(duration elapsed)
+void admission_controller::started(duration expected)
+{
+    ++running_;
+    pacer_.started(clock_.now());
+    if (expected.count() <= 0)
+        return;
+    ++known_running_;
+    known_end_rate_ += 1 / static_cast<double>(expected.count());
+}
+
+void admission_controller::finished(duration elapsed, duration expected)
 {
     --running_;
+    if (expected.count() > 0) {
+        --known_running_;
+        known_end_rate_ -= 1 / static_cast<double>(expected.count());
+    }
+    // Ends the rounding errors of the sum.
+    if (known_running_ == 0)
+        known_end_rate_ = 0;
     controller_.ended();
     auto mean = static_cast<double>(service_time_.count());
     mean += mean_weight * (static_cast<double>(elapsed.count()) - mean);
@@ -152,13 +180,26 @@
 {
     if (has_room() && waiting_.empty())
         return duration(0);
-    auto ahead = std::distance(waiting_.begin(),
-                               waiting_.lower_bound(queue_position_of(it)));
-    auto place = static_cast<std::size_t>(ahead) + 1;
-    return std::max(service_time_ * (ahead + 1) / limit_,
+    duration work{};
+    std::size_t place = 1;
+    auto end = waiting_.lower_bound(queue_position_of(it));
+    for (auto at = waiting_.begin(); at != end; ++at, ++place)
+        work += at->second.expected.count() > 0 ? at->second.expected
+                                                : service_time_;
+    return std::max(work / limit_ + time_to_free_slot(),
                     pacer_.wait_for(place, clock_.now()));
 }
 
+duration admission_controller::time_to_free_slot() const
+{
+    if (running_ < limit_)
+        return duration(0);
+    double rate = known_end_rate_ +
+                  (running_ - known_running_) /
+                      std::max(1.0, static_cast<double>(service_time_.count()));
+    return duration(static_cast<duration::rep>(1 / rate));
+}
+
 void admission_controller::run_waiting()
 {
     while (has_room() && !waiting_.empty()) {
@@ -170,8 +211,7 @@
             it.done(admission_decision::refused);
             continue;
         }
-        ++running_;
-        pacer_.started(clock_.now());
+        started(it.expected);
         it.done(admission_decision::run);
     }
     observe();
--- a/src/process/load/admission_controller.hpp
+++ b/src/process/load/admission_controller.hpp
@@ -29,8 +29,9 @@
     // Share of the announced slots that is used. According to the platform's
     // documentation, some backend servers slow down when nearly full.
     double usable_slot_share = 0.94;
-    // Queue capacity per slot.
-    double queue_per_slot = 2;
+    // Queue capacity per slot. Bounds the memory only: calls are refused by
+    // the expected wait.
+    double queue_per_slot = 16;
 };
 
 struct admission_request {
@@ -41,6 +42,8 @@
     shed_key key = 0;
     // A start after this time is of no use to the caller.
     time_point latest_start;
+    // Expected time on the backend server; 0 if it is not known.
+    duration expected{};
 };
 
 enum class admission_decision { run, refused };
@@ -70,8 +73,8 @@
     // Removes a queued call; its decision callback isn't called.
     void leave(std::uint64_t id);
     // An admitted call has ended. `elapsed` is its time on the
-    // backend server.
-    void finished(duration elapsed);
+    // backend server, `expected` the time that was expected on its arrival.
+    void finished(duration elapsed, duration expected = {});
     // Refuses all queued calls.
     void refuse_all();
 
@@ -87,12 +90,14 @@
     shed_key shed_threshold() const { return controller_.shed_threshold(); }
     // Mean time of a call on the backend server.
     duration service_time() const { return service_time_; }
-    // When a call that is refused now may come back.
-    duration retry_after() const;
+    // When such a call, which is refused now, may come back: after the work
+    // ahead of it. Calls that are refused together get different times.
+    duration retry_after(const admission_request& it) const;
 
 private:
     struct entry {
         time_point latest_start;
+        duration expected;
         decision done;
     };
     // Child calls first; then by key, then by arrival.
@@ -101,6 +106,9 @@
 
     void update_limit();
     bool has_room() const;
+    void started(duration expected);
+    // Time until one of the running calls ends.
+    duration time_to_free_slot() const;
     void observe();
     void run_waiting();
     void expire();
@@ -120,6 +128,10 @@
     std::map<queue_position, entry> waiting_;
     std::unordered_map<std::uint64_t, queue_position> queue_positions_;
     duration service_time_{};
+    // Running calls whose time is known, and how many of them end in a
+    // microsecond.
+    int known_running_ = 0;
+    double known_end_rate_ = 0;
     shed_threshold_controller controller_;
     timer_id timer_{};
     bool timer_set_ = false;
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -308,26 +308,31 @@
         return;
     }
     arrival_ = ++owner_.last_arrival_;
-    load::admission_request it{
-        arrival_, request_.is_child_call, request_.key,
-        arrived_ + std::min(request_.max_queue_time, request_.remaining)};
+    expected_ = owner_.service_times_.estimate(request_.route);
     owner_.admission_controller_.arrive(
-        it, [self](load::admission_decision admission_decision) {
+        admission(), [self](load::admission_decision admission_decision) {
             self->handle_admission(admission_decision);
         });
 }
 
+load::admission_request local_attempt::admission() const
+{
+    return {arrival_, request_.is_child_call, request_.key,
+            arrived_ + std::min(request_.max_queue_time, request_.remaining),
+            expected_};
+}
+
 void local_attempt::handle_admission(load::admission_decision it)
 {
     if (it == load::admission_decision::refused) {
         auto why = owner_.refusal().value_or(reason::overload);
-        refuse(why, owner_.admission_controller_.retry_after());
+        refuse(why, owner_.admission_controller_.retry_after(admission()));
         return;
     }
     bool too_late = remaining() < min_execution_time;
     if (too_late || (owner_.may_start_ && !owner_.may_start_(remaining()))) {
         owner_.admission_controller_.finished(
-            owner_.admission_controller_.service_time());
+            owner_.admission_controller_.service_time(), expected_);
         refuse(too_late ? reason::deadline : reason::draining);
         return;
     }
@@ -520,7 +525,7 @@
     if (connection_)
         owner_.pool_.give_back(std::move(connection_));
     connection_.reset();
-    owner_.admission_controller_.finished(took);
+    owner_.admission_controller_.finished(took, expected_);
 }
 
 void local_attempt::abandon()
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -181,6 +181,7 @@
     friend class local_executor;
     enum class state { waiting, running, ended };
 
+    load::admission_request admission() const;
     void handle_admission(load::admission_decision it);
     void send();
     void send_more_body();
@@ -214,6 +215,8 @@
     time_point started_;
     // As started_, or earlier if the request was sent again.
     time_point first_sent_;
+    // Expected time on the backend server, when the attempt arrived.
+    duration expected_{};
     // Other calls that ran on the backend server at that time.
     int others_ = 0;
     std::shared_ptr<connection::http::client_connection> connection_;
--- a/tests/sidecar/support/scarce_service.cpp
+++ b/tests/sidecar/support/scarce_service.cpp
@@ -24,7 +24,7 @@
 struct scarce_service::server {
     server(virtual_loop& loop, int index)
         : name("10.0.0." + std::to_string(index + 2) + ":1"),
-          admission(loop, loop), backoff(loop, loop), number(index)
+          admission(loop, loop), backoff(loop, loop), times(loop), number(index)
     {
         admission.set_slots(slots);
         backoff.set_maximum(admission.slot_limit());
@@ -45,6 +45,7 @@
     std::string name;
     load::admission_controller admission;
     concurrency_backoff backoff;
+    load::service_times times;
     int number;
     shedding how = shedding::none;
     // Calls that the server itself has accepted.
@@ -87,8 +88,14 @@
     time_point arrived;
     time_point sent;
     concurrency_backoff::sent_call started;
+    duration expected{};
 };
 
+std::string scarce_service::route_of(const request& of)
+{
+    return of.is_tree ? "check" : "read";
+}
+
 int scarce_service::result::whole() const
 {
     int n = 0;
@@ -214,8 +221,8 @@
 {
     auto& of = *it->of;
     auto remaining = of.deadline - loop.now();
-    const auto* to = of.from->balancer.choose(
-        "deep", of.is_tree ? "check" : "read", it->tried, remaining);
+    const auto* to =
+        of.from->balancer.choose("deep", route_of(of), it->tried, remaining);
     if (to == nullptr || remaining.count() <= 0) {
         ended(it, false);
         return;
@@ -238,6 +245,7 @@
         what.is_child_call = from.is_tree;
         what.key = from.key;
         what.latest_start = loop.now() + max_queue_time;
+        what.expected = it->expected = at.times.estimate(route_of(from));
         at.admission.arrive(
             what, [this, it, &at](load::admission_decision decided) {
                 if (decided == load::admission_decision::run) {
@@ -253,6 +261,7 @@
 void scarce_service::run(const std::shared_ptr<call>& it, server& at)
 {
     it->started = {loop.now(), at.admission.running() - 1};
+    at.times.record_start(route_of(*it->of), loop.now());
     bool rejected =
         at.how == shedding::fixed_share
             ? random_.unit() < rejected_share
@@ -282,7 +291,8 @@
         if (now == state::load_independent && before != now)
             at.failure_rate =
                 std::max(at.failure_rate, at.backoff.independent_share());
-        at.admission.finished(took);
+        at.times.record_end(route_of(*it->of), it->started.at);
+        at.admission.finished(took, it->expected);
         answer(it, at,
                rejected ? attempt_outcome::failed : attempt_outcome::served,
                rejected);
@@ -295,11 +305,11 @@
     auto report = at.report();
     loop.call_after(message_time, [this, it, &at, how, rejected, report] {
         auto& from = *it->of->from;
-        const std::string route = it->of->is_tree ? "check" : "read";
         from.balancer.report(at.name, report);
         from.thresholds.record_threshold(it->of->is_tree ? "tree" : "read",
                                          report.shed_threshold);
-        from.balancer.ended(at.name, route, how, loop.now() - it->sent);
+        from.balancer.ended(at.name, route_of(*it->of), how,
+                            loop.now() - it->sent);
         if (how == attempt_outcome::served) {
             ended(it, true);
             return;
--- a/tests/sidecar/support/scarce_service.hpp
+++ b/tests/sidecar/support/scarce_service.hpp
@@ -4,6 +4,7 @@
 
 #include "process/load/admission_controller.hpp"
 #include "process/load/concurrency_backoff.hpp"
+#include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
 #include "process/retry/retry_budget.hpp"
 #include "process/routing/load_balancer.hpp"
@@ -77,6 +78,7 @@
     struct request;
     struct call;
 
+    static std::string route_of(const request& of);
     void enter(bool is_tree);
     void next(const std::shared_ptr<request>& of, int left);
     void attempt(const std::shared_ptr<call>& it);
--- a/tests/sidecar/test_gate.cpp
+++ b/tests/sidecar/test_gate.cpp
@@ -101,6 +101,121 @@
     CHECK(admission_controller.waiting() == 0);
 }
 
+namespace
+{
+
+// Four slots, all taken by long reads.
+class reads_in_progress
+{
+public:
+    static constexpr duration read_time = milliseconds(880);
+    static constexpr duration check_time = milliseconds(55);
+    static constexpr int slots = 4;
+
+    reads_in_progress() : admission_controller(loop, loop, {1.0, 16})
+    {
+        admission_controller.set_slots(slots);
+        // The mean over all routes is that of checks.
+        for (int n = 0; n < 200; ++n) {
+            arrive(check_time, seconds(1), 1);
+            loop.advance(check_time);
+        }
+        for (int n = 0; n < slots; ++n)
+            arrive(read_time, seconds(5), 1);
+    }
+
+    struct outcome {
+        std::optional<admission_decision> decided;
+        time_point at;
+    };
+
+    std::shared_ptr<outcome> arrive(duration expected, duration max_queue_time,
+                                    load::shed_key key)
+    {
+        auto it = call(++last_, loop, max_queue_time, key);
+        it.expected = expected;
+        auto got = std::make_shared<outcome>();
+        admission_controller.arrive(
+            it, [this, got, expected](admission_decision how) {
+                got->decided = how;
+                got->at = loop.now();
+                if (how == admission_decision::run)
+                    loop.call_after(expected, [this, expected] {
+                        admission_controller.finished(expected, expected);
+                    });
+            });
+        return got;
+    }
+
+    virtual_loop loop;
+    load::admission_controller admission_controller;
+
+private:
+    std::uint64_t last_ = 0;
+};
+
+bool is_refused(const reads_in_progress::outcome& it)
+{
+    return it.decided == admission_decision::refused;
+}
+
+} // namespace
+
+// Guards against checks that wait behind reads until their time is over,
+// because reads are taken for as short as the mean of all calls.
+TEST_CASE("a check that can't start in time behind long reads is refused")
+{
+    reads_in_progress world;
+    // A slot is free after 220 ms, and one for the second call after 440 ms.
+    auto read = world.arrive(world.read_time, seconds(5), 5);
+    auto behind = world.arrive(world.check_time, milliseconds(300), 9);
+    auto ahead = world.arrive(world.check_time, milliseconds(300), 1);
+    CHECK_FALSE(read->decided);
+    CHECK(is_refused(*behind));
+    CHECK_FALSE(ahead->decided);
+}
+
+// Guards against a queue that is full of short calls and refuses a long one
+// that has time.
+TEST_CASE("a long read with seconds to spare waits behind many checks")
+{
+    reads_in_progress world;
+    for (int n = 0; n < 10 * world.slots; ++n)
+        REQUIRE_FALSE(world.arrive(world.check_time, seconds(3), 1)->decided);
+    auto read = world.arrive(world.read_time, seconds(3), 5);
+    auto hurried = world.arrive(world.read_time, milliseconds(600), 5);
+    CHECK_FALSE(read->decided);
+    CHECK(is_refused(*hurried));
+    auto begin = world.loop.now();
+    world.loop.advance(seconds(3));
+    REQUIRE(read->decided == admission_decision::run);
+    CHECK(read->at - begin < seconds(2));
+}
+
+TEST_CASE("refused calls may come back after the work ahead, spread in time")
+{
+    reads_in_progress world;
+    for (int n = 0; n < 20; ++n)
+        world.arrive(world.check_time, seconds(3), 5);
+    auto& admission = world.admission_controller;
+    auto refused = call(1000, world.loop, milliseconds(0), 9);
+    refused.expected = world.check_time;
+    auto wait = admission.expected_wait(refused);
+    CHECK(wait > milliseconds(400));
+    duration least = wait;
+    duration most = wait;
+    for (int n = 0; n < 100; ++n) {
+        ++refused.id;
+        least = std::min(least, admission.retry_after(refused));
+        most = std::max(most, admission.retry_after(refused));
+    }
+    CHECK(least >= wait * 3 / 4);
+    CHECK(most <= wait * 5 / 4);
+    CHECK(most - least > wait * 4 / 10);
+    refused.key = 1;
+    CHECK(admission.retry_after(refused) < least);
+}
+
 TEST_CASE("calls start no faster than the backend server's rate limit")
 {
     constexpr double rate = 10;
