Share scarce capacity between workspaces of equal importance

Cause: under overload, requests of one class are shed at random, so a workspace that sends six times as much as others gets six times the capacity.

While requests of a route are shed, entry nodes rank what a workspace sends beyond its share after all requests within a share of the same workspace priority (load::fair_share, make_fair_shed_key). Executing nodes measure the demands (load::workspace_demand) and state the largest ones in replies while they shed; an entry node tells with the next attempt what it has refused.

--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -76,7 +76,7 @@
     : loop_(loop), adapter_(adapter), counts_(counts), backend_(backend),
       shed_thresholds_(shed_thresholds), suspects_(suspects),
       admission_controller_(loop, loop), service_times_(loop),
-      backoff_(loop, loop), pool_(loop, backend_options(adapter))
+      backoff_(loop, loop), demand_(loop), pool_(loop, backend_options(adapter))
 {
     backoff_.on_change([this] { apply_backoff(); });
     pool_.set_address(backend.address());
@@ -135,21 +135,26 @@
         admission_controller_.refuse_all();
 }
 
-routing::load_report local_executor::load(const std::string& route) const
+routing::load_report local_executor::load(const std::string& route)
 {
+    auto shed_threshold =
+        std::min(admission_controller_.shed_threshold(),
+                 shed_thresholds_.downstream_threshold(route));
     return {admission_controller_.running(),
             static_cast<int>(admission_controller_.waiting()),
             admission_controller_.limit(),
             admission_controller_.service_time(),
             failure_rate_,
-            std::min(admission_controller_.shed_threshold(),
-                     shed_thresholds_.downstream_threshold(route)),
+            shed_threshold,
             notice_,
             service_times_.estimate(route),
             static_cast<std::uint64_t>(
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     loop_.now().time_since_epoch())
-                    .count())};
+                    .count()),
+            shed_threshold == load::no_shed_threshold
+                ? std::vector<load::large_demand>()
+                : demand_.largest()};
 }
 
 void local_executor::record_outcome(bool failed)
@@ -298,6 +303,13 @@
         refuse(reason::no_backend_server);
         return;
     }
+    if (!request_.workspace.empty())
+        owner_.demand_.record(
+            request_.workspace,
+            owner_.workspace_priority_
+                ? owner_.workspace_priority_(request_.workspace)
+                : 0,
+            request_.refused_before);
     owner_.adopt_notice(request_.notice);
     if (auto why = owner_.refusal()) {
         refuse(*why);
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -14,6 +14,7 @@
 #include "process/load/crash_suspects.hpp"
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
+#include "process/load/workspace_demand.hpp"
 #include "process/sidecar/local_backend.hpp"
 #include "process/sidecar/protocol_adapter.hpp"
 #include "request/attempt.hpp"
@@ -68,7 +69,7 @@
     void set_leaving() { leaving_ = true; }
 
     // Load report for calls on the route.
-    routing::load_report load(const std::string& route) const;
+    routing::load_report load(const std::string& route);
 
     // A request that is running on the backend server.
     struct running_request {
@@ -96,6 +97,12 @@
         may_start_ = std::move(may_start);
     }
 
+    // Called for the priority of a workspace; 0 is the most important.
+    void on_workspace_priority(std::function<int(const std::string&)> priority)
+    {
+        workspace_priority_ = std::move(priority);
+    }
+
     // Called with the requests that were in flight when the backend server
     // crashed.
     using crash_listener =
@@ -129,6 +136,8 @@
     load::admission_controller admission_controller_;
     load::service_times service_times_;
     load::concurrency_backoff backoff_;
+    load::workspace_demand demand_;
+    std::function<int(const std::string&)> workspace_priority_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
     std::function<bool(duration)> may_start_;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -140,6 +140,45 @@
     return speeds;
 }
 
+// Relative demands are sent in hundredths.
+constexpr double demand_scale = 100;
+
+// Entries "DEMAND WORKSPACE", separated by commas.
+std::string to_text(const std::vector<load::large_demand>& demands)
+{
+    std::string text;
+    for (const auto& it : demands) {
+        if (it.workspace.find(',') != std::string::npos)
+            continue;
+        if (!text.empty())
+            text += ',';
+        text += std::to_string(std::llround(it.relative * demand_scale)) + ' ' +
+                it.workspace;
+    }
+    return text;
+}
+
+// Reads at most max_large_demands entries; leaves out unreadable ones.
+std::vector<load::large_demand> demands_from(std::string_view text)
+{
+    constexpr std::uint64_t max_demand = 1'000'000;
+    std::vector<load::large_demand> demands;
+    while (!text.empty() && demands.size() < load::max_large_demands) {
+        auto comma = std::min(text.find(','), text.size());
+        auto entry = text.substr(0, comma);
+        text.remove_prefix(std::min(comma + 1, text.size()));
+        auto space = std::min(entry.find(' '), entry.size());
+        auto demand = connection::http::parse_number(entry.substr(0, space));
+        auto workspace = entry.substr(std::min(space + 1, entry.size()));
+        if (demand && !workspace.empty())
+            demands.push_back(
+                {std::string(workspace),
+                 static_cast<double>(std::min(*demand, max_demand)) /
+                     demand_scale});
+    }
+    return demands;
+}
+
 std::string text_in(const header_list& headers, const char* name)
 {
     const auto* it = headers.find(name);
@@ -179,6 +218,8 @@
     to.add("sw-repeatable", what.repeatable ? "1" : "0");
     to.add("sw-inner", what.is_child_call ? "1" : "0");
     to.add("sw-key", std::to_string(what.key));
+    if (what.refused_before > 0)
+        to.add("sw-refused", std::to_string(what.refused_before));
     to.add("sw-number", std::to_string(what.attempt_number));
     to.add("sw-repeat", what.is_retry ? "1" : "0");
     to.add("sw-remaining", to_text(what.remaining));
@@ -215,6 +256,9 @@
     what.is_child_call = text_in(headers, "sw-inner") == "1";
     what.is_retry = text_in(headers, "sw-repeat") == "1";
     what.key = static_cast<load::shed_key>(key.value_or(0));
+    constexpr std::uint64_t max_refused = 1'000'000;
+    what.refused_before = static_cast<int>(
+        std::min(number_in(headers, "sw-refused").value_or(0), max_refused));
     what.attempt_number = static_cast<int>(attempt_number.value_or(1));
     what.remaining = time_in(headers, "sw-remaining");
     what.max_queue_time = time_in(headers, "sw-patience");
@@ -242,6 +286,8 @@
                    std::lround(reply.load.failure_rate * failure_rate_scale)) +
                ' ' + std::to_string(reply.load.route_time.count()) + ' ' +
                std::to_string(reply.load.stamp_ms));
+    if (!reply.load.large_demands.empty())
+        to.add("sw-demands", to_text(reply.load.large_demands));
     if (!reply.speeds.empty())
         to.add("sw-speeds", to_text(reply.speeds));
     to.add("sw-notice", to_text(reply.load.notice));
@@ -289,6 +335,7 @@
         return std::nullopt;
     attempt_reply reply;
     reply.load = load_from(text_in(headers, "sw-load"));
+    reply.load.large_demands = demands_from(text_in(headers, "sw-demands"));
     reply.load.notice = notice_from(text_in(headers, "sw-notice"));
     reply.speeds = speeds_from(text_in(headers, "sw-speeds"));
     reply.incarnation = number_in(headers, "sw-incarnation").value_or(0);
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -101,7 +101,7 @@
       isolation_detector_(loop, settings.isolation_limit),
       load_balancer_(loop, random_, fleet_, settings.failure_domain),
       split_(random_), retries_(loop, budget_of(settings)),
-      shed_thresholds_(loop), suspects_(loop),
+      shed_thresholds_(loop), fair_share_(loop), suspects_(loop),
       backend_(settings.service, settings.backend_address),
       executor_(loop, adapter, counts_, backend_, shed_thresholds_, suspects_),
       links_(loop, counts_, fleet_, load_balancer_),
@@ -179,6 +179,11 @@
     probes_.on_refuted([this] { tokens_.owners_changed(); });
     executor_.on_backend_changed(
         [this](std::string_view cause) { backend_changed(cause); });
+    executor_.on_workspace_priority([this](const std::string& workspace) {
+        auto current = feed_.current();
+        const auto* it = current ? current->find_workspace(workspace) : nullptr;
+        return it == nullptr ? 0 : it->priority;
+    });
     executor_.on_start_check(
         [this](duration remaining) { return may_start_attempt(remaining); });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
@@ -590,6 +595,7 @@
             << field("running", load.running) << field("waiting", load.waiting)
             << field("limit", load.limit) << field("cut", load.shed_threshold)
             << field("service_us", load.service_time.count())
+            << field("large_workspaces", load.large_demands.size())
             << field("runs", counts_.at("runs_started"))
             << field("runs_refused", refused - last_logged_refused_)
             << field("calls_shed", shed - last_logged_shed_);
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -170,8 +170,7 @@
         return false;
     }
     if (workspace_ != nullptr) {
-        key_ = process::load::make_shed_key(workspace_->priority,
-                                            route_->priority, request_id_);
+        key_ = make_key();
     } else if (auto parent = node_.parent_of(request_id_, route_->name)) {
         key_ = parent->key;
         parent_is_retry_ = parent->is_retry;
@@ -180,6 +179,17 @@
     return !refuse_if_isolated() && !refuse_if_shed();
 }
 
+process::load::shed_key entry_call::make_key()
+{
+    using namespace process::load;
+    if (node_.shed_thresholds().threshold_of(route_->name) == no_shed_threshold)
+        return make_shed_key(workspace_->priority, route_->priority,
+                             request_id_);
+    return make_fair_shed_key(
+        workspace_->priority, route_->priority, request_id_,
+        node_.fair_share().relative_demand(workspace_->name));
+}
+
 // The route makes child calls, which an isolated node can't serve, so the work
 // of the local backend server would be wasted.
 bool entry_call::refuse_if_isolated()
@@ -198,6 +208,9 @@
         key_ < node_.shed_thresholds().threshold_of(route_->name))
         return false;
     ++node_.counts().at("calls_shed");
+    if (node_.fair_share().relative_demand(workspace_->name) > 1)
+        ++node_.counts().at("calls_shed_large");
+    node_.fair_share().record_refused(workspace_->name);
     fail(not_run(reason::overload, default_retry_after));
     return true;
 }
@@ -207,6 +220,8 @@
     node_.load_balancer().report(instance_, it);
     node_.load_balancer().record_speed(instance_, service_, route_->name, it);
     node_.shed_thresholds().record_threshold(route_->name, it.shed_threshold);
+    if (it.shed_threshold != process::load::no_shed_threshold)
+        node_.fair_share().record_demands(it.large_demands);
 }
 
 void entry_call::on_body(std::string_view bytes)
@@ -319,8 +334,10 @@
     what.attempt_id = node_.new_attempt_id();
     what.route = route_->name;
     what.service = service_;
-    if (workspace_ != nullptr)
+    if (workspace_ != nullptr) {
         what.workspace = workspace_->name;
+        what.refused_before = node_.fair_share().take_refused(workspace_->name);
+    }
     what.caller_service = node_.own_service();
     what.repeatable = route_->kind != version::work_kind::once;
     what.is_child_call = workspace_ == nullptr;
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -1,3 +1,5 @@
+#include "process/sidecar/peer_codec.hpp"
+#include "sidecar/support/local_node.hpp"
 #include "sidecar/support/small_fleet.hpp"
 
 #include <algorithm>
@@ -583,6 +585,37 @@
     }
 }
 
+// Guards against a header that every message of a quiet day would carry, and
+// against entries of another node that are read without a bound.
+TEST_CASE("large demands are sent between nodes only if there are any")
+{
+    process::sidecar::attempt_reply reply;
+    reply.response.emplace();
+    reply.response->status = 200;
+    CHECK(to_headers(reply).find("sw-demands") == nullptr);
+    reply.load.large_demands = {{"w-one", 4.25}, {"w two", 1.5}};
+    auto read = process::sidecar::reply_from_headers(to_headers(reply));
+    REQUIRE(read);
+    CHECK(read->load.large_demands == reply.load.large_demands);
+    connection::http::header_list headers;
+    headers.add(":status", "200");
+    std::string many = "x,1 ,,-1 w,";
+    for (int n = 0; n < 100; ++n)
+        many += "99999999999 w" + std::to_string(n) + ",";
+    headers.add("sw-demands", many);
+    read = process::sidecar::reply_from_headers(std::move(headers));
+    REQUIRE(read);
+    CHECK(read->load.large_demands.size() == process::load::max_large_demands);
+
+    auto what = run_on_s("a", true);
+    using process::sidecar::to_headers;
+    CHECK(to_headers(what).find("sw-refused") == nullptr);
+    what.refused_before = 3;
+    auto attempt = process::sidecar::attempt_from_headers(to_headers(what));
+    REQUIRE(attempt);
+    CHECK(attempt->refused_before == 3);
+}
+
 // Guards against the loss of a whole tree to one server that sheds by itself.
 TEST_CASE("a call of a run that a backend server rejects goes to another one")
 {
