Refuse trees that can't complete before their first hop runs

Cause: the entry node learns of a deep threshold only with responses on its own route; until then the first hop ran new requests although it knew that their calls would be shed. A full queue refused child calls while new requests waited.

Child calls still run. A full queue gives up its last call for one that comes before it. Retry-After of requests that are shed at the entry is spread, as that of other refusals. Statements of demands below the mean are not believed.

--- a/src/process/load/admission_controller.cpp
+++ b/src/process/load/admission_controller.cpp
@@ -1,7 +1,10 @@
 #include "process/load/admission_controller.hpp"
 
+#include "process/load/retry_after.hpp"
+
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace shallotwood::process::load
 {
@@ -18,14 +21,6 @@
 // How often calls past their latest start are removed from the queue.
 constexpr duration expiry_period = std::chrono::milliseconds(10);
 
-// Retry-After differs by up to this part in both directions, so that calls that
-// were refused together do not return together.
-constexpr double retry_after_spread = 0.25;
-
-// Fibonacci hashing: consecutive numbers of calls are spread evenly.
-constexpr std::uint64_t spread_multiplier = 0x9e3779b97f4a7c15;
-constexpr int spread_bits = 16;
-
 } // namespace
 
 admission_controller::admission_controller(const clock& time, scheduler& timers,
@@ -72,10 +67,7 @@
 {
     auto own = it.expected.count() > 0 ? it.expected : service_time_;
     auto least = std::max(own, expected_wait(it));
-    auto place = (it.id * spread_multiplier) >> (64 - spread_bits);
-    auto unit = static_cast<double>(place) / (1 << spread_bits);
-    return std::chrono::duration_cast<duration>(
-        least * (1 + retry_after_spread * (2 * unit - 1)));
+    return spread_retry_after(least, it.id);
 }
 
 void admission_controller::set_rate_limit(std::optional<double> per_second)
@@ -118,7 +110,8 @@
     auto start = clock_.now() + expected_wait(it);
     auto most = static_cast<std::size_t>(slots_ * settings_.queue_per_slot);
     bool shed = !it.is_child_call && it.key >= controller_.shed_threshold();
-    if (shed || start > it.latest_start || waiting_.size() >= most) {
+    bool full = waiting_.size() >= most;
+    if (shed || start > it.latest_start || (full && !evict_after(it))) {
         controller_.refused();
         done(admission_decision::refused);
         return;
@@ -130,6 +123,21 @@
     set_timer();
 }
 
+bool admission_controller::evict_after(const admission_request& it)
+{
+    if (waiting_.empty())
+        return false;
+    auto last = std::prev(waiting_.end());
+    if (last->first < queue_position_of(it))
+        return false;
+    auto evicted = std::move(last->second);
+    queue_positions_.erase(std::get<2>(last->first));
+    waiting_.erase(last);
+    controller_.refused();
+    evicted.done(admission_decision::refused);
+    return true;
+}
+
 void admission_controller::leave(std::uint64_t id)
 {
     auto it = queue_positions_.find(id);
--- a/src/process/load/admission_controller.hpp
+++ b/src/process/load/admission_controller.hpp
@@ -105,6 +105,9 @@
     static queue_position queue_position_of(const admission_request& it);
 
     void update_limit();
+    // Refuses the last queued call if it comes after this one: work that has
+    // been spent on a child call's request is not lost for a new request.
+    bool evict_after(const admission_request& it);
     bool has_room() const;
     void started(duration expected);
     // Time until one of the running calls ends.
--- a/src/process/load/fair_share.cpp
+++ b/src/process/load/fair_share.cpp
@@ -1,5 +1,6 @@
 #include "process/load/fair_share.hpp"
 
+#include <algorithm>
 #include <iterator>
 
 namespace shallotwood::process::load
@@ -30,7 +31,7 @@
         if (demands_.size() >= max_workspaces && demands_.count(workspace) == 0)
             continue;
         auto& it = demands_[workspace];
-        it.relative += newest_statement_weight * (relative - 1);
+        it.relative += newest_statement_weight * (std::max(relative, 1.0) - 1);
         it.at = now;
     }
 }
--- a/src/process/load/workspace_demand.cpp
+++ b/src/process/load/workspace_demand.cpp
@@ -13,8 +13,9 @@
 // of a second; a shorter time leaves too few requests to compare.
 constexpr duration demand_time = std::chrono::milliseconds(350);
 
-// Standard deviations by which a demand must exceed the mean: without them, one
-// in three average workspaces counts as too large at any moment.
+// Standard deviations by which a demand must exceed the mean. Without them,
+// about half of the average workspaces count as too large at any moment; with
+// more, a surge shows later.
 constexpr double certainty = 1.3;
 
 // A workspace with a lower demand is inactive: a single request is forgotten
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -1,5 +1,6 @@
 #include "process/sidecar/local_executor.hpp"
 
+#include "process/load/retry_after.hpp"
 #include "process/log.hpp"
 #include "process/telemetry/decision_log.hpp"
 
@@ -48,6 +49,10 @@
 // Retry-After for a request that is suspected to crash backend servers.
 constexpr duration suspect_retry_after = std::chrono::seconds(60);
 
+// Retry-After of a request that a service further down would shed, as entry
+// nodes give it: a threshold that is not confirmed ends after such a time.
+constexpr duration downstream_retry_after = std::chrono::milliseconds(300);
+
 // An attempt is not started with less time than this before its deadline.
 constexpr duration min_execution_time = std::chrono::milliseconds(5);
 
@@ -319,6 +324,16 @@
         refuse(reason::suspected_crash, suspect_retry_after);
         return;
     }
+    // Its call tree can't complete, so running its first part would be a loss.
+    // The entry node has not learned of it yet.
+    if (!request_.is_child_call &&
+        request_.key >=
+            owner_.shed_thresholds_.downstream_threshold(request_.route)) {
+        ++owner_.counts_.at("runs_refused_downstream");
+        refuse(reason::overload,
+               load::spread_retry_after(downstream_retry_after, request_.key));
+        return;
+    }
     arrival_ = ++owner_.last_arrival_;
     expected_ = owner_.service_times_.estimate(request_.route);
     owner_.admission_controller_.arrive(
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -1,5 +1,6 @@
 #include "request/entry_call.hpp"
 
+#include "process/load/retry_after.hpp"
 #include "process/log.hpp"
 #include "process/telemetry/decision_log.hpp"
 
@@ -182,7 +183,8 @@
 process::load::shed_key entry_call::make_key()
 {
     using namespace process::load;
-    if (node_.shed_thresholds().threshold_of(route_->name) == no_shed_threshold)
+    if (node_.shed_thresholds().tree_threshold(route_->name) ==
+        no_shed_threshold)
         return make_shed_key(workspace_->priority, route_->priority,
                              request_id_);
     return make_fair_shed_key(
@@ -205,13 +207,14 @@
 bool entry_call::refuse_if_shed()
 {
     if (workspace_ == nullptr ||
-        key_ < node_.shed_thresholds().threshold_of(route_->name))
+        key_ < node_.shed_thresholds().tree_threshold(route_->name))
         return false;
     ++node_.counts().at("calls_shed");
     if (node_.fair_share().relative_demand(workspace_->name) > 1)
         ++node_.counts().at("calls_shed_large");
     node_.fair_share().record_refused(workspace_->name);
-    fail(not_run(reason::overload, default_retry_after));
+    fail(not_run(reason::overload,
+                 process::load::spread_retry_after(default_retry_after, key_)));
     return true;
 }
 
--- a/tests/sidecar/test_fair_share.cpp
+++ b/tests/sidecar/test_fair_share.cpp
@@ -140,7 +140,7 @@
             auto took = check_time / 2 +
                         duration(static_cast<duration::rep>(random_.below(
                             static_cast<std::uint64_t>(check_time.count()))));
-            loop.call_after(took, [this, &from, &at, took] {
+            loop.call_after(took, [&from, &at, took] {
                 at.admission.finished(took, check_time);
                 reply(from, at);
             });
@@ -265,6 +265,11 @@
         shares.record_demands({{"w", 5}});
     CHECK(shares.relative_demand("w") == Approx(5).epsilon(0.01));
     CHECK(shares.relative_demand("v") == 1);
+    // A node can't give a workspace more than its share.
+    shares.record_demands({{"u", 0.1}});
+    CHECK(shares.relative_demand("u") == 1);
+    for (int n = 0; n < 10; ++n)
+        shares.record_demands({{"w", 5}});
     for (int n = 0; n < 10; ++n)
         shares.record_demands({});
     CHECK(shares.relative_demand("w") == Approx(1).epsilon(0.01));
--- a/tests/sidecar/test_gate.cpp
+++ b/tests/sidecar/test_gate.cpp
@@ -192,6 +192,38 @@
     CHECK(read->at - begin < seconds(2));
 }
 
+// Guards against child calls that are refused because new requests fill the
+// queue: the work done for their requests would be lost.
+TEST_CASE("a full queue gives up a new request for a child call")
+{
+    virtual_loop loop;
+    load::admission_controller admission_controller(loop, loop, {1.0, 2});
+    admission_controller.set_slots(1);
+    std::vector<std::uint64_t> refused;
+    auto arrive = [&](std::uint64_t id, load::shed_key key,
+                      bool is_child_call) {
+        admission_controller.arrive(
+            call(id, loop, seconds(5), key, is_child_call),
+            [&refused, id](admission_decision it) {
+                if (it == admission_decision::refused)
+                    refused.push_back(id);
+            });
+    };
+    arrive(0, 0, false);
+    arrive(1, 3, false);
+    arrive(2, 9, false);
+    arrive(3, 20, true);
+    CHECK(refused == std::vector<std::uint64_t>{2});
+    arrive(4, 5, false);
+    CHECK(refused == std::vector<std::uint64_t>{2, 4});
+    arrive(5, 30, true);
+    CHECK(refused == std::vector<std::uint64_t>{2, 4, 1});
+    // Among child calls, the more valuable ones stay.
+    arrive(6, 40, true);
+    CHECK(refused == std::vector<std::uint64_t>{2, 4, 1, 6});
+    CHECK(admission_controller.waiting() == 2);
+}
+
 TEST_CASE("refused calls may come back after the work ahead, spread in time")
 {
     reads_in_progress world;
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -138,6 +138,40 @@
     CHECK(it.executor.load("route").limit == full);
 }
 
+// Guards against work for requests that a service further down sheds, while
+// their entry node does not know it yet.
+TEST_CASE("a new request whose calls would be shed is refused before it runs")
+{
+    fixture it([](scripted_connection& from, const std::string& head,
+                  const std::string&) { from.send(good_answer(head, "ran")); });
+    constexpr load::shed_key threshold = 1000;
+    auto& thresholds = it.node.shed_thresholds;
+    thresholds.record_call("route", "middle");
+    thresholds.record_call("route", "other");
+    // The response on `middle` reports what its own calls get.
+    for (int n = 0; n < 100; ++n)
+        thresholds.record_threshold("middle", threshold);
+    auto run = [&](load::shed_key key, bool is_child_call) {
+        auto got = std::make_shared<run_recorder>();
+        auto what = run_on_s(
+            "a-" + std::to_string(key) + (is_child_call ? "-child" : ""), true);
+        what.key = key;
+        what.is_child_call = is_child_call;
+        it.executor.start(what, got);
+        REQUIRE(run_until(it.loop, [&] { return got->done(); }));
+        return got;
+    };
+    auto refused = run(2 * threshold, false);
+    REQUIRE(refused->failure);
+    CHECK(refused->failure->what.run == execution::not_run);
+    CHECK(refused->failure->what.why == request::reason::overload);
+    CHECK(refused->failure->retry_after);
+    CHECK(it.server.heads.empty());
+    CHECK(run(threshold / 2, false)->body == "ran");
+    // The work that was done for its request would be lost.
+    CHECK(run(2 * threshold, true)->body == "ran");
+}
+
 TEST_CASE("a success that names no request is nobody's")
 {
     fixture it(
