Report the work left on backend servers

Cause: nodes know of another node's load only the numbers of running and waiting calls, whatever these calls cost.

Change: the executing node learns the cost of the calls that its backend server has ended, and adds the expected work of running and queued calls to the load report: 1 to 3 bytes in whole milliseconds at the end of the packed form, a ninth number in the plain one. Former versions ignore it. The errors of the predictions are logged every 10 s (event=cost_model) and counted (cost_predictions, cost_error_ms), and backend_work_left_ms is a gauge. The choice of instances does not use the report.

--- a/src/process/load/cost_model.cpp
+++ b/src/process/load/cost_model.cpp
@@ -252,6 +252,9 @@
             it.mean_error += square(time - mean);
             it.error_weight += 1;
             ++it.compared;
+            ++totals_.compared;
+            totals_.by_estimate += to_duration(std::abs(time - predicted));
+            totals_.by_mean += to_duration(std::abs(time - mean));
         }
         auto ratio = time / predicted;
         auto& ratios = it.ratios.at(class_of(ratio));
--- a/src/process/load/cost_model.hpp
+++ b/src/process/load/cost_model.hpp
@@ -76,6 +76,14 @@
     }
 };
 
+// Sums over all compared predictions, for counters.
+struct cost_totals {
+    std::uint64_t compared = 0;
+    // Absolute errors of the estimates, and of the means of the routes.
+    duration by_estimate{};
+    duration by_mean{};
+};
+
 class cost_model
 {
 public:
@@ -99,6 +107,7 @@
 
     // Nothing if no request of the route has been observed.
     std::optional<cost_errors> errors(const std::string& route) const;
+    const cost_totals& totals() const { return totals_; }
     // Routes in use, the latest first.
     std::vector<std::string> routes() const;
     std::size_t cells() const { return routes_.size() + cells_.size(); }
@@ -149,6 +158,7 @@
     double cell_estimate(std::uint64_t key, double route_mean) const;
 
     const clock& clock_;
+    cost_totals totals_;
     std::unordered_map<std::string, route_state> routes_;
     std::unordered_map<std::uint64_t, cell> cells_;
     // Each with the latest use first.
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -56,6 +56,9 @@
     // of the statement by the instance's clock.
     duration route_time{};
     std::uint64_t stamp_ms = 0;
+    // Expected work of the running and the queued calls, in whole milliseconds
+    // between nodes; nothing if the node does not report it.
+    std::optional<duration> work_left{};
 };
 
 enum class attempt_outcome {
