Place calls by their expected end where the settings say so

Cause: the choice of an instance counts calls, and takes no notice of how much work they are. Where 3 in 100 calls take seven times as long and servers differ in speed, calls go to slow or disturbed servers while faster ones are nearly free.

Change: with the setting placement_by_cost (off by default), and for services whose calls' times have a coefficient of variation of at least 0.6 (until it falls below 0.45), an instance costs its reported work left, with own calls sent since, per slot, plus the time of a call there, in place of its slot utilization. It does not apply between distant domains. Without the setting the choice is as before, with the same random numbers.

Not measured on a deployment.

--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -251,6 +251,7 @@
                           << field("incarnation", fleet_.self().incarnation);
     apply_membership_change();
     traffic_logged_at_ = loop_.now();
+    load_balancer_.set_placement_by_cost(settings_.placement_by_cost);
     store_watch_.start();
     former_read_timer_ = loop_.call_after(
         former_read_limit, [this] { handle_former_read("no-answer"); });
