--- a/src/process/routing/told_speeds.hpp
+++ b/src/process/routing/told_speeds.hpp
@@ -30,7 +30,7 @@
     // The other end has told `it`.
     void heard(const std::string& service, const std::string& route,
                const instance_speed& it);
-    // Those of `all` that are news to the other end; they count as told.
+    // Those of `all` that the other end does not know yet; they count as told.
     std::vector<instance_speed> news(const std::string& service,
                                      const std::string& route,
                                      std::vector<instance_speed> all);
