--- a/src/process/sidecar/peer_channel.hpp
+++ b/src/process/sidecar/peer_channel.hpp
@@ -43,8 +43,8 @@
     // Number of nodes that do not answer now.
     virtual std::size_t unreachable() const = 0;
 
-    // An update about the node has arrived: retries a link to it that is lost or
-    // not established yet, without waiting for the backoff.
+    // An update about the node has arrived: retries a link to it that is lost
+    // or not established yet, without waiting for the backoff.
     virtual void reconnect_now(const std::string& /*name*/) {}
 
 protected:
