--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -72,9 +72,6 @@
 // A cold time is logged again if it ends later by more than this.
 constexpr duration cold_log_step = std::chrono::milliseconds(500);
 
-// Routes whose predictions are logged at a time.
-constexpr std::size_t max_logged_routes = 16;
-
 // The backend server runs on the same machine, so unacknowledged data means
 // that nothing listens any more.
 constexpr connection::net::liveness backend_liveness{
@@ -104,7 +101,6 @@
           loop, loop, [this] { return capacity(); },
           [this] { cold_changed(); }),
       service_times_(loop), backoff_(loop, loop), demand_(loop),
-      cost_model_(loop), remaining_work_(loop, cost_model_),
       pool_(loop, backend_options(adapter)),
       listen_check_(loop, backend_liveness,
                     [this](bool listens) { handle_listen_check(listens); })
@@ -255,26 +251,7 @@
                     .count()),
             shed_threshold == load::no_shed_threshold
                 ? std::vector<load::large_demand>()
-                : demand_.largest(),
-            remaining_work_.left()};
-}
-
-void local_executor::log_costs() const
-{
-    std::size_t logged = 0;
-    for (const auto& route : cost_model_.routes()) {
-        auto it = cost_model_.errors(route);
-        if (!it || it->compared == 0)
-            continue;
-        if (++logged > max_logged_routes)
-            break;
-        SHALLOTWOOD_LOG(info) << "event=cost_model" << field("route", route)
-                              << field("feature", load::name_of(it->best))
-                              << field("used", it->used)
-                              << field("error_us", it->by_feature.count())
-                              << field("mean_error_us", it->by_mean.count())
-                              << field("compared", it->compared);
-    }
+                : demand_.largest()};
 }
 
 void local_executor::record_outcome(bool failed)
@@ -514,11 +491,6 @@
     }
     arrival_ = ++owner_.last_arrival_;
     expected_ = owner_.service_times_.estimate(request_.route);
-    owner_.remaining_work_.arrive(
-        arrival_, request_.route,
-        {request_.head.method, request_.workspace, request_.head.target,
-         request_.body->complete() ? request_.body->received()
-                                   : request_.body->length()});
     owner_.admission_controller_.arrive(
         admission(), [self](load::admission_decision admission_decision) {
             self->handle_admission(admission_decision);
@@ -565,7 +537,6 @@
     first_sent_ = owner_.loop_.now();
     others_ = owner_.admission_controller_.running() - 1;
     owner_.service_times_.record_start(request_.route, first_sent_);
-    owner_.remaining_work_.start(arrival_);
     send();
 }
 
@@ -720,8 +691,6 @@
     }
     // Before the slot is free, so that a reduced limit applies to it.
     owner_.record_answer({first_sent_, others_}, false);
-    if (state_ == state::running)
-        owner_.remaining_work_.finish(arrival_);
     release_backend();
     response_ended_ = true;
     auto to = receiver_;
@@ -785,7 +754,6 @@
     state_ = state::ended;
     --owner_.running_;
     owner_.running_requests_.erase(request_.request_id);
-    owner_.remaining_work_.leave(arrival_);
     owner_.loop_.cancel(timer_);
     request_.body->on_more({});
     auto took = owner_.loop_.now() - started_;
@@ -861,7 +829,6 @@
 void local_attempt::end()
 {
     receiver_.reset();
-    owner_.remaining_work_.leave(arrival_);
     if (request_.repeatable) {
         owner_.forget(request_.attempt_id);
         return;
