--- a/src/process/load/admission_controller.cpp
+++ b/src/process/load/admission_controller.cpp
@@ -1,10 +1,7 @@
 #include "process/load/admission_controller.hpp"
 
-#include "process/load/retry_after.hpp"
-
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 
 namespace shallotwood::process::load
 {
@@ -79,14 +76,9 @@
     return std::clamp(static_cast<int>(std::ceil(paced)), 1, limit_);
 }
 
-duration admission_controller::retry_after(const admission_request& it) const
+duration admission_controller::retry_after() const
 {
-    auto own = it.expected.count() > 0 ? it.expected : service_time_;
-    // While starts are paced, what is queued takes the next ones, so that only
-    // after them there is room at once.
-    auto least =
-        std::max({own, expected_wait(it), paced_wait(waiting_.size() + 1)});
-    return spread_retry_after(least, it.id);
+    return std::max(service_time_, paced_wait(waiting_.size() + 1));
 }
 
 void admission_controller::set_rate_limit(std::optional<double> per_second)
@@ -109,21 +101,8 @@
 void admission_controller::set_slots(int slots)
 {
     slots_ = std::max(slots, 1);
-    slot_limit_ = std::max(
+    limit_ = std::max(
         1, static_cast<int>(std::floor(slots_ * settings_.usable_slot_share)));
-    update_limit();
-}
-
-void admission_controller::set_concurrency_limit(std::optional<int> most)
-{
-    concurrency_limit_ = most;
-    update_limit();
-}
-
-void admission_controller::update_limit()
-{
-    limit_ =
-        std::clamp(concurrency_limit_.value_or(slot_limit_), 1, slot_limit_);
     run_waiting();
 }
 
@@ -132,7 +111,8 @@
     controller_.arrived(it.key);
     set_period_timer();
     if (has_room() && waiting_.empty()) {
-        started(it.expected);
+        ++running_;
+        record_start();
         observe();
         done(admission_decision::run);
         return;
@@ -140,34 +120,18 @@
     auto start = clock_.now() + expected_wait(it);
     auto most = static_cast<std::size_t>(slots_ * settings_.queue_per_slot);
     bool shed = !it.is_child_call && it.key >= controller_.shed_threshold();
-    bool full = waiting_.size() >= most;
-    if (shed || start > it.latest_start || (full && !evict_after(it))) {
+    if (shed || start > it.latest_start || waiting_.size() >= most) {
         controller_.refused();
         done(admission_decision::refused);
         return;
     }
     waiting_.emplace(queue_position_of(it),
-                     entry{it.latest_start, it.expected, std::move(done)});
+                     entry{it.latest_start, std::move(done)});
     queue_positions_.emplace(it.id, queue_position_of(it));
     observe();
     set_timer();
 }
 
-bool admission_controller::evict_after(const admission_request& it)
-{
-    if (waiting_.empty())
-        return false;
-    auto last = std::prev(waiting_.end());
-    if (last->first < queue_position_of(it))
-        return false;
-    auto evicted = std::move(last->second);
-    queue_positions_.erase(std::get<2>(last->first));
-    waiting_.erase(last);
-    controller_.refused();
-    evicted.done(admission_decision::refused);
-    return true;
-}
-
 void admission_controller::leave(std::uint64_t id)
 {
     auto it = queue_positions_.find(id);
@@ -178,26 +142,9 @@
     observe();
 }
 
-void admission_controller::started(duration expected)
-{
-    ++running_;
-    record_start();
-    if (expected.count() <= 0)
-        return;
-    ++known_running_;
-    known_end_rate_ += 1 / static_cast<double>(expected.count());
-}
-
-void admission_controller::finished(duration elapsed, duration expected)
+void admission_controller::finished(duration elapsed)
 {
     --running_;
-    if (expected.count() > 0) {
-        --known_running_;
-        known_end_rate_ -= 1 / static_cast<double>(expected.count());
-    }
-    // Ends the rounding errors of the sum.
-    if (known_running_ == 0)
-        known_end_rate_ = 0;
     controller_.ended();
     auto mean = static_cast<double>(service_time_.count());
     mean += mean_weight * (static_cast<double>(elapsed.count()) - mean);
@@ -218,23 +165,10 @@
 {
     if (has_room() && waiting_.empty())
         return duration(0);
-    duration work{};
-    std::size_t place = 1;
-    auto end = waiting_.lower_bound(queue_position_of(it));
-    for (auto at = waiting_.begin(); at != end; ++at, ++place)
-        work += at->second.expected.count() > 0 ? at->second.expected
-                                                : service_time_;
-    return std::max(work / limit_ + time_to_free_slot(), paced_wait(place));
-}
-
-duration admission_controller::time_to_free_slot() const
-{
-    if (running_ < limit_)
-        return duration(0);
-    double rate = known_end_rate_ +
-                  (running_ - known_running_) /
-                      std::max(1.0, static_cast<double>(service_time_.count()));
-    return duration(static_cast<duration::rep>(1 / rate));
+    auto ahead = std::distance(waiting_.begin(),
+                               waiting_.lower_bound(queue_position_of(it)));
+    auto place = static_cast<std::size_t>(ahead) + 1;
+    return std::max(service_time_ * (ahead + 1) / limit_, paced_wait(place));
 }
 
 void admission_controller::run_waiting()
@@ -248,7 +182,8 @@
             it.done(admission_decision::refused);
             continue;
         }
-        started(it.expected);
+        ++running_;
+        record_start();
         it.done(admission_decision::run);
     }
     observe();
--- a/src/process/load/admission_controller.hpp
+++ b/src/process/load/admission_controller.hpp
@@ -30,9 +30,8 @@
     // Share of the announced slots that is used. According to the platform's
     // documentation, some backend servers slow down when nearly full.
     double usable_slot_share = 0.94;
-    // Queue capacity per slot. Bounds the memory only: calls are refused by
-    // the expected wait.
-    double queue_per_slot = 16;
+    // Queue capacity per slot.
+    double queue_per_slot = 2;
 };
 
 struct admission_request {
@@ -43,8 +42,6 @@
     shed_key key = 0;
     // A start after this time is of no use to the caller.
     time_point latest_start;
-    // Expected time on the backend server; 0 if it is not known.
-    duration expected{};
 };
 
 enum class admission_decision { run, refused };
@@ -63,8 +60,6 @@
     admission_controller& operator=(const admission_controller&) = delete;
 
     void set_slots(int slots);
-    // Further limits the running calls; nothing for no further limit.
-    void set_concurrency_limit(std::optional<int> most);
     // Limits the calls that start in a second; nothing for no limit.
     void set_rate_limit(std::optional<double> per_second);
     // The limit while the backend server is cold; nothing if it is warm.
@@ -78,16 +73,14 @@
     // Removes a queued call; its decision callback isn't called.
     void leave(std::uint64_t id);
     // An admitted call has ended. `elapsed` is its time on the
-    // backend server, `expected` the time that was expected on its arrival.
-    void finished(duration elapsed, duration expected = {});
+    // backend server.
+    void finished(duration elapsed);
     // Refuses all queued calls.
     void refuse_all();
 
     int running() const { return running_; }
     // Calls that can execute at once, within the slots and the rate limit.
     int limit() const;
-    // The same, within the slots alone.
-    int slot_limit() const { return slot_limit_; }
     std::size_t waiting() const { return waiting_.size(); }
     // Time until such a call would start if it arrived now.
     duration expected_wait(const admission_request& it) const;
@@ -95,31 +88,22 @@
     shed_key shed_threshold() const { return controller_.shed_threshold(); }
     // Mean time of a call on the backend server.
     duration service_time() const { return service_time_; }
-    // When such a call, which is refused now, may come back: after the work
-    // ahead of it. Calls that are refused together get different times.
-    duration retry_after(const admission_request& it) const;
+    // When a call that is refused now may come back.
+    duration retry_after() const;
 
 private:
     struct entry {
         time_point latest_start;
-        duration expected;
         decision done;
     };
     // Child calls first; then by key, then by arrival.
     using queue_position = std::tuple<bool, shed_key, std::uint64_t>;
     static queue_position queue_position_of(const admission_request& it);
 
-    void update_limit();
-    // Refuses the last queued call if it comes after this one: work that has
-    // been spent on a child call's request is not lost for a new request.
-    bool evict_after(const admission_request& it);
     bool has_room() const;
     void record_start();
     // Time until `count` further calls may have started.
     duration paced_wait(std::size_t count) const;
-    void started(duration expected);
-    // Time until one of the running calls ends.
-    duration time_to_free_slot() const;
     void observe();
     void run_waiting();
     void expire();
@@ -130,20 +114,13 @@
     scheduler& timers_;
     admission_settings settings_;
     int slots_ = 1;
-    int slot_limit_ = 1;
-    // slot_limit_, or the concurrency limit if that is lower.
     int limit_ = 1;
-    std::optional<int> concurrency_limit_;
     int running_ = 0;
     start_pacer pacer_;
     start_pacer cold_pacer_;
     std::map<queue_position, entry> waiting_;
     std::unordered_map<std::uint64_t, queue_position> queue_positions_;
     duration service_time_{};
-    // Running calls whose time is known, and how many of them end in a
-    // microsecond.
-    int known_running_ = 0;
-    double known_end_rate_ = 0;
     shed_threshold_controller controller_;
     timer_id timer_{};
     bool timer_set_ = false;
--- a/src/process/load/shed_key.hpp
+++ b/src/process/load/shed_key.hpp
@@ -30,11 +30,4 @@
 shed_key make_shed_key(int workspace_priority, int route_priority,
                        const std::string& seed);
 
-// The same while requests are shed: requests within their workspace's share
-// keep their order, those beyond it come after all others of the same workspace
-// priority, the largest workspaces last. `relative_demand` is that of
-// fair_share; 1 is average.
-shed_key make_fair_shed_key(int workspace_priority, int route_priority,
-                            const std::string& seed, double relative_demand);
-
 } // namespace shallotwood::process::load
--- a/src/process/load/shed_threshold_table.hpp
+++ b/src/process/load/shed_threshold_table.hpp
@@ -12,7 +12,6 @@
 #include "process/event_loop.hpp"
 #include "process/load/shed_key.hpp"
 
-#include <algorithm>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -39,11 +38,6 @@
     shed_key threshold_of(const std::string& route) const;
     // Lowest threshold of the routes that the route calls.
     shed_key downstream_threshold(const std::string& route) const;
-    // Lowest threshold of the route and of the routes that it calls.
-    shed_key tree_threshold(const std::string& route) const
-    {
-        return std::min(threshold_of(route), downstream_threshold(route));
-    }
 
 private:
     struct entry {
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -26,7 +26,6 @@
 #include "process/event_loop.hpp"
 #include "process/fleet/fleet_view.hpp"
 #include "process/load/shed_key.hpp"
-#include "process/load/workspace_demand.hpp"
 #include "process/random_source.hpp"
 #include "process/routing/backend_notice.hpp"
 #include "process/routing/crossing_cost.hpp"
@@ -57,9 +56,6 @@
     // of the statement by the instance's clock.
     duration route_time{};
     std::uint64_t stamp_ms = 0;
-    // Workspaces that send much more than others; only while requests of the
-    // route are shed.
-    std::vector<load::large_demand> large_demands{};
 };
 
 enum class attempt_outcome {
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -1,6 +1,5 @@
 #include "process/sidecar/local_executor.hpp"
 
-#include "process/load/retry_after.hpp"
 #include "process/log.hpp"
 #include "process/telemetry/decision_log.hpp"
 
@@ -62,10 +61,6 @@
 // Retry-After for a request that is suspected to crash backend servers.
 constexpr duration suspect_retry_after = std::chrono::seconds(60);
 
-// Retry-After of a request that a service further down would shed, as entry
-// nodes give it: a threshold that is not confirmed ends after such a time.
-constexpr duration downstream_retry_after = std::chrono::milliseconds(300);
-
 // An attempt is not started with less time than this before its deadline.
 constexpr duration min_execution_time = std::chrono::milliseconds(5);
 
@@ -100,12 +95,10 @@
       cold_(
           loop, loop, [this] { return capacity(); },
           [this] { cold_changed(); }),
-      service_times_(loop), backoff_(loop, loop), demand_(loop),
-      pool_(loop, backend_options(adapter)),
+      service_times_(loop), pool_(loop, backend_options(adapter)),
       listen_check_(loop, backend_liveness,
                     [this](bool listens) { handle_listen_check(listens); })
 {
-    backoff_.on_change([this] { apply_backoff(); });
     pool_.set_address(backend.address());
     pool_.on_all_lost([this] { cold_.suspect_restart(); });
 }
@@ -162,13 +155,10 @@
         // They were opened to the server's earlier start.
         if (cold_.limits())
             pool_.close_idle();
-        backoff_.reset();
     }
     pool_.set_address(backend_.address());
-    if (backend_.slots() > 0) {
+    if (backend_.slots() > 0)
         admission_controller_.set_slots(backend_.slots());
-        backoff_.set_maximum(admission_controller_.slot_limit());
-    }
     if (!backend_.takes_calls())
         admission_controller_.refuse_all();
 }
@@ -232,26 +222,21 @@
         cold_listener_();
 }
 
-routing::load_report local_executor::load(const std::string& route)
+routing::load_report local_executor::load(const std::string& route) const
 {
-    auto shed_threshold =
-        std::min(admission_controller_.shed_threshold(),
-                 shed_thresholds_.downstream_threshold(route));
     return {admission_controller_.running(),
             static_cast<int>(admission_controller_.waiting()),
             admission_controller_.limit(),
             admission_controller_.service_time(),
             failure_rate_,
-            shed_threshold,
+            std::min(admission_controller_.shed_threshold(),
+                     shed_thresholds_.downstream_threshold(route)),
             notice_,
             service_times_.estimate(route),
             static_cast<std::uint64_t>(
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     loop_.now().time_since_epoch())
-                    .count()),
-            shed_threshold == load::no_shed_threshold
-                ? std::vector<load::large_demand>()
-                : demand_.largest()};
+                    .count())};
 }
 
 void local_executor::record_outcome(bool failed)
@@ -259,40 +244,6 @@
     failure_rate_ += failure_rate_weight * ((failed ? 1 : 0) - failure_rate_);
 }
 
-void local_executor::record_answer(
-    const load::concurrency_backoff::sent_call& call, bool rejected)
-{
-    using state = load::concurrency_backoff::state;
-    if (rejected)
-        ++counts_.at("backend_rejections");
-    bool was_independent = backoff_.current() == state::load_independent;
-    backoff_.record(call, rejected, admission_controller_.running() - 1);
-    bool independent = backoff_.current() == state::load_independent;
-    record_outcome(rejected);
-    if (independent && !was_independent)
-        failure_rate_ = std::max(failure_rate_, backoff_.independent_share());
-}
-
-void local_executor::apply_backoff()
-{
-    using state = load::concurrency_backoff::state;
-    bool reduced = backoff_.current() == state::reduced;
-    bool lower = reduced && backoff_.limit() < admission_controller_.limit();
-    if (lower)
-        ++counts_.at("concurrency_reductions");
-    if ((lower || !reduced) && telemetry::allow(decision::state))
-        SHALLOTWOOD_LOG(info)
-            << "event=concurrency_limited" << field("backend", backend_.id())
-            << field("state", name_of(backoff_.current()))
-            << field("limit", backoff_.limit())
-            << field("slots", backend_.slots())
-            << field("rejected_share", backoff_.rejected_share())
-            << field("running", admission_controller_.running())
-            << field("waiting", admission_controller_.waiting());
-    admission_controller_.set_concurrency_limit(
-        reduced ? std::optional<int>(backoff_.limit()) : std::nullopt);
-}
-
 void local_executor::record_broken_attempt(
     load::fingerprint request_fingerprint)
 {
@@ -463,13 +414,6 @@
         refuse(reason::no_backend_server);
         return;
     }
-    if (!request_.workspace.empty())
-        owner_.demand_.record(
-            request_.workspace,
-            owner_.workspace_priority_
-                ? owner_.workspace_priority_(request_.workspace)
-                : 0,
-            request_.refused_before);
     owner_.adopt_notice(request_.notice);
     if (auto why = owner_.refusal()) {
         refuse(*why);
@@ -479,31 +423,16 @@
         refuse(reason::suspected_crash, suspect_retry_after);
         return;
     }
-    // Its call tree can't complete, so running its first part would be a loss.
-    // The entry node has not learned of it yet.
-    if (!request_.is_child_call &&
-        request_.key >=
-            owner_.shed_thresholds_.downstream_threshold(request_.route)) {
-        ++owner_.counts_.at("runs_refused_downstream");
-        refuse(reason::overload,
-               load::spread_retry_after(downstream_retry_after, request_.key));
-        return;
-    }
     arrival_ = ++owner_.last_arrival_;
-    expected_ = owner_.service_times_.estimate(request_.route);
+    load::admission_request it{
+        arrival_, request_.is_child_call, request_.key,
+        arrived_ + std::min(request_.max_queue_time, request_.remaining)};
     owner_.admission_controller_.arrive(
-        admission(), [self](load::admission_decision admission_decision) {
+        it, [self](load::admission_decision admission_decision) {
             self->handle_admission(admission_decision);
         });
 }
 
-load::admission_request local_attempt::admission() const
-{
-    return {arrival_, request_.is_child_call, request_.key,
-            arrived_ + std::min(request_.max_queue_time, request_.remaining),
-            expected_};
-}
-
 void local_attempt::handle_admission(load::admission_decision it)
 {
     if (it == load::admission_decision::refused) {
@@ -511,7 +440,7 @@
         if (why == reason::overload &&
             owner_.cold_.phase() == load::cold_phase::cold)
             ++owner_.counts_.at("cold_refusals");
-        refuse(why, owner_.admission_controller_.retry_after(admission()));
+        refuse(why, owner_.admission_controller_.retry_after());
         return;
     }
     bool too_late = remaining() < min_execution_time;
@@ -519,7 +448,7 @@
     if (too_late || evacuated ||
         (owner_.may_start_ && !owner_.may_start_(remaining()))) {
         owner_.admission_controller_.finished(
-            owner_.admission_controller_.service_time(), expected_);
+            owner_.admission_controller_.service_time());
         refuse(too_late    ? reason::deadline
                : evacuated ? *evacuated
                            : reason::draining);
@@ -535,7 +464,6 @@
         [self = shared_from_this()] { self->expire(); });
     owner_.resend_budget_.record_call(request_.service);
     first_sent_ = owner_.loop_.now();
-    others_ = owner_.admission_controller_.running() - 1;
     owner_.service_times_.record_start(request_.route, first_sent_);
     send();
 }
@@ -650,12 +578,8 @@
     // Within a message; a connection whose call has ended is kept.
     if (connection_->busy())
         connection_->close();
-    // Before the slot is free, so that a reduced limit applies to it.
-    if (misdirected_)
-        owner_.record_outcome(true);
-    else
-        owner_.record_answer({first_sent_, others_}, true);
     release_backend();
+    owner_.record_outcome(true);
     if (misdirected_)
         owner_.backend_.unreachable();
     refuse(reason::backend_server_failed);
@@ -689,9 +613,8 @@
         finish_refusal();
         return;
     }
-    // Before the slot is free, so that a reduced limit applies to it.
-    owner_.record_answer({first_sent_, others_}, false);
     release_backend();
+    owner_.record_outcome(false);
     response_ended_ = true;
     auto to = receiver_;
     end();
@@ -761,7 +684,7 @@
     if (connection_)
         owner_.pool_.give_back(std::move(connection_));
     connection_.reset();
-    owner_.admission_controller_.finished(took, expected_);
+    owner_.admission_controller_.finished(took);
 }
 
 void local_attempt::abandon()
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -12,11 +12,9 @@
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
 #include "process/load/cold_start.hpp"
-#include "process/load/concurrency_backoff.hpp"
 #include "process/load/crash_suspects.hpp"
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
-#include "process/load/workspace_demand.hpp"
 #include "process/retry/retry_budget.hpp"
 #include "process/sidecar/local_backend.hpp"
 #include "process/sidecar/protocol_adapter.hpp"
@@ -98,7 +96,7 @@
     }
 
     // Load report for calls on the route.
-    routing::load_report load(const std::string& route);
+    routing::load_report load(const std::string& route) const;
 
     // A request that is running on the backend server.
     struct running_request {
@@ -126,12 +124,6 @@
         may_start_ = std::move(may_start);
     }
 
-    // Called for the priority of a workspace; 0 is the most important.
-    void on_workspace_priority(std::function<int(const std::string&)> priority)
-    {
-        workspace_priority_ = std::move(priority);
-    }
-
     // Called with the requests that were in flight when the backend server
     // crashed.
     using crash_listener =
@@ -157,10 +149,6 @@
     void apply_notice(const routing::backend_notice& it);
     void forget(const std::string& attempt_id);
     void record_outcome(bool failed);
-    // The backend server answered; `rejected` if it did not run the request.
-    void record_answer(const load::concurrency_backoff::sent_call& call,
-                       bool rejected);
-    void apply_backoff();
     void record_broken_attempt(load::fingerprint request_fingerprint);
     void handle_listen_check(bool listens);
     void handle_unreachable();
@@ -176,9 +164,6 @@
     load::admission_controller admission_controller_;
     load::cold_start cold_;
     load::service_times service_times_;
-    load::concurrency_backoff backoff_;
-    load::workspace_demand demand_;
-    std::function<int(const std::string&)> workspace_priority_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
     std::function<void()> cold_listener_;
@@ -241,7 +226,6 @@
     friend class local_executor;
     enum class state { waiting, running, ended };
 
-    load::admission_request admission() const;
     void handle_admission(load::admission_decision it);
     void send();
     void send_more_body();
@@ -278,10 +262,6 @@
     time_point started_;
     // As started_, or earlier if the request was sent again.
     time_point first_sent_;
-    // Expected time on the backend server, when the attempt arrived.
-    duration expected_{};
-    // Other calls that ran on the backend server at that time.
-    int others_ = 0;
     std::shared_ptr<connection::http::client_connection> connection_;
     timer_id timer_{};
     std::uint64_t body_sent_ = 0;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -208,45 +208,6 @@
                      : std::make_pair(text, std::uint64_t{0});
 }
 
-// Relative demands are sent in hundredths.
-constexpr double demand_scale = 100;
-
-// Entries "DEMAND WORKSPACE", separated by commas.
-std::string to_text(const std::vector<load::large_demand>& demands)
-{
-    std::string text;
-    for (const auto& it : demands) {
-        if (it.workspace.find(',') != std::string::npos)
-            continue;
-        if (!text.empty())
-            text += ',';
-        text += std::to_string(std::llround(it.relative * demand_scale)) + ' ' +
-                it.workspace;
-    }
-    return text;
-}
-
-// Reads at most max_large_demands entries; leaves out unreadable ones.
-std::vector<load::large_demand> demands_from(std::string_view text)
-{
-    constexpr std::uint64_t max_demand = 1'000'000;
-    std::vector<load::large_demand> demands;
-    while (!text.empty() && demands.size() < load::max_large_demands) {
-        auto comma = std::min(text.find(','), text.size());
-        auto entry = text.substr(0, comma);
-        text.remove_prefix(std::min(comma + 1, text.size()));
-        auto space = std::min(entry.find(' '), entry.size());
-        auto demand = connection::http::parse_number(entry.substr(0, space));
-        auto workspace = entry.substr(std::min(space + 1, entry.size()));
-        if (demand && !workspace.empty())
-            demands.push_back(
-                {std::string(workspace),
-                 static_cast<double>(std::min(*demand, max_demand)) /
-                     demand_scale});
-    }
-    return demands;
-}
-
 std::string text_in(const header_list& headers, const char* name)
 {
     const auto* it = headers.find(name);
@@ -386,8 +347,6 @@
         add_packed(to, what);
     else
         add_plain(to, what);
-    if (what.refused_before > 0)
-        to.add("sw-refused", std::to_string(what.refused_before));
     if (what.notice.rate_limit > 0 || what.notice.leaving)
         to.add("sw-notice", to_text(what.notice));
     if (!what.speeds.empty())
@@ -415,9 +374,6 @@
     if (what.head.method.empty() || what.head.target.empty() ||
         what.attempt_id.empty() || what.service.empty())
         return std::nullopt;
-    constexpr std::uint64_t max_refused = 1'000'000;
-    what.refused_before = static_cast<int>(
-        std::min(number_in(headers, "sw-refused").value_or(0), max_refused));
     what.notice = notice_from(text_in(headers, "sw-notice"));
     what.speeds = speeds_from(text_in(headers, speeds_header));
     what.head.headers = message_headers(headers);
@@ -522,8 +478,6 @@
     }
     if (!reply.speeds.empty())
         to.add(speeds_header, to_text(reply.speeds));
-    if (!reply.load.large_demands.empty())
-        to.add("sw-demands", to_text(reply.load.large_demands));
     to.add("sw-notice", to_text(reply.load.notice));
     to.add("sw-incarnation", std::to_string(reply.incarnation));
     to.add("sw-policy", std::to_string(reply.policy_revision));
@@ -560,7 +514,6 @@
         reply.load = load_from(text_in(headers, "sw-load"));
         reply.length = number_in(headers, "sw-length");
     }
-    reply.load.large_demands = demands_from(text_in(headers, "sw-demands"));
     reply.load.notice = notice_from(text_in(headers, "sw-notice"));
     reply.speeds = speeds_from(text_in(headers, speeds_header));
     reply.policy_revision = number_in(headers, "sw-policy").value_or(0);
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -132,7 +132,7 @@
       isolation_detector_(loop, settings.isolation_limit),
       load_balancer_(loop, random_, fleet_, settings.failure_domain),
       split_(random_), retries_(loop, budget_of(settings)),
-      shed_thresholds_(loop), fair_share_(loop), suspects_(loop),
+      shed_thresholds_(loop), suspects_(loop),
       backend_(settings.service, settings.backend_address),
       executor_(loop, adapter, counts_, backend_, shed_thresholds_, suspects_),
       traffic_(counts_, settings.failure_domain),
@@ -228,11 +228,6 @@
         [this](std::string_view cause) { backend_changed(cause); });
     executor_.on_cold_changed([this] { publish(); });
     set_cold_bound(executor_, settings);
-    executor_.on_workspace_priority([this](const std::string& workspace) {
-        auto current = feed_.current();
-        const auto* it = current ? current->find_workspace(workspace) : nullptr;
-        return it == nullptr ? 0 : it->priority;
-    });
     executor_.on_start_check(
         [this](duration remaining) { return may_start_attempt(remaining); });
     executor_.on_crash([this](const std::vector<load::fingerprint>& in_flight) {
@@ -713,7 +708,6 @@
             << field("running", load.running) << field("waiting", load.waiting)
             << field("limit", load.limit) << field("cut", load.shed_threshold)
             << field("service_us", load.service_time.count())
-            << field("large_workspaces", load.large_demands.size())
             << field("runs", counts_.at("runs_started"))
             << field("runs_refused", refused - last_logged_refused_)
             << field("calls_shed", shed - last_logged_shed_);
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -81,7 +81,6 @@
     {
         return shed_thresholds_;
     }
-    load::fair_share& fair_share() override { return fair_share_; }
     const fleet::isolation_detector& isolation_detector() override
     {
         return isolation_detector_;
@@ -170,7 +169,6 @@
     routing::service_split split_;
     retry::retry_budget retries_;
     load::shed_threshold_table shed_thresholds_;
-    load::fair_share fair_share_;
     load::crash_suspects suspects_;
     local_backend backend_;
     local_executor executor_;
--- a/src/request/attempt.hpp
+++ b/src/request/attempt.hpp
@@ -35,9 +35,6 @@
     // Made by a backend server for a request in progress. Child calls go
     // before new requests: refusing them would waste the work already done.
     bool is_child_call = false;
-    // Requests of the workspace that the entry node has refused since the one
-    // before.
-    int refused_before = 0;
     // Of the request at the root of the call tree.
     process::load::shed_key key = 0;
     // 1 for the first backend server that the request is sent to.
--- a/src/request/entry_call.cpp
+++ b/src/request/entry_call.cpp
@@ -1,6 +1,5 @@
 #include "request/entry_call.hpp"
 
-#include "process/load/retry_after.hpp"
 #include "process/log.hpp"
 #include "process/telemetry/decision_log.hpp"
 
@@ -186,7 +185,8 @@
         return false;
     }
     if (workspace_ != nullptr) {
-        key_ = make_key();
+        key_ = process::load::make_shed_key(workspace_->priority,
+                                            route_->priority, request_id_);
     } else if (auto parent = node_.parent_of(request_id_, route_->name)) {
         key_ = parent->key;
         parent_is_retry_ = parent->is_retry;
@@ -195,18 +195,6 @@
     return !refuse_if_isolated() && !refuse_if_shed();
 }
 
-process::load::shed_key entry_call::make_key()
-{
-    using namespace process::load;
-    if (node_.shed_thresholds().tree_threshold(route_->name) ==
-        no_shed_threshold)
-        return make_shed_key(workspace_->priority, route_->priority,
-                             request_id_);
-    return make_fair_shed_key(
-        workspace_->priority, route_->priority, request_id_,
-        node_.fair_share().relative_demand(workspace_->name));
-}
-
 // The route makes child calls, which an isolated node can't serve, so the work
 // of the local backend server would be wasted.
 bool entry_call::refuse_if_isolated()
@@ -222,14 +210,10 @@
 bool entry_call::refuse_if_shed()
 {
     if (workspace_ == nullptr ||
-        key_ < node_.shed_thresholds().tree_threshold(route_->name))
+        key_ < node_.shed_thresholds().threshold_of(route_->name))
         return false;
     ++node_.counts().at("calls_shed");
-    if (node_.fair_share().relative_demand(workspace_->name) > 1)
-        ++node_.counts().at("calls_shed_large");
-    node_.fair_share().record_refused(workspace_->name);
-    fail(not_run(reason::overload,
-                 process::load::spread_retry_after(default_retry_after, key_)));
+    fail(not_run(reason::overload, default_retry_after));
     return true;
 }
 
@@ -240,8 +224,6 @@
     if (!node_.load_balancer().is_cold_among_warm(instance_))
         node_.shed_thresholds().record_threshold(route_->name,
                                                  it.shed_threshold);
-    if (it.shed_threshold != process::load::no_shed_threshold)
-        node_.fair_share().record_demands(it.large_demands);
 }
 
 void entry_call::on_body(std::string_view bytes)
@@ -360,10 +342,8 @@
     what.attempt_id = node_.new_attempt_id();
     what.route = route_->name;
     what.service = service_;
-    if (workspace_ != nullptr) {
+    if (workspace_ != nullptr)
         what.workspace = workspace_->name;
-        what.refused_before = node_.fair_share().take_refused(workspace_->name);
-    }
     what.caller_service = node_.own_service();
     what.repeatable = route_->kind != version::work_kind::once;
     what.is_child_call = workspace_ == nullptr;
--- a/src/request/entry_call.hpp
+++ b/src/request/entry_call.hpp
@@ -12,7 +12,6 @@
 #include "process/counters.hpp"
 #include "process/fleet/isolation_detector.hpp"
 #include "process/latency_histogram.hpp"
-#include "process/load/fair_share.hpp"
 #include "process/load/shed_threshold_table.hpp"
 #include "process/rate/token_cache.hpp"
 #include "process/retry/retry_budget.hpp"
@@ -51,7 +50,6 @@
     // Service of the local backend server.
     virtual const std::string& own_service() = 0;
     virtual process::load::shed_threshold_table& shed_thresholds() = 0;
-    virtual process::load::fair_share& fair_share() = 0;
     virtual const process::fleet::isolation_detector& isolation_detector() = 0;
     // True if neither another node nor the store answers this node.
     virtual bool is_partitioned() = 0;
@@ -102,7 +100,6 @@
     class attempt_listener;
 
     bool admit(const connection::http::request_head& head);
-    process::load::shed_key make_key();
     bool refuse_if_isolated();
     bool refuse_if_shed();
     void acquire_token();
--- a/tests/sidecar/test_cold_placement.cpp
+++ b/tests/sidecar/test_cold_placement.cpp
@@ -110,26 +110,27 @@
         auto& at = *servers_[number];
         auto sent = loop.now();
         from.balancer.sent(name);
-        load::admission_request call{++last_, false, 1,
-                                     sent + milliseconds(250)};
-        at.arrive(call, [this, &from, &at, name, cold, sent, call,
-                         tried](admission_decision decided) mutable {
-            if (decided == admission_decision::run) {
-                cold_starts += cold ? 1 : 0;
-                loop.call_after(call_time, [this, &from, &at, name, sent] {
-                    at.finished(call_time);
-                    ++served;
-                    from.balancer.ended(name, "r", attempt_outcome::served,
-                                        loop.now() - sent);
-                });
-                return;
-            }
-            cold_refusals += cold ? 1 : 0;
-            from.balancer.ended(name, "r", attempt_outcome::refused_overload,
-                                loop.now() - sent, at.retry_after(call));
-            tried.push_back(name);
-            send(from, tried);
-        });
+        at.arrive(
+            {++last_, false, 1, sent + milliseconds(250)},
+            [this, &from, &at, name, cold, sent,
+             tried](admission_decision decided) mutable {
+                if (decided == admission_decision::run) {
+                    cold_starts += cold ? 1 : 0;
+                    loop.call_after(call_time, [this, &from, &at, name, sent] {
+                        at.finished(call_time);
+                        ++served;
+                        from.balancer.ended(name, "r", attempt_outcome::served,
+                                            loop.now() - sent);
+                    });
+                    return;
+                }
+                cold_refusals += cold ? 1 : 0;
+                from.balancer.ended(name, "r",
+                                    attempt_outcome::refused_overload,
+                                    loop.now() - sent, at.retry_after());
+                tried.push_back(name);
+                send(from, tried);
+            });
     }
 
     int cold_;
--- a/tests/sidecar/test_cold_start.cpp
+++ b/tests/sidecar/test_cold_start.cpp
@@ -323,8 +323,7 @@
           0.9 * static_cast<double>(waits.size()));
     CHECK(*std::max_element(waits.begin(), waits.end()) <= milliseconds(261));
     // A caller that comes back when it was told to finds room.
-    auto back = it.admission.retry_after(
-        {9999, false, 1, it.loop.now() + milliseconds(1)});
+    auto back = it.admission.retry_after();
     CHECK(back > duration(0));
     CHECK(back < seconds(1));
     it.loop.advance(back);
--- a/tests/sidecar/test_sidecar_node.cpp
+++ b/tests/sidecar/test_sidecar_node.cpp
@@ -1,5 +1,3 @@
-#include "process/sidecar/peer_codec.hpp"
-#include "sidecar/support/local_node.hpp"
 #include "sidecar/support/small_fleet.hpp"
 
 #include <algorithm>
@@ -629,72 +627,6 @@
     }
 }
 
-// Guards against a header that every message of a quiet day would carry, and
-// against entries of another node that are read without a bound.
-TEST_CASE("large demands are sent between nodes only if there are any")
-{
-    process::sidecar::attempt_reply reply;
-    reply.response.emplace();
-    reply.response->status = 200;
-    CHECK(to_headers(reply).find("sw-demands") == nullptr);
-    reply.load.large_demands = {{"w-one", 4.25}, {"w two", 1.5}};
-    auto read = process::sidecar::reply_from_headers(to_headers(reply));
-    REQUIRE(read);
-    CHECK(read->load.large_demands == reply.load.large_demands);
-    connection::http::header_list headers;
-    headers.add(":status", "200");
-    std::string many = "x,1 ,,-1 w,";
-    for (int n = 0; n < 100; ++n)
-        many += "99999999999 w" + std::to_string(n) + ",";
-    headers.add("sw-demands", many);
-    read = process::sidecar::reply_from_headers(std::move(headers));
-    REQUIRE(read);
-    CHECK(read->load.large_demands.size() == process::load::max_large_demands);
-
-    auto what = run_on_s("a", true);
-    using process::sidecar::to_headers;
-    CHECK(to_headers(what).find("sw-refused") == nullptr);
-    what.refused_before = 3;
-    auto attempt = process::sidecar::attempt_from_headers(to_headers(what));
-    REQUIRE(attempt);
-    CHECK(attempt->refused_before == 3);
-}
-
-// Guards against the loss of a whole tree to one server that sheds by itself.
-TEST_CASE("a call of a run that a backend server rejects goes to another one")
-{
-    small_fleet fleet;
-    std::string running;
-    auto& entry =
-        fleet.add("front", [&](scripted_connection&, const std::string& head,
-                               const std::string&) {
-            running = header_of(head, "X-Request-Id");
-        });
-    int rejected = 0;
-    fleet.add("t", [&](scripted_connection& from, const std::string& head,
-                       const std::string&) {
-        ++rejected;
-        from.send("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: " +
-                  header_of(head, "X-Request-Id") +
-                  "\r\nContent-Length: 0\r\n\r\n");
-    });
-    fleet.add("t", serve);
-    fleet.open_services = {"t"};
-    fleet.write_policy(1, {"front", "t"}, "non_idempotent");
-    fleet.settle(1);
-    silent_events events;
-    auto caller = fleet.start_request(entry, "front", events);
-    REQUIRE(run_until(fleet.loop, [&] { return !running.empty(); }));
-    constexpr int calls = 40;
-    auto begin = fleet.loop.now();
-    for (int n = 0; n < calls; ++n)
-        CHECK(fleet.inner_request(entry, "t", running).status == 200);
-    // At once, and the server is avoided once it is known.
-    CHECK(fleet.loop.now() - begin < std::chrono::seconds(2));
-    CHECK(rejected >= 1);
-    CHECK(rejected < calls / 4);
-}
-
 // The work done for it would be lost.
 TEST_CASE("a call of a run waits for a backend server that comes back")
 {
