--- a/src/process/routing/load_balancer.cpp
+++ b/src/process/routing/load_balancer.cpp
@@ -124,11 +124,16 @@
     // A call that an instance has refused or failed may leave the domain as if
     // the others were near.
     auto far = tried.empty() ? remoteness_of(candidates) : remoteness();
+    bool by_end =
+        far.is_near() && expected_end_.applies_to(service, in_objective);
     candidate best;
     candidate local;
     for (auto& it : candidates) {
-        it.cost = cost(it, far) + cost_of_crossing(it, service, far);
-        if (it.time > 0) {
+        auto end_cost =
+            by_end ? cost_by_end(it, usual, in_objective) : std::nullopt;
+        it.cost = end_cost.value_or(cost(it, far)) +
+                  cost_of_crossing(it, service, far);
+        if (it.time > 0 && !end_cost) {
             auto excess = excess_time_cost *
                           std::max(0.0, it.time / usual - tolerated_time_ratio);
             it.cost += excess;
@@ -246,14 +251,8 @@
 double load_balancer::cost(const candidate& of, const remoteness& far) const
 {
     const auto& stats = *of.stats;
-    double limit = std::max(
-        stats.last_report.limit > 0 ? stats.last_report.limit : of.it->slots,
-        1);
-    double load = stats.in_flight;
-    if (clock_.now() - stats.reported_at < report_validity)
-        load =
-            std::max(0, stats.last_report.running + stats.last_report.waiting +
-                            stats.in_flight - stats.in_flight_at_report);
+    double limit = slots_of(of);
+    double load = load_of(stats);
     double value = (load + 1) / limit;
     value += far.crowding(value);
     if (load >= limit)
@@ -262,6 +261,38 @@
                        decayed_failure_rate(stats);
 }
 
+std::optional<double> load_balancer::cost_by_end(const candidate& of,
+                                                 double usual,
+                                                 duration in_objective) const
+{
+    const auto& stats = *of.stats;
+    const auto& left = stats.last_report.work_left;
+    if (of.time <= 0 || usual <= 0 || !left ||
+        clock_.now() - stats.reported_at >= report_validity)
+        return std::nullopt;
+    double sent_since = stats.in_flight - stats.in_flight_at_report;
+    double limit = slots_of(of);
+    work_ahead it{static_cast<double>(left->count()) + sent_since * of.time,
+                  limit, of.time};
+    return expected_end::cost(it, usual, in_objective) +
+           (load_of(stats) >= limit ? full_cost : 0) +
+           failure_rate_cost * decayed_failure_rate(stats);
+}
+
+double load_balancer::load_of(const instance_stats& stats) const
+{
+    if (clock_.now() - stats.reported_at >= report_validity)
+        return stats.in_flight;
+    return std::max(0, stats.last_report.running + stats.last_report.waiting +
+                           stats.in_flight - stats.in_flight_at_report);
+}
+
+double load_balancer::slots_of(const candidate& of)
+{
+    int limit = of.stats->last_report.limit;
+    return std::max(limit > 0 ? limit : of.it->slots, 1);
+}
+
 double load_balancer::decayed_failure_rate(const instance_stats& stats) const
 {
     auto age =
@@ -294,6 +325,8 @@
         stats.failures = 0;
         stats.ejected_until = time_point{};
         record_latency(stats.latency_by_route[route], elapsed);
+        if (const auto* it = fleet_.find(name))
+            expected_end_.record(it->service, elapsed);
         break;
     case attempt_outcome::refused_overload:
         stats.ejected_until = now + overload_ejection_time;
--- a/src/process/routing/load_balancer.hpp
+++ b/src/process/routing/load_balancer.hpp
@@ -29,6 +29,7 @@
 #include "process/random_source.hpp"
 #include "process/routing/backend_notice.hpp"
 #include "process/routing/crossing_cost.hpp"
+#include "process/routing/expected_end.hpp"
 #include "process/routing/speed_board.hpp"
 
 #include <optional>
@@ -56,6 +57,9 @@
     // of the statement by the instance's clock.
     duration route_time{};
     std::uint64_t stamp_ms = 0;
+    // Expected work of the running and the queued calls, in whole milliseconds
+    // between nodes; nothing if the node does not report it.
+    std::optional<duration> work_left{};
 };
 
 enum class attempt_outcome {
@@ -124,6 +128,12 @@
     // True if evacuations leave no instance of the service that accepts calls.
     bool is_evacuated(const std::string& service) const;
 
+    // Places calls by their expected end where expected_end applies.
+    void set_placement_by_cost(bool enabled)
+    {
+        expected_end_.set_enabled(enabled);
+    }
+
     // Records whether the node of the instance responds.
     void set_reachable(const std::string& name, bool reachable);
 
@@ -173,6 +183,13 @@
                                        double usual, duration remaining);
     remoteness remoteness_of(const std::vector<candidate>& all) const;
     double cost(const candidate& of, const remoteness& far) const;
+    // The same with the expected end in place of the utilization; nothing if
+    // the work or the time at the instance is not known.
+    std::optional<double> cost_by_end(const candidate& of, double usual,
+                                      duration in_objective) const;
+    // Calls running and waiting at the instance.
+    double load_of(const instance_stats& stats) const;
+    static double slots_of(const candidate& of);
     // Cost of leaving the own domain for that of the candidate.
     double cost_of_crossing(const candidate& of, const std::string& service,
                             const remoteness& far) const;
@@ -198,6 +215,7 @@
     // by the services of all configurations seen.
     std::unordered_map<std::string, time_point> crossed_at_;
     speed_board speeds_;
+    expected_end expected_end_;
     std::unordered_map<std::string, instance_stats> stats_;
     std::set<std::string> evacuated_;
     // Failure domains in which an instance refused a call as evacuated; they
--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -67,6 +67,9 @@
 // A cold time is logged again if it ends later by more than this.
 constexpr duration cold_log_step = std::chrono::milliseconds(500);
 
+// Routes whose predictions are logged at a time.
+constexpr std::size_t max_logged_routes = 16;
+
 // The backend server runs on the same machine, so unacknowledged data means
 // that nothing listens any more.
 constexpr connection::net::liveness backend_liveness{
@@ -95,7 +98,8 @@
       cold_(
           loop, loop, [this] { return capacity(); },
           [this] { cold_changed(); }),
-      service_times_(loop), pool_(loop, backend_options(adapter)),
+      service_times_(loop), cost_model_(loop),
+      remaining_work_(loop, cost_model_), pool_(loop, backend_options(adapter)),
       listen_check_(loop, backend_liveness,
                     [this](bool listens) { handle_listen_check(listens); })
 {
@@ -236,7 +240,26 @@
             static_cast<std::uint64_t>(
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     loop_.now().time_since_epoch())
-                    .count())};
+                    .count()),
+            remaining_work_.left()};
+}
+
+void local_executor::log_costs() const
+{
+    std::size_t logged = 0;
+    for (const auto& route : cost_model_.routes()) {
+        auto it = cost_model_.errors(route);
+        if (!it || it->compared == 0)
+            continue;
+        if (++logged > max_logged_routes)
+            break;
+        SHALLOTWOOD_LOG(info) << "event=cost_model" << field("route", route)
+                              << field("feature", load::name_of(it->best))
+                              << field("used", it->used)
+                              << field("error_us", it->by_feature.count())
+                              << field("mean_error_us", it->by_mean.count())
+                              << field("compared", it->compared);
+    }
 }
 
 void local_executor::record_outcome(bool failed)
@@ -427,6 +450,11 @@
     load::admission_request it{
         arrival_, request_.is_child_call, request_.key,
         arrived_ + std::min(request_.max_queue_time, request_.remaining)};
+    owner_.remaining_work_.arrive(
+        arrival_, request_.route,
+        {request_.head.method, request_.workspace, request_.head.target,
+         request_.body->complete() ? request_.body->received()
+                                   : request_.body->length()});
     owner_.admission_controller_.arrive(
         it, [self](load::admission_decision admission_decision) {
             self->handle_admission(admission_decision);
@@ -465,6 +493,7 @@
     owner_.resend_budget_.record_call(request_.service);
     first_sent_ = owner_.loop_.now();
     owner_.service_times_.record_start(request_.route, first_sent_);
+    owner_.remaining_work_.start(arrival_);
     send();
 }
 
@@ -613,6 +642,8 @@
         finish_refusal();
         return;
     }
+    if (state_ == state::running)
+        owner_.remaining_work_.finish(arrival_);
     release_backend();
     owner_.record_outcome(false);
     response_ended_ = true;
@@ -677,6 +708,7 @@
     state_ = state::ended;
     --owner_.running_;
     owner_.running_requests_.erase(request_.request_id);
+    owner_.remaining_work_.leave(arrival_);
     owner_.loop_.cancel(timer_);
     request_.body->on_more({});
     auto took = owner_.loop_.now() - started_;
@@ -752,6 +784,7 @@
 void local_attempt::end()
 {
     receiver_.reset();
+    owner_.remaining_work_.leave(arrival_);
     if (request_.repeatable) {
         owner_.forget(request_.attempt_id);
         return;
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -12,7 +12,9 @@
 #include "process/counters.hpp"
 #include "process/load/admission_controller.hpp"
 #include "process/load/cold_start.hpp"
+#include "process/load/cost_model.hpp"
 #include "process/load/crash_suspects.hpp"
+#include "process/load/remaining_work.hpp"
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
 #include "process/retry/retry_budget.hpp"
@@ -109,6 +111,11 @@
     };
     const running_request* find_running(const std::string& request_id) const;
     std::size_t running_attempts() const { return running_; }
+    // Expected work of the backend server's running and queued calls.
+    duration work_left() const { return remaining_work_.left(); }
+    const load::cost_model& costs() const { return cost_model_; }
+    // Logs how well the costs of the routes are predicted.
+    void log_costs() const;
     std::uint64_t connections_opened() const { return pool_.opened(); }
 
     // Called when a call has shown that the backend server is gone or leaves.
@@ -164,6 +171,8 @@
     load::admission_controller admission_controller_;
     load::cold_start cold_;
     load::service_times service_times_;
+    load::cost_model cost_model_;
+    load::remaining_work remaining_work_;
     connection::http::client_pool pool_;
     std::function<void(std::string_view)> backend_listener_;
     std::function<void()> cold_listener_;
--- a/src/process/sidecar/node_settings.cpp
+++ b/src/process/sidecar/node_settings.cpp
@@ -141,6 +141,7 @@
         from.number("max_descriptors", 300, 10'000'000));
     to.max_connections = static_cast<std::size_t>(std::max<std::int64_t>(
         descriptors - reserved_descriptors, descriptors / 4));
+    to.placement_by_cost = parsed.table()["placement_by_cost"].value_or(false);
     to.fleet_is_new = parsed.table()["fleet_is_new"].value_or(false);
     if (auto faults = from.take_errors(); !faults.empty())
         return settings_error{std::move(faults)};
--- a/src/process/sidecar/node_settings.hpp
+++ b/src/process/sidecar/node_settings.hpp
@@ -51,6 +51,8 @@
     // plus the slack; empty where the platform has no such bound.
     std::optional<double> cold_excess;
     std::optional<double> cold_slack;
+    // Places calls by their expected end where routing::expected_end applies.
+    bool placement_by_cost = false;
     // True if the whole fleet starts for the first time.
     bool fleet_is_new = false;
 };
--- a/src/process/sidecar/packed_numbers.hpp
+++ b/src/process/sidecar/packed_numbers.hpp
@@ -33,6 +33,8 @@
     std::uint64_t next();
     std::int64_t next_signed();
     bool complete() const { return complete_; }
+    // All numbers have been read.
+    bool at_end() const { return rest_.empty(); }
 
 private:
     std::string_view rest_;
--- a/src/process/sidecar/peer_codec.cpp
+++ b/src/process/sidecar/peer_codec.cpp
@@ -125,11 +125,12 @@
     return text;
 }
 
+// A longer time is as good as this one, and can't overflow.
+constexpr std::uint64_t max_time_ms = 3'600'000;
+
 // Reads at most max_shared_speeds entries; unreadable numbers are 0.
 std::vector<routing::instance_speed> speeds_from(std::string_view text)
 {
-    // A longer time is as good as this one, and can't overflow.
-    constexpr std::uint64_t max_time_ms = 3'600'000;
     std::vector<routing::instance_speed> speeds;
     while (!text.empty() && speeds.size() < routing::max_shared_speeds) {
         auto comma = std::min(text.find(','), text.size());
@@ -383,6 +384,21 @@
 namespace
 {
 
+// The work left is sent in whole milliseconds, rounded up.
+std::uint64_t work_number(duration it)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(it).count());
+}
+
+duration work_from(std::uint64_t number)
+{
+    return std::chrono::milliseconds(std::min(number, max_time_ms));
+}
+
+// Numbers in the text of a load report without the work left.
+constexpr std::ptrdiff_t load_numbers = 8;
+
 std::string load_text(const routing::load_report& load)
 {
     return std::to_string(load.running) + ' ' + std::to_string(load.waiting) +
@@ -391,13 +407,15 @@
            std::to_string(load.shed_threshold) + ' ' +
            std::to_string(std::lround(load.failure_rate * failure_rate_scale)) +
            ' ' + std::to_string(load.route_time.count()) + ' ' +
-           std::to_string(load.stamp_ms);
+           std::to_string(load.stamp_ms) +
+           (load.work_left ? ' ' + std::to_string(work_number(*load.work_left))
+                           : std::string());
 }
 
 routing::load_report load_from(const std::string& text)
 {
     routing::load_report it;
-    auto numbers = numbers_in<8>(text);
+    auto numbers = numbers_in<load_numbers + 1>(text);
     it.running = static_cast<int>(numbers[0]);
     it.waiting = static_cast<int>(numbers[1]);
     it.limit = static_cast<int>(numbers[2]);
@@ -406,6 +424,8 @@
     it.failure_rate = static_cast<double>(numbers[5]) / failure_rate_scale;
     it.route_time = duration(static_cast<duration::rep>(numbers[6]));
     it.stamp_ms = numbers[7];
+    if (std::count(text.begin(), text.end(), ' ') >= load_numbers)
+        it.work_left = work_from(numbers[load_numbers]);
     return it;
 }
 
@@ -432,6 +452,9 @@
         static_cast<std::int64_t>(load.stamp_ms - reply.incarnation));
     if (reply.length && !reply.failure)
         all.add(*reply.length);
+    // Nodes of former versions neither send nor read it.
+    if (load.work_left)
+        all.add(work_number(*load.work_left));
     return all.text();
 }
 
@@ -455,6 +478,8 @@
         reply.incarnation + static_cast<std::uint64_t>(all.next_signed());
     if ((flags & flag::has_length) != 0)
         reply.length = all.next();
+    if (!all.at_end())
+        load.work_left = work_from(all.next());
     if (!all.complete())
         return std::nullopt;
     return place;
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -268,6 +268,7 @@
                           << field("incarnation", fleet_.self().incarnation);
     apply_membership_change();
     traffic_logged_at_ = loop_.now();
+    load_balancer_.set_placement_by_cost(settings_.placement_by_cost);
     store_watch_.start();
     former_read_timer_ = loop_.call_after(
         former_read_limit, [this] { handle_former_read("no-answer"); });
@@ -723,6 +724,7 @@
         return;
     traffic_logged_at_ = now;
     traffic_.log();
+    executor_.log_costs();
     const auto& crossing = load_balancer_.crossing();
     for (const auto& domain : crossing.domains())
         SHALLOTWOOD_LOG(info)
@@ -815,10 +817,17 @@
     counts_.at("runs_in_flight") = static_cast<std::uint64_t>(load.running);
     counts_.at("runs_waiting") = static_cast<std::uint64_t>(load.waiting);
     counts_.at("runs_limit") = static_cast<std::uint64_t>(load.limit);
-    counts_.at("backend_cold_ms") = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            executor_.cold().left())
-            .count());
+    auto in_ms = [](duration it) {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(it).count());
+    };
+    const auto& costs = executor_.costs().totals();
+    counts_.at("cost_predictions") = costs.compared;
+    counts_.at("cost_error_ms", "predictor=\"estimate\"") =
+        in_ms(costs.by_estimate);
+    counts_.at("cost_error_ms", "predictor=\"mean\"") = in_ms(costs.by_mean);
+    counts_.at("backend_work_left_ms") = in_ms(executor_.work_left());
+    counts_.at("backend_cold_ms") = in_ms(executor_.cold().left());
     counts_.at("caller_connections") = callers_.connections();
     counts_.at("backend_connections_opened") = executor_.connections_opened();
     std::ostringstream out;
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -252,4 +252,46 @@
     CHECK(run_until(it.loop, [&] { return suspects > 0; }));
 }
 
+// Guards against calls that are never taken out of the work left, and against
+// short refusals and cancelled calls that are learned as cheap ones.
+TEST_CASE("only what the backend server has run is learned as a cost")
+{
+    std::shared_ptr<scripted_connection> waiting;
+    std::string waiting_head;
+    fixture it([&](scripted_connection& from, const std::string& head,
+                   const std::string&) {
+        waiting = std::static_pointer_cast<scripted_connection>(
+            from.shared_from_this());
+        waiting_head = head;
+    });
+    auto start = [&](const std::string& attempt) {
+        waiting.reset();
+        auto got = std::make_shared<run_recorder>();
+        auto run = it.executor.start(run_on_s(attempt, true), got);
+        REQUIRE(run_until(it.loop, [&] { return waiting != nullptr; }));
+        return std::pair(got, run);
+    };
+    {
+        auto [got, run] = start("refused");
+        waiting->send("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                      "X-Request-Id: " +
+                      header_of(waiting_head, "X-Request-Id") +
+                      "\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(run_until(it.loop, [&, to = got] { return to->done(); }));
+    }
+    start("cancelled").second->cancel();
+    CHECK(it.executor.costs().routes().empty());
+    {
+        auto [got, run] = start("served");
+        waiting->send(good_answer(waiting_head, "kept"));
+        REQUIRE(run_until(it.loop, [&, to = got] { return to->done(); }));
+    }
+    CHECK(it.executor.costs().routes() == std::vector<std::string>{"route"});
+    CHECK(it.executor.load("route").work_left == duration(0));
+    auto running = start("running").second;
+    CHECK(it.executor.work_left() > duration(0));
+    running->cancel();
+    CHECK(it.executor.work_left() == duration(0));
+}
+
 } // namespace shallotwood::test
--- a/tests/sidecar/test_node_settings.cpp
+++ b/tests/sidecar/test_node_settings.cpp
@@ -30,6 +30,19 @@
 
 } // namespace
 
+TEST_CASE("placement by cost is enabled by a setting")
+{
+    // Guards against a deployment whose choices change without being asked.
+    for (const auto* text :
+         {"", "placement_by_cost = false\n", "placement_by_cost = true\n"}) {
+        CAPTURE(text);
+        auto result = parse_node_settings(usual + text);
+        REQUIRE(std::holds_alternative<node_settings>(result));
+        CHECK(std::get<node_settings>(result).placement_by_cost ==
+              (std::string(text).find("true") != std::string::npos));
+    }
+}
+
 TEST_CASE("evacuations are enabled by a setting")
 {
     // Guards against a deployment without evacuations that watches them, and
--- a/tests/sidecar/test_peer_codec.cpp
+++ b/tests/sidecar/test_peer_codec.cpp
@@ -109,6 +109,7 @@
     it.load.failure_rate = 0.25;
     it.load.shed_threshold = 4'000'000'000;
     it.load.stamp_ms = it.incarnation + random.below(40'000);
+    it.load.work_left = milliseconds(random.below(36 * 200));
     it.load.notice = {1'234'567'890'123'456'789, 0, false};
     return it;
 }
@@ -185,6 +186,7 @@
         CHECK(load.shed_threshold == 4'000'000'000);
         CHECK(load.stamp_ms == reply.load.stamp_ms);
         CHECK(load.notice == reply.load.notice);
+        CHECK(load.work_left == reply.load.work_left);
         request::attempt_failure why;
         why.what = {request::execution::not_run, request::reason::overload};
         why.retry_after = milliseconds(30);
@@ -196,6 +198,34 @@
     }
 }
 
+// A report without the work left, as nodes of former versions send it, must not
+// count as one of no work; nor may a forged number overflow.
+TEST_CASE("the work left of a report is optional, rounded up and bounded")
+{
+    random_source random(1);
+    for (auto form : {head_form::plain, head_form::compact})
+        for (bool has_length : {false, true}) {
+            auto reply = answer(random, "r1");
+            if (!has_length)
+                reply.length.reset();
+            auto sent = [&](std::optional<duration> work) {
+                reply.load.work_left = work;
+                auto it =
+                    reply_from_headers(to_headers(reply, form, "r1"), "r1");
+                REQUIRE(it);
+                CHECK(it->length == reply.length);
+                CHECK(it->load.stamp_ms == reply.load.stamp_ms);
+                return it->load.work_left;
+            };
+            CHECK_FALSE(sent(std::nullopt));
+            CHECK(sent(duration(0)) == duration(0));
+            CHECK(sent(duration(1)) == milliseconds(1));
+            auto most = sent(duration::max());
+            REQUIRE(most);
+            CHECK(*most > seconds(1));
+        }
+}
+
 // A node of the former version reads only the plain form.
 TEST_CASE("the compact form is sent only to nodes that have shown to read it")
 {
