End a test's connection before its loop

Cause: in "only what the backend server has run is learned as a cost" the test keeps a connection that outlives the fixture's loop; the sanitized build failed at its destruction. Change: the test drops it at its end; its checks are the same.

--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -292,6 +292,8 @@
     CHECK(it.executor.work_left() > duration(0));
     running->cancel();
     CHECK(it.executor.work_left() == duration(0));
+    // The connection uses the loop, which ends with the fixture.
+    waiting.reset();
 }
 
 } // namespace shallotwood::test
