Fail answers that exceed their size limit instead of shortening them

A response of the store of more than 16 MB, and a reply between nodes of more than 4 MB, were handed over without the pieces that went over the limit, as if they were whole.

Cause: a piece that did not fit was left out, and nothing remembered it. Smaller pieces after it were appended again, so a part in the middle could be missing.

Evidence: "a fetched answer over the limit is a failure" (with a length and without) and "a reply over the limit is no reply" failed before.

Fix: the first piece that exceeds the limit ends the call: the connection to the store is closed, the stream between nodes is reset, and the receiver is told of a failure.

--- a/src/connection/http/fetch.cpp
+++ b/src/connection/http/fetch.cpp
@@ -52,8 +52,12 @@
 
 void fetch::on_response_body(std::string_view bytes)
 {
-    if (answer_.body.size() + bytes.size() <= max_fetched_bytes)
-        answer_.body.append(bytes);
+    if (answer_.body.size() + bytes.size() > max_fetched_bytes) {
+        connection_->close();
+        finish(fetch_failure{});
+        return;
+    }
+    answer_.body.append(bytes);
 }
 
 void fetch::on_response_end()
--- a/src/connection/http/fetch.hpp
+++ b/src/connection/http/fetch.hpp
@@ -11,7 +11,7 @@
 namespace shallotwood::connection::http
 {
 
-// Largest answer that is read.
+// A larger answer is a failure.
 constexpr std::uint64_t max_fetched_bytes = std::uint64_t{16} * 1024 * 1024;
 
 struct fetched {
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -63,7 +63,7 @@
 // A longer reply to a message says little about the round trip.
 constexpr std::size_t max_short_reply_bytes = 1024;
 
-// Largest reply to a message.
+// A larger reply to a message is none.
 constexpr std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
 
 std::string name_of(const peer_address& it)
@@ -372,8 +372,12 @@
 
     void on_data(std::string_view bytes) override
     {
-        if (reply_.size() + bytes.size() <= max_reply_bytes)
-            reply_.append(bytes);
+        if (reply_.size() + bytes.size() > max_reply_bytes) {
+            session_->reset(stream_);
+            finish(std::nullopt);
+            return;
+        }
+        reply_.append(bytes);
         session_->consumed(stream_, bytes.size());
     }
     void on_end() override
--- a/tests/sidecar/test_client_connection.cpp
+++ b/tests/sidecar/test_client_connection.cpp
@@ -1,4 +1,4 @@
-#include "connection/http/client_pool.hpp"
+#include "connection/http/fetch.hpp"
 #include "sidecar/support/live_loop.hpp"
 #include "sidecar/support/scripted_server.hpp"
 
@@ -205,6 +205,30 @@
     CHECK(got.failure->malformed);
 }
 
+// Guards against part of a body that is taken for all of it.
+TEST_CASE("a fetched answer over the limit is a failure")
+{
+    const std::string body(max_fetched_bytes + 1, 'x');
+    auto framing =
+        GENERATE_COPY("Content-Length: " + std::to_string(body.size()) + "\r\n",
+                      std::string());
+    fixture it(
+        [&](scripted_connection& from, const std::string&, const std::string&) {
+            from.send("HTTP/1.1 200 OK\r\n" + framing + "\r\n" + body);
+            from.finish(std::chrono::seconds(1));
+        });
+    std::optional<fetch_result> result;
+    request_head head;
+    head.method = "GET";
+    head.target = "/";
+    fetch::start(it.loop, it.pool, head, {}, std::chrono::seconds(30),
+                 [&](fetch_result got) { result = std::move(got); });
+    REQUIRE(run_until(it.loop, [&] { return result.has_value(); }));
+    const auto* failure = std::get_if<fetch_failure>(&*result);
+    REQUIRE(failure != nullptr);
+    CHECK(failure->may_have_arrived);
+}
+
 TEST_CASE("nothing was sent to an address where nothing listens")
 {
     fixture it(
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -259,6 +259,37 @@
     CHECK(reply == std::string("good"));
 }
 
+// Guards against part of a reply that is taken for all of it.
+TEST_CASE("a reply over the limit is no reply")
+{
+    // The limit is 4 MB. What is left out must not be a piece in the middle,
+    // either.
+    const std::string reply(std::size_t{4} * 1024 * 1024 + 1, 'x');
+    fixture it;
+    scripted_server server(it.loop, serve);
+    local_node node(it.loop, server.address());
+    peer_server peers(
+        it.loop, node.executor,
+        [] {
+            return peer_server::identity{1, 1};
+        },
+        [&](std::string_view, const std::string&) { return reply; },
+        [](std::uint64_t) {});
+    REQUIRE(peers.listen({"127.0.0.1", 0}).empty());
+    std::optional<std::string> got = "unset";
+    bool done = false;
+    it.links.call({"127.0.0.1", peers.port()}, peer_path::crash, "",
+                  std::chrono::seconds(30),
+                  [&](const std::optional<std::string>& text) {
+                      got = text;
+                      done = true;
+                  });
+    REQUIRE(run_until(it.loop, [&] { return done; }));
+    bool has_reply = got.has_value();
+    CHECK_FALSE(has_reply);
+    it.links.close();
+}
+
 // What the connection can't take stays in the streams, so that the end of a
 // long body does not delay what other streams send.
 TEST_CASE("long bodies fill the queue of a connection only in part")
