--- a/tests/sidecar/test_store.cpp
+++ b/tests/sidecar/test_store.cpp
@@ -3,6 +3,7 @@
 #include "process/store_position.hpp"
 #include "sidecar/support/live_loop.hpp"
 #include "sidecar/support/object_api.hpp"
+#include "sidecar/support/scripted_server.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -124,6 +125,35 @@
           store_error::unavailable);
 }
 
+// Guards against part of a response that is taken for an empty one: "there is
+// no such object", "the list is empty".
+TEST_CASE("a response that is cut off says nothing about the store")
+{
+    const std::string object =
+        R"({"metadata":{"name":"a","rev":5},"spec":{"n":1}})";
+    auto body = GENERATE_COPY(object.substr(0, object.size() - 1),
+                              R"({"items":[)" + object + ",", std::string());
+    // The bodies have no length.
+    loop::reactor loop;
+    scripted_server server(loop, [&](scripted_connection& from,
+                                     const std::string&, const std::string&) {
+        from.send("HTTP/1.1 200 OK\r\n\r\n" + body);
+        from.finish(std::chrono::seconds(1));
+    });
+    counters counts;
+    platform::store store(loop, counts, server.address());
+    CAPTURE(body);
+    std::optional<get_result> got;
+    store.get("k/a", [&](const get_result& it) { got = it; });
+    std::optional<list_result> listed;
+    store.list("k/", [&](const list_result& it) { listed = it; });
+    REQUIRE(run_until(loop, [&] { return got && listed; }));
+    REQUIRE(std::holds_alternative<store_error>(*got));
+    CHECK(std::get<store_error>(*got) == store_error::unknown_outcome);
+    REQUIRE(std::holds_alternative<store_error>(*listed));
+    CHECK(std::get<store_error>(*listed) == store_error::unknown_outcome);
+}
+
 TEST_CASE("a list is read page by page, and foreign entries are left out")
 {
     fixture it;
