Drop uploads to shallotwoodd that are cut off between two chunks

A backend server ran part of an upload as the whole one: the caller's connection ended between two chunks, and the node passed on the body with a proper end.

Cause: as in its client, libsoup takes the end of a connection between two chunks as the end of the body. Its listener tells nothing of it.

Fix: at the end of a chunked upload, the exchange looks whether the caller has ended its connection. If so, the caller has left and the exchange breaks off before the body is said to be complete. A caller that closes its side after a whole upload was taken as one that has left before, too.

--- a/src/connection/server_exchange.cpp
+++ b/src/connection/server_exchange.cpp
@@ -213,6 +213,11 @@
 }
 
 void server_exchange::abort()
+{
+    break_off(false);
+}
+
+void server_exchange::break_off(bool lost)
 {
     if (!message_)
         return;
@@ -220,17 +225,31 @@
         SOUP_SERVER_MESSAGE(g_object_ref(message_)));
     if (auto* it = socket())
         reset_connection(g_socket_get_fd(it));
-    close(false);
+    close(lost);
     object_handle<GIOStream> stream(
         soup_server_message_steal_connection(keep.get()));
     if (stream)
         g_io_stream_close(stream.get(), nullptr, nullptr);
 }
 
+// libsoup takes the end of a connection between two chunks as the end of the
+// body.
+bool server_exchange::is_cut_off() const
+{
+    auto* it = socket();
+    if (!it || soup_message_headers_get_encoding(request_headers()) !=
+                   SOUP_ENCODING_CHUNKED)
+        return false;
+    char byte = 0;
+    return ::recv(g_socket_get_fd(it), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void server_exchange::body_received()
 {
     if (!message_)
         return;
+    if (is_cut_off())
+        return break_off(true);
     body_received_ = true;
     if (!response_started_)
         soup_server_message_pause(message_);
--- a/src/connection/server_exchange.hpp
+++ b/src/connection/server_exchange.hpp
@@ -91,6 +91,8 @@
     void respond_and_close(int status, const header_list& headers,
                            std::string_view body);
     void watch_socket();
+    bool is_cut_off() const;
+    void break_off(bool lost);
     void close(bool lost);
     GSocket* socket() const;
 
--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -386,6 +386,32 @@
     CHECK_FALSE(whole_success);
 }
 
+// Guards against part of an upload that runs as the whole one.
+TEST_CASE("an upload that is cut off between two chunks does not run",
+          "[process]")
+{
+    raw_backend backend({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"});
+    controlled_node node;
+    node.pass_through.set_backend("127.0.0.1", backend.port());
+    const std::string head = "POST /x HTTP/1.1\r\nHost: test\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    support::raw_response response;
+    std::thread caller([&] {
+        std::optional<support::raw_connection> cut(node.path->caller_port());
+        cut->send(head + "4\r\npart\r\n");
+        cut.reset();
+        // Read after the end of the other one.
+        support::raw_connection whole(node.path->caller_port());
+        whole.send(head + "5\r\nwhole\r\n0\r\n\r\n");
+        response = whole.receive();
+        g_idle_add(&controlled_node::stop, &node.loop);
+    });
+    node.loop.run();
+    caller.join();
+    CHECK(response.body == "ok");
+    CHECK(backend.requests() == 1);
+}
+
 TEST_CASE("bytes without end do not keep a connection open", "[process]")
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
