--- a/tests/test_data_path.cpp
+++ b/tests/test_data_path.cpp
@@ -333,6 +333,40 @@
     CHECK(node.policy.left[0].what.run == execution::ran);
 }
 
+// The server reads one connection only.
+TEST_CASE("requests over the limit of connections wait for one", "[process]")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    raw_backend backend({answer, answer});
+    process::glib_event_loop loop;
+    connection::http_client client({1, std::chrono::seconds(10)});
+    std::vector<std::shared_ptr<connection::client_call>> calls(2);
+    std::vector<std::string> bodies(calls.size());
+    std::size_t ended = 0;
+    for (std::size_t n = 0; n < calls.size(); ++n) {
+        connection::client_handlers it;
+        it.on_head = [&, n](const auto&, const auto&) { calls[n]->read(); };
+        it.on_data = [&, n](std::string_view bytes) {
+            bodies[n] += bytes;
+            calls[n]->read();
+        };
+        it.on_end = [&] {
+            if (++ended == calls.size())
+                loop.stop();
+        };
+        it.on_failure = [&](const auto&) { loop.stop(); };
+        calls[n] = client.start(
+            {"GET", "127.0.0.1", backend.port(), "/x", {}, nullptr},
+            std::move(it));
+    }
+    CHECK_FALSE(calls.back()->written());
+    loop.run();
+    CHECK(ended == calls.size());
+    for (const auto& it : bodies)
+        CHECK(it == "ok");
+    CHECK(backend.requests() == 2);
+}
+
 TEST_CASE("a late refusal is not the answer to the next request", "[process]")
 {
     const std::string refusal = "HTTP/1.1 503 Busy\r\nShallotwood-Verdict: "
