--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -264,7 +264,7 @@
 {
     // The limit is 4 MB. What is left out must not be a piece in the middle,
     // either.
-    const std::string reply(std::size_t{4} * 1024 * 1024 + 1, 'x');
+    constexpr std::size_t size = std::size_t{4} * 1024 * 1024 + 1;
     fixture it;
     scripted_server server(it.loop, serve);
     local_node node(it.loop, server.address());
@@ -273,7 +273,9 @@
         [] {
             return peer_server::identity{1, 1};
         },
-        [&](std::string_view, const std::string&) { return reply; },
+        [](std::string_view, const std::string&) {
+            return std::string(size, 'x');
+        },
         [](std::uint64_t) {});
     REQUIRE(peers.listen({"127.0.0.1", 0}).empty());
     std::optional<std::string> got = "unset";
