Keep the reader from handing Beast less than a last chunk

A shallotwoodd node with assertions aborted when "0\r\n" of an empty chunked body had come and its last "\r\n" had not; its callers got 502 or a closed connection from then on.

Cause: put() is called again with what was left. Beast has then noted that it saw the last chunk, and asserts that it has at least 5 bytes (n >= 5 in parse_chunk_header), which holds only for a chunk that follows another one. Builds with NDEBUG have no such assertion.

Evidence: "a chunked response is read byte by byte" aborted at that line in the build with sanitizers.

Fix: while fewer than 5 bytes are there and they begin with "0", the reader takes none; a whole last chunk has 5. Body bytes that look the same wait for the bytes that must follow them. A connection that ends then is still a broken response.

--- a/src/connection/http/reader.cpp
+++ b/src/connection/http/reader.cpp
@@ -44,6 +44,12 @@
 
     std::size_t put_bytes(std::string_view bytes, read_error& ec)
     {
+        // Beast asserts that what it was given of a last chunk has these bytes.
+        if (this->is_header_done() && this->chunked() &&
+            bytes.size() < last_chunk.size() && bytes.front() == '0') {
+            ec = read_error::none;
+            return 0;
+        }
         beast_error error;
         auto n = this->put(
             boost::asio::const_buffer(bytes.data(), bytes.size()), error);
--- a/tests/sidecar/test_http_reader.cpp
+++ b/tests/sidecar/test_http_reader.cpp
@@ -145,6 +145,36 @@
     CHECK(reader.head().headers.find("trailer") == nullptr);
 }
 
+// Beast asserts that a last chunk of which it was given a part has 5 bytes.
+TEST_CASE("a chunked response is read byte by byte")
+{
+    auto body = GENERATE(as<std::string>{}, "0\r\n\r\n", "2\r\n0a\r\n0\r\n\r\n",
+                         "00\r\n\r\n", "0;x\r\nTrailer: x\r\n\r\n");
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    recorder events;
+    response_reader reader({1024, 4096}, false, events);
+    std::string pending;
+    for (char c : head + body) {
+        pending += c;
+        // Until nothing more is taken, as a connection does.
+        for (std::size_t n = 1; n > 0 && !pending.empty() && !events.ended;) {
+            read_error ec = read_error::none;
+            n = reader.put(pending, ec);
+            REQUIRE(ec == read_error::none);
+            pending.erase(0, n);
+        }
+        if (!events.ended) {
+            read_error ec = read_error::none;
+            if (!pending.empty())
+                pending.erase(0, reader.put(pending, ec));
+        }
+    }
+    CHECK(events.ended);
+    CHECK(pending.empty());
+    CHECK(events.body == (body.front() == '2' ? "0a" : ""));
+}
+
 TEST_CASE("hop-by-hop headers and those that Connection names go")
 {
     header_list headers;
