--- a/review/lab-3/lab.py
+++ b/review/lab-3/lab.py
@@ -484,6 +484,11 @@
                         break
                     left -= len(part)
                     data += part
+            elif "chunked" in headers.get("transfer-encoding", ""):
+                size = 1
+                while size:
+                    size = int(await self.reader.readuntil(b"\r\n"), 16)
+                    data += (await self.reader.readexactly(size + 2))[:size]
             if headers.get("connection", "").lower() == "close" or not whole:
                 self.close()
             return status, headers, bytes(data), whole
