Review stand-ins: what no case needs goes; any error is 'could not run'

An unexpected error in a script ended it with 1, which means a broken rule; it is 2 now. The functions of the two dropped cases are removed.

--- a/review/lab-3/lab.py
+++ b/review/lab-3/lab.py
@@ -59,27 +59,6 @@
     raise CannotRun("no free loopback addresses")
 
 
-def unread_bytes(ip, port):
-    """Bytes that the sockets bound to this address have not read yet, and
-    that their clients have not got acknowledged."""
-    def text_of(ip, port):
-        parts = [int(x) for x in ip.split(".")]
-        return "".join(f"{x:02X}" for x in reversed(parts)) + f":{port:04X}"
-
-    at = text_of(ip, port)
-    total = 0
-    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        if fields[3] != "01":
-            continue
-        sent, received = (int(x, 16) for x in fields[4].split(":"))
-        if fields[1] == at:
-            total += received
-        if fields[2] == at:
-            total += sent
-    return total
-
-
 class Store:
     """The platform's store in its form "objects", without any disruption."""
 
@@ -271,17 +250,6 @@
                  "SHALLOTWOOD_BOOT": str(path)})
         self.first = False
 
-    def resident_mb(self):
-        """Memory in MB (1024 * 1024 bytes), or 0 if it does not run."""
-        try:
-            with open(f"/proc/{self.process.pid}/status") as status:
-                for line in status:
-                    if line.startswith("VmRSS"):
-                        return int(line.split()[1]) / 1024
-        except OSError:
-            pass
-        return 0
-
     def signal(self, number):
         self.process.send_signal(number)
 
@@ -394,18 +362,6 @@
         self.chunked = "chunked" in headers.get("transfer-encoding", "")
         self.left = self.length
 
-    async def discard_body(self, bytes_per_s=None):
-        """Reads a long body with a length, at most so fast, and drops it."""
-        start, total = now(), 0
-        while self.left > 0:
-            part = await self.reader.read(min(self.left, 1 << 20))
-            if not part:
-                raise ConnectionError("closed within the body")
-            self.left -= len(part)
-            total += len(part)
-            if bytes_per_s:
-                await asyncio.sleep(start + total / bytes_per_s - now())
-
     async def read_body(self, pace=None):
         """pace: (bytes, seconds) - so many bytes, then so long a pause."""
         data = bytearray()
@@ -565,7 +521,7 @@
             broken = asyncio.run(all_of_it(folder))
             code = 1 if broken else 0
             lines.append(f"result: {'broken' if broken else 'held'}")
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # not a finding, whatever it is
             lines.append(f"result: could not run: {error!r}")
         if os.environ.get("KEEP_LOG"):
             to = pathlib.Path(os.environ["KEEP_LOG"])
