Keep a refused second connection from unsaying that a request was sent

Cause: a connection that has carried requests is dropped on news of its node; an attempt that must not run twice then asks for its result over a second connection, and its verdict came from that one. Never established, it counted as 'not run', and the request was sent elsewhere. Fix: the connection that carried the request is kept apart; one function derives the verdict from it for every end of the attempt. The end of a stream that asks says nothing about the request.

--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -16,6 +16,7 @@
 using connection::peer::stream_close;
 using connection::peer::stream_number;
 using request::execution;
+using request::name_of;
 using request::reason;
 
 // How often connections are checked.
@@ -71,6 +72,21 @@
     return it.host + ':' + std::to_string(it.port);
 }
 
+std::string_view name_of(stream_close how)
+{
+    switch (how) {
+    case stream_close::complete:
+        return "complete";
+    case stream_close::reset:
+        return "reset";
+    case stream_close::unprocessed:
+        return "unprocessed";
+    case stream_close::lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 // An attempt at another node.
@@ -98,7 +114,7 @@
             return;
         }
         auto& of = owner_.find_or_add_link(to_);
-        session_ = owner_.session_for(of);
+        session_ = sent_over_ = owner_.session_for(of);
         state_ = of.state;
         has_body_ = !body_->empty() || body_->length();
         auto headers = head_of(what);
@@ -127,10 +143,11 @@
         stream_ = -1;
     }
 
-    // No request is sent before the connection is established.
+    // Depends only on what became of the request itself, not on later
+    // connections. What a socket has taken may have run.
     bool may_have_run() const override
     {
-        return attaching_ || (session_ && session_->was_connected());
+        return sent_over_ && sent_over_->was_connected() && !refused_unread_;
     }
 
     void pause() override { paused_ = true; }
@@ -217,8 +234,10 @@
         body_->on_more({});
         if (!receiver_)
             return;
-        bool never_sent = !session_->was_connected();
-        if (how == stream_close::unprocessed || never_sent) {
+        // The end of a stream that asks says nothing about the request.
+        refused_unread_ |= !attaching_ && how == stream_close::unprocessed;
+        log_closed(how);
+        if (!may_have_run()) {
             fail(execution::not_run, reason::connection_failed);
             return;
         }
@@ -271,6 +290,19 @@
         });
     }
 
+    void log_closed(stream_close how) const
+    {
+        if (repeatable_ || !telemetry::allow(telemetry::decision::failed))
+            return;
+        SHALLOTWOOD_LOG(warning)
+            << "event=attempt_closed" << field("request", request_id_)
+            << field("attempt", attempt_id_) << field("peer", name_)
+            << field("end", name_of(how)) << field("asking", attaching_ ? 1 : 0)
+            << field("connected", session_->was_connected() ? 1 : 0)
+            << field("verdict", name_of(may_have_run() ? execution::may_have_run
+                                                       : execution::not_run));
+    }
+
     header_list head_of(const request::attempt_request& what)
     {
         auto speeds = state_->worth_telling(owner_.load_balancer_, service_,
@@ -325,7 +357,12 @@
     bool repeatable_;
     std::shared_ptr<request::upload> body_;
     std::shared_ptr<request::attempt_receiver> receiver_;
+    // Carries the request, or the question for its result.
     std::shared_ptr<session> session_;
+    // Carried the request.
+    std::shared_ptr<session> sent_over_;
+    // The other node ended the request's stream without looking at it.
+    bool refused_unread_ = false;
     std::shared_ptr<connection_state> state_;
     stream_number stream_ = -1;
     std::uint64_t body_sent_ = 0;
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -220,6 +220,25 @@
     attempt->cancel();
 }
 
+// Guards against a request that runs twice: the connection on which it was sent
+// is dropped, and the one on which its result is asked for is refused.
+TEST_CASE("a refused second connection does not unsay that a run was sent")
+{
+    fixture it;
+    other_node at(it.loop, stay_silent);
+    at.line.set_line(soak::line::one_way);
+    auto once = std::make_shared<run_recorder>();
+    auto attempt = it.start(at, once, false);
+    REQUIRE(run_until(it.loop, [&] { return at.server.heads.size() == 1; }));
+    at.line.stop_listening();
+    // A connection that is younger than this is not dropped on news.
+    run_for(it.loop, std::chrono::milliseconds(30));
+    it.links.reconnect_now(at.entry().name());
+    REQUIRE(run_until(it.loop, [&] { return once->done(); }));
+    REQUIRE(once->failure);
+    CHECK(once->failure->what.run == request::execution::may_have_run);
+}
+
 TEST_CASE("an exception in the handler of a message ends its connection only")
 {
     loop::reactor loop;
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -34,6 +34,8 @@
     // For the connections that are open now, for good; new ones work.
     void silence_open();
     void reset_open();
+    // New connections are refused from now on; open ones stay.
+    void stop_listening() { listener_.stop(); }
 
 private:
     class side;
