Withdraw requests that are cancelled before their connection is established

Cause: frames moved to the socket's output queue while the connection was being established, so the reset of a cancelled request went out behind its head instead of in place of it, and the other node runs on what must not run twice. Fix: frames stay with libnghttp2 until the connection is established; it drops a head that is reset.

--- a/src/connection/peer/session.cpp
+++ b/src/connection/peer/session.cpp
@@ -117,7 +117,8 @@
                  request_handler on_request, end_handler on_lost,
                  meter_ptr meter)
     : byte_stream(loop, fd), on_request_(std::move(on_request)),
-      on_lost_(std::move(on_lost)), meter_(std::move(meter)), heard_(loop.now())
+      on_lost_(std::move(on_lost)), meter_(std::move(meter)),
+      heard_(loop.now()), was_connected_(true)
 {
     make_session(false);
 }
@@ -302,6 +303,7 @@
 {
     was_connected_ = true;
     heard_ = loop().now();
+    flush();
 }
 
 void session::on_bytes(std::string_view bytes)
@@ -342,7 +344,9 @@
 void session::flush()
 {
     flush_planned_ = false;
-    if (lost_ || !is_open())
+    // Until the connection is established, all frames stay with libnghttp2, so
+    // that reset() withdraws a request that may be reported as not run.
+    if (lost_ || !is_open() || !was_connected_)
         return;
     // One write for all frames of a turn. What the connection can't take yet
     // stays with libnghttp2, which sends the frames of all streams in turn and
--- a/src/connection/peer/session.hpp
+++ b/src/connection/peer/session.hpp
@@ -95,7 +95,8 @@
     void end_data(stream_number stream);
     // Unsent on the stream.
     std::size_t unsent_on(stream_number stream) const;
-    // Ends the stream; no callbacks follow.
+    // Ends the stream; no callbacks follow. A request is not sent any more if
+    // the connection has not been established yet.
     void reset(stream_number stream);
     // The receiver has passed on that many bytes of the stream.
     void consumed(stream_number stream, std::size_t bytes);
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -144,7 +144,8 @@
     }
 
     // Depends only on what became of the request itself, not on later
-    // connections. What a socket has taken may have run.
+    // connections. What a socket may have taken may have run; before the
+    // connection is established, cancel() withdraws the request.
     bool may_have_run() const override
     {
         return sent_over_ && sent_over_->was_connected() && !refused_unread_;
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -8,6 +8,9 @@
 #include "soak/fault_proxy.hpp"
 
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace shallotwood::test
 {
@@ -68,6 +71,49 @@
     fault_proxy line;
 };
 
+struct no_events final : connection::peer::stream_events {
+    void on_data(std::string_view) override {}
+    void on_end() override {}
+    void on_closed(connection::peer::stream_close) override {}
+};
+
+// A listening socket whose queue of new connections is full, so that further
+// ones stay in the middle of being established.
+class crowded_listener
+{
+public:
+    crowded_listener()
+    {
+        auto* generic = reinterpret_cast<sockaddr*>(&address_);
+        socklen_t size = sizeof address_;
+        address_.sin_family = AF_INET;
+        address_.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(bind(listener_, generic, size) == 0);
+        REQUIRE(listen(listener_, 0) == 0);
+        REQUIRE(getsockname(listener_, generic, &size) == 0);
+        REQUIRE(connect(crowd_, generic, size) == 0);
+    }
+    ~crowded_listener()
+    {
+        close(crowd_);
+        close(listener_);
+    }
+    crowded_listener(const crowded_listener&) = delete;
+    crowded_listener& operator=(const crowded_listener&) = delete;
+
+    peer_address address() const
+    {
+        return {"127.0.0.1", ntohs(address_.sin_port)};
+    }
+    void make_room() { close(accept()); }
+    int accept() { return ::accept(listener_, nullptr, nullptr); }
+
+private:
+    sockaddr_in address_{};
+    int listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    int crowd_ = socket(AF_INET, SOCK_STREAM, 0);
+};
+
 fleet::instance self()
 {
     fleet::instance it;
@@ -239,6 +285,45 @@
     CHECK(once->failure->what.run == request::execution::may_have_run);
 }
 
+// Guards against a request that is refused as not run and runs afterwards: its
+// deadline ends while the node has not yet seen that its connection is there.
+TEST_CASE("a request that is withdrawn while connecting is never sent")
+{
+    using connection::peer::session;
+    loop::reactor loop;
+    crowded_listener listener;
+    auto client = session::connect(loop, listener.address(),
+                                   [](const std::shared_ptr<session>&) {});
+    auto request = [&](const std::string& path) {
+        connection::http::header_list head;
+        head.add(":method", "GET");
+        head.add(":path", path);
+        return client->request(head, false, std::make_shared<no_events>());
+    };
+    auto early = {request("/early"), request("/early")};
+    run_for(loop, std::chrono::milliseconds(20));
+    REQUIRE_FALSE(client->was_connected());
+    for (auto stream : early)
+        client->reset(stream);
+    request("/late");
+    listener.make_room();
+    REQUIRE(run_until(loop, [&] { return client->was_connected(); }));
+    std::vector<std::string> paths;
+    auto server = session::accept(
+        loop, listener.accept(),
+        [&](const std::shared_ptr<session>&, std::int32_t,
+            connection::http::header_list&& head) {
+            paths.push_back(*head.find(":path"));
+            return std::make_shared<no_events>();
+        },
+        [](const std::shared_ptr<session>&) {});
+    REQUIRE(run_until(loop, [&] { return !paths.empty(); }));
+    run_for(loop, std::chrono::milliseconds(20));
+    CHECK(paths == std::vector<std::string>{"/late"});
+    client->drop();
+    server->drop();
+}
+
 TEST_CASE("an exception in the handler of a message ends its connection only")
 {
     loop::reactor loop;
