Report an attempt as not run only if it never came to the node

Cause: asked for an attempt over a second connection, the executing node answered 'fenced' both for an attempt that never came and for one whose response it had not kept (over 64 KB, or forgotten after 5 s); the sender took both for 'never ran'. Fix: the executing node states the verdict. It says not-run only for what it has never had: the highest number of the forgotten attempts of each sender tells. The sender believes it from the same process only. Ruled out: an age stated by the sender, whose clock may stand still; copies of any size; all ids.

--- a/src/process/sidecar/local_executor.cpp
+++ b/src/process/sidecar/local_executor.cpp
@@ -101,7 +101,8 @@
       service_times_(loop), cost_model_(loop),
       remaining_work_(loop, cost_model_), pool_(loop, backend_options(adapter)),
       listen_check_(loop, backend_liveness,
-                    [this](bool listens) { handle_listen_check(listens); })
+                    [this](bool listens) { handle_listen_check(listens); }),
+      forgotten_(loop)
 {
     pool_.set_address(backend.address());
     pool_.on_all_lost([this] { cold_.suspect_restart(); });
@@ -134,12 +135,15 @@
     auto it = attempts_.find(attempt_id);
     if (it != attempts_.end() && it->second->join(receiver))
         return it->second;
-    if (it == attempts_.end()) {
+    request::verdict what{execution::may_have_run, reason::duplicate};
+    if (it == attempts_.end() && !forgotten_.may_contain(attempt_id)) {
+        what = {execution::not_run, reason::fenced};
         fenced_.emplace(attempt_id, loop_.now() + outcome_retention);
         loop_.call_after(outcome_retention, guard_.wrap([this, attempt_id] {
             fenced_.erase(attempt_id);
         }));
     }
+    receiver->on_failure({what, std::nullopt});
     return nullptr;
 }
 
@@ -413,6 +417,12 @@
     attempts_.erase(attempt_id);
 }
 
+void local_executor::forget_outcome(const std::string& attempt_id)
+{
+    forgotten_.add(attempt_id);
+    forget(attempt_id);
+}
+
 local_attempt::local_attempt(
     local_executor& owner, const request::attempt_request& what,
     std::shared_ptr<request::attempt_receiver> receiver)
@@ -791,8 +801,9 @@
     }
     owner_.loop_.call_after(
         outcome_retention,
-        owner_.guard_.wrap(
-            [&owner = owner_, id = request_.attempt_id] { owner.forget(id); }));
+        owner_.guard_.wrap([&owner = owner_, id = request_.attempt_id] {
+            owner.forget_outcome(id);
+        }));
 }
 
 void local_attempt::expire()
--- a/src/process/sidecar/local_executor.hpp
+++ b/src/process/sidecar/local_executor.hpp
@@ -18,6 +18,7 @@
 #include "process/load/service_times.hpp"
 #include "process/load/shed_threshold_table.hpp"
 #include "process/retry/retry_budget.hpp"
+#include "process/sidecar/forgotten_attempts.hpp"
 #include "process/sidecar/local_backend.hpp"
 #include "process/sidecar/protocol_adapter.hpp"
 #include "request/attempt.hpp"
@@ -57,8 +58,9 @@
           const std::shared_ptr<request::attempt_receiver>& receiver) override;
 
     // Attaches a new receiver to an attempt whose sender lost its connection.
-    // Returns null if the attempt is unknown; it is then fenced, so that it
-    // can't start later.
+    // Returns null if there is nothing to attach to; the receiver is told why.
+    // An attempt that has never come here is reported as not run, and fenced,
+    // so that it can't start later.
     std::shared_ptr<local_attempt>
     attach(const std::string& attempt_id,
            const std::shared_ptr<request::attempt_receiver>& receiver);
@@ -155,6 +157,8 @@
     void adopt_notice(const routing::backend_notice& it);
     void apply_notice(const routing::backend_notice& it);
     void forget(const std::string& attempt_id);
+    // The same for an attempt whose outcome may still be asked for.
+    void forget_outcome(const std::string& attempt_id);
     void record_outcome(bool failed);
     void record_broken_attempt(load::fingerprint request_fingerprint);
     void handle_listen_check(bool listens);
@@ -206,6 +210,7 @@
     std::unordered_map<std::string, std::shared_ptr<local_attempt>> attempts_;
     // Attempts that must not start any more, with the expiry of each entry.
     std::unordered_map<std::string, time_point> fenced_;
+    forgotten_attempts forgotten_;
     callback_guard guard_;
 };
 
@@ -227,8 +232,8 @@
     // The connection to the sender was lost. The sender may reconnect and ask
     // for the result.
     void detach();
-    // Returns false if the part of the response that the former receiver got is
-    // no longer held.
+    // Returns false if the outcome is not known, or the part of the response
+    // that the former receiver got is no longer held.
     bool join(std::shared_ptr<request::attempt_receiver> receiver);
 
 private:
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -177,12 +177,13 @@
         state_->heard(service_, route_, reply->speeds);
         for (const auto& it : reply->speeds)
             owner_.load_balancer_.speeds().record(service_, route_, it);
+        // Only the process to which the attempt was sent knows that it has not
+        // run. Nodes of the former version don't tell such an attempt from one
+        // whose response they have given up; both may have run.
         if (attaching_ && reply->failure &&
             reply->failure->what.why == reason::fenced) {
-            // The node does not know the attempt. If it is still the same
-            // incarnation that the attempt was sent to, the attempt never ran.
-            bool same = reply->incarnation == incarnation_;
-            fail(same ? execution::not_run : execution::may_have_run,
+            bool is_known = reply->incarnation == incarnation_;
+            fail(is_known ? reply->failure->what.run : execution::may_have_run,
                  reason::connection_failed);
             return;
         }
--- a/src/process/sidecar/peer_server.cpp
+++ b/src/process/sidecar/peer_server.cpp
@@ -49,13 +49,8 @@
     void join(const std::string& attempt_id)
     {
         auto self = shared_from_this();
-        if (auto it = owner_.executor_.attach(attempt_id, self)) {
-            if (!ended_)
-                attempt_ = it;
-            return;
-        }
-        on_failure({{request::execution::may_have_run, request::reason::fenced},
-                    std::nullopt});
+        if (auto it = owner_.executor_.attach(attempt_id, self); it && !ended_)
+            attempt_ = it;
     }
 
     void on_data(std::string_view bytes) override
--- a/tests/sidecar/test_local_runner.cpp
+++ b/tests/sidecar/test_local_runner.cpp
@@ -83,6 +83,37 @@
     CHECK(it.server.heads.empty());
 }
 
+// Guards against a request that runs twice because its node has kept no copy of
+// a long response, or has forgotten the response by now.
+TEST_CASE(
+    "an outcome that is no longer held is not taken for a run that was not")
+{
+    bool is_long = GENERATE(false, true);
+    INFO(is_long);
+    std::string body(is_long ? 100'000 : 10, 'x');
+    fixture it([&](scripted_connection& from, const std::string& head,
+                   const std::string&) { from.send(good_answer(head, body)); });
+    auto first = std::make_shared<run_recorder>();
+    auto run = std::static_pointer_cast<local_attempt>(
+        it.executor.start(it.once("node/7/3"), first));
+    REQUIRE(run_until(it.loop, [&] { return first->ended; }));
+    if (!is_long)
+        run_for(it.loop, std::chrono::milliseconds(5100));
+    auto second = std::make_shared<run_recorder>();
+    CHECK_FALSE(it.executor.attach("node/7/3", second));
+    REQUIRE(second->failure);
+    CHECK(second->failure->what.run == execution::may_have_run);
+    // Never came here, and won't start any more.
+    auto third = std::make_shared<run_recorder>();
+    CHECK_FALSE(it.executor.attach("node/7/4", third));
+    REQUIRE(third->failure);
+    CHECK(third->failure->what.run == execution::not_run);
+    auto late = std::make_shared<run_recorder>();
+    it.executor.start(it.once("node/7/4"), late);
+    CHECK(late->failure);
+    CHECK(it.server.heads.size() == 1);
+}
+
 TEST_CASE("a backend server's word that it did not run a request is believed")
 {
     fixture it([](scripted_connection& from, const std::string& head,
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -285,6 +285,50 @@
     CHECK(once->failure->what.run == request::execution::may_have_run);
 }
 
+// Guards against a request that runs twice because the node that ran it has
+// given up its copy of a long response.
+TEST_CASE("a run whose response was not kept is not reported as not run")
+{
+    bool is_long = GENERATE(false, true);
+    INFO(is_long);
+    fixture it;
+    other_node at(it.loop, [&](scripted_connection& from,
+                               const std::string& head, const std::string&) {
+        from.send(good_answer(head, std::string(is_long ? 100'000 : 10, 'x')));
+    });
+    at.line.set_line(soak::line::one_way);
+    auto once = std::make_shared<run_recorder>();
+    auto attempt = it.start(at, once, false);
+    REQUIRE(run_until(it.loop, [&] { return at.server.heads.size() == 1; }));
+    run_for(it.loop, std::chrono::milliseconds(50));
+    at.line.set_line(soak::line::clear);
+    it.links.reconnect_now(at.entry().name());
+    REQUIRE(run_until(it.loop, [&] { return once->done(); }));
+    CHECK(once->ended != is_long);
+    if (is_long) {
+        REQUIRE(once->failure);
+        CHECK(once->failure->what.run != request::execution::not_run);
+    }
+}
+
+// The executing node vouches for what never came to it.
+TEST_CASE("a run that was lost on its way is known not to have run")
+{
+    fixture it;
+    other_node at(it.loop, serve);
+    at.line.set_line(soak::line::silent);
+    auto once = std::make_shared<run_recorder>();
+    auto attempt = it.start(at, once, false);
+    run_for(it.loop, std::chrono::milliseconds(50));
+    CHECK(attempt->may_have_run());
+    at.line.set_line(soak::line::clear);
+    it.links.reconnect_now(at.entry().name());
+    REQUIRE(run_until(it.loop, [&] { return once->done(); }));
+    REQUIRE(once->failure);
+    CHECK(once->failure->what.run == request::execution::not_run);
+    CHECK(at.server.heads.empty());
+}
+
 // Guards against a request that is refused as not run and runs afterwards: its
 // deadline ends while the node has not yet seen that its connection is there.
 TEST_CASE("a request that is withdrawn while connecting is never sent")
