Let a departure without a start time end every start before it

Cause: a node that had just started recorded a Deregister without a body with the start time 0; a heartbeat from before, which names one, counted as a later start of the same id. The log of the old code: state=gone cause=departed, then state=ready cause=announced for the same id. Fix: without a named or known start, the arrival of the departure bounds it, in the entry too. Departures of ids and starts that the node does not know yet, acknowledged and ignored before, are kept as well.

--- a/src/process/sidecar/local_backend.hpp
+++ b/src/process/sidecar/local_backend.hpp
@@ -6,6 +6,7 @@
 
 #include "process/sidecar/protocol_adapter.hpp"
 
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -43,7 +44,8 @@
     bool indicates_crash(const announcement& it) const;
 
     const std::string& id() const { return id_; }
-    // Start time of this incarnation, by the platform's clock.
+    // Start time of this incarnation, by the platform's clock; an upper bound
+    // if it left without naming it before it was known.
     std::uint64_t started_at_ms() const { return started_at_ms_; }
     // 0 until the backend server has announced itself.
     std::uint64_t key() const
@@ -65,6 +67,8 @@
     }
 
 private:
+    bool departed_early(const announcement& it) const;
+
     std::string service_;
     peer_address address_;
     std::string id_;
@@ -73,6 +77,9 @@
     int slots_ = 0;
     fleet::backend_state state_ = fleet::backend_state::unknown;
     bool unreachable_ = false;
+    // Of other ids than the current one, latest last. Their announcements may
+    // still be on their way.
+    std::deque<departure> early_departures_;
 };
 
 } // namespace shallotwood::process::sidecar
--- a/src/process/sidecar/protocol_adapter.hpp
+++ b/src/process/sidecar/protocol_adapter.hpp
@@ -49,6 +49,9 @@
     std::string backend_id;
     // Start time of the incarnation that ends; 0 if it is not named.
     std::uint64_t started_at_ms = 0;
+    // When the node got the message, by the clock of the start times. Bounds
+    // the start time if that is neither named nor known.
+    std::uint64_t arrived_at_ms = 0;
 };
 
 struct malformed_message {
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -127,8 +127,8 @@
                            const node_settings& settings,
                            std::uint64_t incarnation, std::uint64_t seed)
     : loop_(loop), adapter_(adapter), settings_(settings),
-      incarnation_(incarnation), random_(seed), counts_(counts),
-      fleet_(initial_entry(settings, incarnation)),
+      incarnation_(incarnation), process_started_(loop.now()), random_(seed),
+      counts_(counts), fleet_(initial_entry(settings, incarnation)),
       isolation_detector_(loop, settings.isolation_limit),
       load_balancer_(loop, random_, fleet_, settings.failure_domain),
       split_(random_), retries_(loop, budget_of(settings)),
@@ -494,7 +494,9 @@
             executor_.handle_announcement(*beat, started_in_traffic(*beat));
         }
     } else {
-        effect = backend_.handle_departure(std::get<departure>(it));
+        auto leaves = std::get<departure>(it);
+        leaves.arrived_at_ms = wall_clock_ms();
+        effect = backend_.handle_departure(leaves);
         cause = "departed";
     }
     if (effect == local_backend::effect::stale)
@@ -503,6 +505,16 @@
         backend_changed(cause);
 }
 
+// Not affected by steps of the clock after the start of this process.
+std::uint64_t sidecar_node::wall_clock_ms() const
+{
+    auto running = loop_.now() - process_started_;
+    return incarnation_ +
+           static_cast<std::uint64_t>(
+               std::chrono::duration_cast<std::chrono::milliseconds>(running)
+                   .count());
+}
+
 bool sidecar_node::started_in_traffic(const announcement& it) const
 {
     return it.started_at_ms > incarnation_ && !settings_.fleet_is_new;
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -121,6 +121,7 @@
     void handle_former_read(std::string_view cause);
     void handle_backend_message(const backend_message& it);
     void backend_changed(std::string_view cause);
+    std::uint64_t wall_clock_ms() const;
     // Whether the backend server started while this process served, rather
     // than before it or with a new fleet.
     bool started_in_traffic(const announcement& it) const;
@@ -160,6 +161,7 @@
     node_settings settings_;
     // Of this process; a start time by the platform's clock.
     const std::uint64_t incarnation_;
+    const time_point process_started_;
     random_source random_;
     counters& counts_;
     latency_histogram latency_;
--- a/tests/sidecar/support/small_fleet.cpp
+++ b/tests/sidecar/support/small_fleet.cpp
@@ -219,7 +219,7 @@
     REQUIRE(answer.status == 200);
 }
 
-int small_fleet::depart(instance& at)
+int small_fleet::depart(instance& at, bool with_start)
 {
     Json::Value message;
     message["born"] = at.born;
@@ -228,7 +228,7 @@
     head.target = "/shallotwood/Instances.Deregister/i-" + at.settings.name;
     head.headers.add("Host", "node");
     return call(at.settings.announce_address, head,
-                process::write_json(message))
+                with_start ? process::write_json(message) : std::string())
         .status;
 }
 
--- a/tests/sidecar/support/small_fleet.hpp
+++ b/tests/sidecar/support/small_fleet.hpp
@@ -96,8 +96,9 @@
     // `warmup_left` in seconds.
     void announce(instance& at, const std::string& state,
                   std::optional<double> warmup_left = std::nullopt);
-    // The backend server of `at` deregisters. Returns the status of the answer.
-    int depart(instance& at);
+    // The backend server of `at` deregisters, with its start time or without a
+    // body. Returns the status of the answer.
+    int depart(instance& at, bool with_start = true);
     caller_answer request(instance& at, const std::string& service,
                           const std::string& key = "key",
                           const std::string& method = "GET",
--- a/tests/sidecar/test_fleet.cpp
+++ b/tests/sidecar/test_fleet.cpp
@@ -159,6 +159,51 @@
     CHECK(it.takes_calls());
 }
 
+// Guards against a departure that is forgotten because it states no start time
+// and its node knows of no start yet.
+TEST_CASE("a departure without a start time ends all starts before it")
+{
+    local_backend it("s", {"127.0.0.1", 80});
+    CHECK(it.handle_departure({"one", 0, 100}) ==
+          local_backend::effect::changed);
+    it.handle_announcement(beat("one", 90, 5));
+    it.handle_announcement(beat("one", 0, 6));
+    CHECK_FALSE(it.takes_calls());
+    it.handle_announcement(beat("one", 101, 1));
+    CHECK(it.takes_calls());
+}
+
+// The same for a backend server that takes the place of one that the node knew.
+TEST_CASE("a departure that overtakes the first announcement is remembered")
+{
+    bool is_named = GENERATE(false, true);
+    local_backend it("s", {"127.0.0.1", 80});
+    it.handle_announcement(beat("one", 10, 1));
+    it.handle_departure({"two", is_named ? 20u : 0u, 100});
+    it.handle_announcement(beat("two", 20, 1));
+    CHECK(it.takes_calls() == !is_named);
+    CHECK(it.id() == (is_named ? "two" : "one"));
+    it.handle_announcement(beat("two", 101, 1));
+    CHECK(it.id() == "two");
+    CHECK(it.takes_calls());
+    // A later start of the same id leaves before it has announced itself.
+    it.handle_departure({"two", 101});
+    it.handle_departure({"two", 110});
+    it.handle_announcement(beat("two", 110, 1));
+    CHECK_FALSE(it.takes_calls());
+}
+
+// Guards against a backend server that is never used because the one before it
+// left without a start time.
+TEST_CASE("a server without a start time follows one that has left")
+{
+    local_backend it("s", {"127.0.0.1", 80});
+    it.handle_departure({"one", 0, 100});
+    it.handle_announcement(beat("two", 0, 1));
+    CHECK(it.takes_calls());
+    CHECK(it.id() == "two");
+}
+
 TEST_CASE("what had left before the node started again stays away")
 {
     auto state =
--- a/tests/sidecar/test_server_notices.cpp
+++ b/tests/sidecar/test_server_notices.cpp
@@ -205,6 +205,35 @@
     }
 }
 
+// Guards against forgetting a departure that is the first call to a node which
+// has just started: it states no start time, and an announcement of before
+// does.
+TEST_CASE("a departure without a body outlasts a restart of its node")
+{
+    bool announced_later = GENERATE(false, true);
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& leaving = fleet.add("s", serve);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    fleet.restart(leaving);
+    if (announced_later)
+        run_for(fleet.loop, std::chrono::milliseconds(300));
+    CHECK(fleet.depart(leaving, false) == 200);
+    // Was sent before the departure.
+    fleet.announce(leaving, "ready");
+    run_for(fleet.loop, std::chrono::milliseconds(300));
+    CHECK(fleet.request(entry, "s").status == 503);
+    CHECK(fleet.request(leaving, "s").status == 503);
+    CHECK(leaving.backend->heads.empty());
+    // The next process knows of it, too.
+    fleet.restart(leaving);
+    fleet.announce(leaving, "ready");
+    run_for(fleet.loop, std::chrono::milliseconds(300));
+    CHECK(fleet.request(leaving, "s").status == 503);
+    CHECK(leaving.backend->heads.empty());
+}
+
 // Guards against backend servers that end without an acknowledgement, or are
 // never used, because the store refuses calls or does not answer them.
 TEST_CASE("departures and restarts go on without the store")
