Keep departures that were acknowledged while the store was silent

Cause: with all nodes killed before the store had the entry, any late heartbeat counted for good. With some killed, the new entry of a restarted node replaced the one that told of the departure, or nobody connected to that node again. Nodes keep and repeat the last word of the earlier process.

--- a/src/process/fleet/instance.hpp
+++ b/src/process/fleet/instance.hpp
@@ -63,6 +63,11 @@
                std::tie(other.incarnation, other.sequence);
     }
     bool is_cold() const { return cold_rate > 0; }
+    // Its backend server gets no further request.
+    bool has_left() const
+    {
+        return state == backend_state::draining || state == backend_state::gone;
+    }
     bool takes_calls() const
     {
         return !leaving && state == backend_state::ready;
--- a/src/process/sidecar/fleet_exchange.cpp
+++ b/src/process/sidecar/fleet_exchange.cpp
@@ -68,6 +68,9 @@
 // Time limit for the reply of another node.
 constexpr duration message_timeout = std::chrono::milliseconds(500);
 
+// Departures that are kept for nodes which have started again.
+constexpr std::size_t max_former_entries = 4096;
+
 // Pause before a request to the store is retried.
 constexpr duration store_pause = std::chrono::milliseconds(500);
 
@@ -323,7 +326,7 @@
     for (const auto& object : *all) {
         auto json = parse_json(object.value);
         if (auto entry = json ? fleet::instance_from_json(*json) : std::nullopt)
-            dependencies_.fleet.learn(*entry);
+            learn(*entry);
     }
     fleet_changed_();
     // The entries may be stale; the nodes themselves have newer ones.
@@ -459,8 +462,15 @@
     const peer_address& to, const Json::Value& message, std::size_t differing,
     std::function<void(const Json::Value&)> replied)
 {
+    const auto* former = former_entry(to.host + ':' + std::to_string(to.port));
+    auto text = write_json(message);
+    if (former != nullptr) {
+        auto with_former = message;
+        with_former["former"] = to_json(*former);
+        text = write_json(with_former);
+    }
     dependencies_.links.call(
-        to, peer_path::fleet, write_json(message), message_timeout,
+        to, peer_path::fleet, text, message_timeout,
         [this, to, differing, replied = std::move(replied)](
             const std::optional<std::string>& reply) {
             auto json = reply ? parse_json(*reply) : std::nullopt;
@@ -506,15 +516,37 @@
     return message;
 }
 
+// Only the node of the backend server can keep its departure: it alone decides
+// whether the server takes calls. So it is told until its entry shows that it
+// knows, whoever has spread its new entry before.
+bool fleet_exchange::learn(const fleet::instance& entry)
+{
+    auto name = entry.name();
+    const auto* known = dependencies_.fleet.find(name);
+    bool is_own = name == dependencies_.fleet.self().name();
+    if (known != nullptr && !is_own && known->has_left() &&
+        known->incarnation < entry.incarnation) {
+        if (former_entries_.size() == max_former_entries)
+            former_entries_.erase(former_entries_.begin());
+        former_entries_[name] = *known;
+    }
+    if (!dependencies_.fleet.learn(entry))
+        return false;
+    if (auto it = former_entries_.find(name); it != former_entries_.end()) {
+        bool same = it->second.backend_key() == entry.backend_key();
+        bool later =
+            entry.backend_started_at_ms >= it->second.backend_started_at_ms;
+        if (!entry.backend_id.empty() && (same ? entry.has_left() : later))
+            former_entries_.erase(it);
+    }
+    return true;
+}
+
 const fleet::instance*
-fleet_exchange::replaced_by(const Json::Value& message) const
+fleet_exchange::former_entry(const std::string& name) const
 {
-    auto from = fleet::instance_from_json(message["from"]);
-    const auto* known = from ? dependencies_.fleet.find(from->name()) : nullptr;
-    bool replaced = known != nullptr && known->incarnation < from->incarnation;
-    bool left = replaced && (known->state == fleet::backend_state::draining ||
-                             known->state == fleet::backend_state::gone);
-    return left ? known : nullptr;
+    auto it = former_entries_.find(name);
+    return it == former_entries_.end() ? nullptr : &it->second;
 }
 
 bool fleet_exchange::brings_news_of_another_domain(
@@ -532,10 +564,8 @@
 {
     const auto& self = dependencies_.fleet.self();
     auto it = fleet::instance_from_json(entry);
-    bool left = it && (it->state == fleet::backend_state::draining ||
-                       it->state == fleet::backend_state::gone);
-    if (!left || it->name() != self.name() ||
-        it->incarnation >= self.incarnation || !on_former_)
+    if (!it || !it->has_left() || it->name() != self.name() ||
+        it->incarnation == self.incarnation || !on_former_)
         return;
     if (telemetry::allow(decision::state))
         SHALLOTWOOD_LOG(info)
@@ -547,15 +577,14 @@
 
 std::string fleet_exchange::handle_message(const Json::Value& message)
 {
-    Json::Value former;
-    if (const auto* it = replaced_by(message))
-        former = to_json(*it);
+    apply_former(message["former"]);
     if (brings_news_of_another_domain(message))
         pending_from_origin_ = true;
     apply_message(message);
     auto reply = make_message({});
-    if (!former.isNull())
-        reply["former"] = former;
+    if (auto from = fleet::instance_from_json(message["from"]))
+        if (const auto* it = former_entry(from->name()))
+            reply["former"] = to_json(*it);
     const auto& fleet = dependencies_.fleet;
     const auto& digest = message["digest"];
     if (message["compare"] == true && digest.isUInt64() &&
@@ -604,7 +633,10 @@
     if (!it)
         return false;
     bool known = dependencies_.fleet.find(it->name()) != nullptr;
-    if (!dependencies_.fleet.learn(*it))
+    // It was written by an earlier process.
+    if (it->name() == dependencies_.fleet.self().name())
+        apply_former(entry);
+    if (!learn(*it))
         return false;
     // An instance that is new to this node is only counted: a node that starts
     // learns the whole fleet.
--- a/src/process/sidecar/fleet_exchange.hpp
+++ b/src/process/sidecar/fleet_exchange.hpp
@@ -28,6 +28,7 @@
 #include <functional>
 #include <json/json.h>
 #include <list>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -127,9 +128,11 @@
     Json::Value make_message(const std::set<std::string>& names) const;
     Json::Value make_comparison() const;
     void apply_message(const Json::Value& message);
-    // The entry that the message's sender replaces by one of a later process,
-    // if its backend server was leaving or gone; null otherwise.
-    const fleet::instance* replaced_by(const Json::Value& message) const;
+    // Merges an entry, and keeps a departure that it may leave out.
+    bool learn(const fleet::instance& entry);
+    // What the earlier process of a node said last, if its backend server was
+    // leaving or gone and the present process does not know; null otherwise.
+    const fleet::instance* former_entry(const std::string& name) const;
     // True if the message comes from the origin of an update in another domain.
     bool brings_news_of_another_domain(const Json::Value& message) const;
     void apply_former(const Json::Value& entry);
@@ -153,6 +156,9 @@
     std::function<void()> fleet_changed_;
     std::function<void(const fleet::instance&)> on_former_;
     domain_contacts contacts_;
+    // Entries with departures, by the names of instances whose later processes
+    // have not repeated them.
+    std::map<std::string, fleet::instance> former_entries_;
     std::set<std::string> pending_updates_;
     // An update came from its origin in another domain, so that most nodes of
     // this domain still lack it.
--- a/src/process/sidecar/local_backend.cpp
+++ b/src/process/sidecar/local_backend.cpp
@@ -41,6 +41,7 @@
     bool changed = !same || state != state_ || it.slots != slots_ ||
                    unreachable_ || it.address != address_ ||
                    it.service != service_;
+    announcements_ = same ? announcements_ + 1 : 1;
     id_ = it.backend_id;
     started_at_ms_ = it.started_at_ms;
     sequence_ = it.sequence;
@@ -91,12 +92,12 @@
 
 local_backend::effect local_backend::adopt_former(const fleet::instance& it)
 {
-    bool left =
-        it.state == backend_state::draining || it.state == backend_state::gone;
     bool same =
         it.backend_id == id_ && it.backend_started_at_ms == started_at_ms_;
-    if (!left || it.backend_id.empty() || (!same && !id_.empty()) ||
-        state_ == it.state || state_ == backend_state::gone)
+    bool later = it.backend_started_at_ms > started_at_ms_;
+    if (!it.has_left() || it.backend_id.empty() ||
+        (!same && !later && !id_.empty()) ||
+        (same && (state_ == it.state || state_ == backend_state::gone)))
         return effect::none;
     id_ = it.backend_id;
     started_at_ms_ = it.backend_started_at_ms;
@@ -112,6 +113,13 @@
     return effect::changed;
 }
 
+local_backend::effect local_backend::set_vouched(bool vouched)
+{
+    bool took_calls = takes_calls();
+    vouched_ = vouched;
+    return takes_calls() != took_calls ? effect::changed : effect::none;
+}
+
 local_backend::effect local_backend::unreachable()
 {
     if (unreachable_ || state_ != backend_state::ready)
--- a/src/process/sidecar/peer_links.cpp
+++ b/src/process/sidecar/peer_links.cpp
@@ -707,7 +707,10 @@
 {
     if (!of.session) {
         const auto* known = fleet_.find(name);
-        bool wanted = known != nullptr && known->takes_calls();
+        // A node whose backend server has left may have to be told of it after
+        // a restart.
+        bool wanted = known != nullptr && !known->leaving &&
+                      (known->takes_calls() || known->has_left());
         if (wanted && !of.reachable && now - of.lost_at > of.backoff)
             session_for(of);
         return;
--- a/tests/sidecar/test_server_notices.cpp
+++ b/tests/sidecar/test_server_notices.cpp
@@ -234,6 +234,60 @@
     CHECK(leaving.backend->heads.empty());
 }
 
+// Guards against forgetting a departure that was acknowledged while the store
+// was silent: no process is left that knows of it, and a late announcement says
+// the opposite.
+TEST_CASE("a departure outlasts a restart of all nodes under a silent store")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& leaving = fleet.add("s", serve);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    auto& store = *fleet.all.front()->store;
+    store.silent = true;
+    CHECK(fleet.depart(leaving) == 200);
+    fleet.restart_all();
+    fleet.announce(entry, "ready");
+    fleet.announce(leaving, "ready");
+    run_for(fleet.loop, std::chrono::milliseconds(1500));
+    store.silent = false;
+    run_for(fleet.loop, std::chrono::milliseconds(1500));
+    auto before = leaving.backend->heads.size();
+    CHECK(fleet.request(entry, "s").status == 503);
+    CHECK(fleet.request(leaving, "s").status == 503);
+    CHECK(leaving.backend->heads.size() == before);
+    // One that goes on announcing itself has not left.
+    fleet.announce(leaving, "ready");
+    run_for(fleet.loop, std::chrono::milliseconds(200));
+    CHECK(fleet.request(entry, "s").status == 200);
+}
+
+// Guards against forgetting a departure that another node knows: the restarted
+// node can ask nobody, and its new entry reaches the other one before it asks.
+TEST_CASE("a restarted node is told of a departure by a node that knows it")
+{
+    small_fleet fleet;
+    auto& entry = fleet.add("front", serve);
+    auto& leaving = fleet.add("s", serve);
+    fleet.write_policy(1, {"front", "s"}, "idempotent");
+    fleet.settle(1);
+    fleet.all.front()->store->silent = true;
+    CHECK(fleet.depart(leaving) == 200);
+    leaving.settings.seeds.clear();
+    fleet.restart(leaving);
+    fleet.announce(leaving, "ready");
+    // A second one, so that the node would take it for a running server.
+    fleet.announce(leaving, "ready");
+    // Views are compared once a second; the first announcement is applied when
+    // the node has waited 1.5 s for the store.
+    run_for(fleet.loop, std::chrono::milliseconds(2500));
+    auto before = leaving.backend->heads.size();
+    CHECK(fleet.request(entry, "s").status == 503);
+    CHECK(fleet.request(leaving, "s").status == 503);
+    CHECK(leaving.backend->heads.size() == before);
+}
+
 // Guards against backend servers that end without an acknowledgement, or are
 // never used, because the store refuses calls or does not answer them.
 TEST_CASE("departures and restarts go on without the store")
--- a/tests/support/fake_object_store.cpp
+++ b/tests/support/fake_object_store.cpp
@@ -90,6 +90,12 @@
 void fake_object_store::list(const std::string& prefix,
                              std::function<void(process::list_result)> done)
 {
+    if (silent) {
+        timers_.call_after(answer_limit, [done = std::move(done)] {
+            done(store_error::unknown_outcome);
+        });
+        return;
+    }
     timers_.call_after(delay, [this, prefix, done = std::move(done)] {
         ++reads;
         if (down) {
