Teach the soak freezes that overlap, restarts under a silent store, and late heartbeats

New check: no request reaches a server 3 s after its leaving was acknowledged, where its node has run for 3.5 s. Restarted nodes are told that the fleet isn't new, as the platform does; before, they skipped reading their own entry.

--- a/tests/soak/node_process.cpp
+++ b/tests/soak/node_process.cpp
@@ -7,9 +7,11 @@
 #include <fcntl.h>
 #include <fstream>
 #include <spawn.h>
+#include <sstream>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 extern char** environ;
 
@@ -27,7 +29,7 @@
       log_file_(directory + '/' + at.host + ".log"), service_(service),
       at_(std::move(at))
 {
-    std::ofstream file(settings_file_);
+    std::ostringstream file;
     auto address = [&file](const char* name, const process::peer_address& to) {
         file << name << " = \"" << process::to_text(to) << "\"\n";
     };
@@ -46,9 +48,10 @@
         file << '"' << process::to_text(it) << "\", ";
     file << "]\nretry_ratio = 0.2\nretry_allowance = 50\nretry_window = 10\n"
             "shutdown_limit = 6\nisolation_limit = 5\nevacuation_limit = 3\n"
-            "max_descriptors = 1024\nfleet_is_new = true\n"
+            "max_descriptors = 1024\n"
          << "cold_excess = " << cold.excess << "\ncold_slack = " << cold.slack
          << '\n';
+    settings_ = file.str();
 }
 
 node_process::~node_process()
@@ -61,6 +64,9 @@
 
 void node_process::start()
 {
+    std::ofstream(settings_file_)
+        << settings_ << "fleet_is_new = "
+        << (std::exchange(first_start_, false) ? "true" : "false") << '\n';
     std::vector<std::string> words{program_, "--config", settings_file_};
     std::vector<char*> argv;
     argv.reserve(words.size() + 1);
--- a/tests/soak/node_process.hpp
+++ b/tests/soak/node_process.hpp
@@ -47,11 +47,13 @@
 
 private:
     std::string program_;
+    std::string settings_;
     std::string settings_file_;
     std::string log_file_;
     std::string service_;
     node_addresses at_;
     pid_t id_ = 0;
+    bool first_start_ = true;
     bool end_expected_ = false;
     bool ended_unexpectedly_ = false;
 };
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -19,6 +19,10 @@
 
 constexpr int slots = 20;
 
+// After this time no request reaches a server whose leaving was acknowledged.
+// The platform allows 2 s; the rest is for what this process reads late.
+constexpr process::duration drain_limit = std::chrono::seconds(3);
+
 std::unique_ptr<test::scripted_server>
 open_server(process::loop::reactor& loop,
             test::scripted_connection::handler handle)
@@ -70,8 +74,10 @@
 soak_backend::~soak_backend()
 {
     loop_.cancel(timer_);
-    if (beat_)
-        beat_->cancel();
+    loop_.cancel(late_timer_);
+    for (const auto& it : {beat_, late_beat_})
+        if (it)
+            it->cancel();
 }
 
 void soak_backend::crash()
@@ -93,7 +99,8 @@
     // Two starts within a millisecond would look like one.
     born_ = std::max(born_ + 1, g_get_real_time() / 1000);
     sequence_ = 0;
-    draining_ = false;
+    leaving_.reset();
+    left_at_.reset();
     cold_arrivals_.clear();
     if (starts_++ > 0)
         cold_until_ = loop_.now() + cold.warmup;
@@ -101,30 +108,83 @@
     return true;
 }
 
+void soak_backend::start_anew()
+{
+    if (server_)
+        crash();
+    restart();
+}
+
+Json::Value soak_backend::make_beat()
+{
+    Json::Value beat;
+    beat["address"] = process::to_text(line_.address());
+    beat["born"] = Json::Int64(born_);
+    beat["info"]["service"] = service_;
+    beat["info"]["concurrency"] = slots;
+    beat["status"]["state"] = leaving_ ? "draining" : "ready";
+    beat["status"]["sequence"] = Json::UInt64(++sequence_);
+    if (auto left = cold_until_ - loop_.now(); left.count() > 0)
+        beat["status"]["warmup_left_s"] =
+            std::chrono::duration<double>(left).count();
+    return beat;
+}
+
+connection::http::fetch_ptr soak_backend::post(const std::string& path,
+                                               const std::string& body,
+                                               std::function<void(bool)> done)
+{
+    connection::http::request_head head;
+    head.method = "POST";
+    head.target = "/shallotwood/Instances." + path + '/' + id_;
+    head.headers.add("Host", "node");
+    return connection::http::fetch::start(
+        loop_, pool_, head, body, announce_limit,
+        [done = std::move(done)](const connection::http::fetch_result& it) {
+            const auto* answer = std::get_if<connection::http::fetched>(&it);
+            done(answer != nullptr && answer->status == 200);
+        });
+}
+
 void soak_backend::announce()
 {
-    if (server_ && !beat_) {
-        Json::Value beat;
-        beat["address"] = process::to_text(line_.address());
-        beat["born"] = Json::Int64(born_);
-        beat["info"]["service"] = service_;
-        beat["info"]["concurrency"] = slots;
-        beat["status"]["state"] = draining_ ? "draining" : "ready";
-        beat["status"]["sequence"] = Json::UInt64(++sequence_);
-        if (auto left = cold_until_ - loop_.now(); left.count() > 0)
-            beat["status"]["warmup_left_s"] =
-                std::chrono::duration<double>(left).count();
-        connection::http::request_head head;
-        head.method = "POST";
-        head.target = "/shallotwood/Instances.Heartbeat/" + id_;
-        head.headers.add("Host", "node");
-        beat_ = connection::http::fetch::start(
-            loop_, pool_, head, process::write_json(beat), announce_limit,
-            [this](const auto&) { beat_.reset(); });
+    bool deregisters = leaving_ && *leaving_ != leaving::drains;
+    if (server_ && !beat_ && !(deregisters && left_at_)) {
+        auto body = make_beat();
+        if (deregisters) {
+            body = Json::Value();
+            body["born"] = Json::Int64(born_);
+        }
+        auto text = leaving_ == leaving::deregisters_unnamed
+                        ? std::string()
+                        : process::write_json(body);
+        beat_ = post(
+            deregisters ? "Deregister" : "Heartbeat", text,
+            [this, leaves = leaving_.has_value(), id = id_](bool acknowledged) {
+                beat_.reset();
+                if (leaves && acknowledged && id == id_ && !left_at_)
+                    left_at_ = loop_.now();
+            });
     }
     timer_ = loop_.call_after(announce_period, [this] { announce(); });
 }
 
+void soak_backend::leave(leaving how, process::duration late_by)
+{
+    if (!server_ || leaving_)
+        return;
+    auto late = process::write_json(make_beat());
+    leaving_ = how;
+    loop_.cancel(timer_);
+    announce();
+    loop_.cancel(late_timer_);
+    late_timer_ = loop_.call_after(late_by, [this, late, id = id_] {
+        if (id == id_ && !late_beat_)
+            late_beat_ =
+                post("Heartbeat", late, [this](bool) { late_beat_.reset(); });
+    });
+}
+
 void soak_backend::count_arrival()
 {
     auto now = loop_.now();
@@ -153,6 +213,9 @@
         return;
     }
     count_arrival();
+    if (left_at_ && loop_.now() > *left_at_ + drain_limit && node_is_settled &&
+        node_is_settled())
+        seen_.violation("reached a server after it had left: " + id_);
     if (must_be_idle && must_be_idle())
         seen_.violation("reached a server of an evacuated domain: " + id);
     if (random_.unit() < bad.turn_away) {
--- a/tests/soak/soak_backend.hpp
+++ b/tests/soak/soak_backend.hpp
@@ -11,7 +11,9 @@
 
 #include <deque>
 #include <functional>
+#include <json/json.h>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace shallotwood::soak
@@ -42,6 +44,14 @@
 
 constexpr cold_bounds cold;
 
+// How a server says that it leaves.
+enum class leaving {
+    drains,
+    deregisters,
+    // Without a body, so that its start time is not named.
+    deregisters_unnamed,
+};
+
 // The whole body of the right answer to a request.
 std::string body_for(const std::string& request_id);
 
@@ -63,15 +73,28 @@
     void crash();
     // A new incarnation; false if it has not crashed.
     bool restart();
-    void set_draining(bool draining) { draining_ = draining; }
+    // A new incarnation in any case.
+    void start_anew();
+    // Says that it leaves, until that is acknowledged, and serves on. An
+    // announcement that it is ready was sent before, and arrives `late_by`
+    // from now.
+    void leave(leaving how, process::duration late_by);
 
     misbehaviour bad;
     // Asked at each request: true if none may come, because the failure domain
     // is evacuated.
     std::function<bool()> must_be_idle;
+    // Asked at each request to a server that has left: true if its node has
+    // run long enough to know that.
+    std::function<bool()> node_is_settled;
 
 private:
     void announce();
+    Json::Value make_beat();
+    // Sends a message under the own id.
+    connection::http::fetch_ptr post(const std::string& path,
+                                     const std::string& body,
+                                     std::function<void(bool)> done);
     void count_arrival();
     void serve(test::scripted_connection& from, const std::string& head);
     // Answers an upload that is still being written, and ends the connection.
@@ -95,7 +118,11 @@
     std::string id_;
     std::int64_t born_ = 0;
     std::uint64_t sequence_ = 0;
-    bool draining_ = false;
+    std::optional<leaving> leaving_;
+    // When that was acknowledged.
+    std::optional<process::time_point> left_at_;
+    connection::http::fetch_ptr late_beat_;
+    process::timer_id late_timer_{};
     // The first start is not in traffic.
     int starts_ = 0;
     process::time_point cold_until_{};
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -50,6 +50,14 @@
 
 const std::array<std::string, 2> domains{"d0", "d1"};
 
+// From this time after its start, a node knows whether its backend server has
+// left. The platform allows 3 s.
+constexpr duration settle_limit = milliseconds(3500);
+
+// Requests that meet the new connections of a node in freeze_entry().
+constexpr int bursts = 4;
+constexpr int burst_requests = 8;
+
 // Ends a run whose nodes do not come back; no check depends on a time.
 constexpr duration recovery_limit = seconds(60);
 
@@ -210,6 +218,9 @@
         it->pool = std::make_unique<connection::http::client_pool>(
             loop_, connection::http::client_options{});
         it->pool->set_address(it->line->address());
+        it->backend->node_is_settled = [this, of = it.get()] {
+            return is_up(*of) && loop_.now() - of->runs_since > settle_limit;
+        };
         it->node->start();
         if (seeds.size() < 2)
             seeds.push_back(at.announcements());
@@ -346,7 +357,8 @@
 void soak_run::next_fault()
 {
     later(some_time(100, 900), [this] {
-        start_fault();
+        if (loop_.now() >= held_until_)
+            start_fault();
         next_fault();
     });
 }
@@ -354,11 +366,17 @@
 void soak_run::start_fault()
 {
     auto at = random_.below(instances_.size());
-    switch (random_.below(6)) {
+    switch (random_.below(8)) {
     case 0:
     case 1:
         node_fault(at);
         return;
+    case 5:
+        overlapping_freezes(at);
+        return;
+    case 6:
+        restart_under_silent_store(at);
+        return;
     case 2:
         backend_fault(at);
         return;
@@ -380,13 +398,11 @@
 {
     auto& it = *instances_[at];
     auto name = it.node->at().host;
-    if (it.paused || !it.node->running())
+    if (!is_up(it))
         return;
     switch (random_.below(3)) {
     case 0:
-        note("kill " + name);
-        it.node->expect_end();
-        it.node->signal(SIGKILL);
+        kill(it);
         break;
     case 1:
         note("terminate " + name);
@@ -394,16 +410,159 @@
         it.node->signal(SIGTERM);
         break;
     default:
-        note("pause " + name);
-        it.paused = true;
-        it.node->signal(SIGSTOP);
-        later(some_time(200, 3000), [&it] {
-            it.paused = false;
-            it.node->signal(SIGCONT);
-        });
+        pause(it);
+        later(some_time(200, 3000), [this, &it] { wake(it); });
     }
 }
 
+bool soak_run::is_up(instance& it)
+{
+    return !it.paused && it.node->running();
+}
+
+void soak_run::kill(instance& it)
+{
+    note("kill " + it.node->at().host);
+    it.node->expect_end();
+    it.node->signal(SIGKILL);
+}
+
+void soak_run::pause(instance& it)
+{
+    note("pause " + it.node->at().host);
+    it.paused = true;
+    it.node->signal(SIGSTOP);
+}
+
+void soak_run::wake(instance& it)
+{
+    note("wake " + it.node->at().host);
+    it.paused = false;
+    it.runs_since = loop_.now();
+    it.node->signal(SIGCONT);
+}
+
+leaving soak_run::some_leaving()
+{
+    constexpr std::array<leaving, 3> all{leaving::drains, leaving::deregisters,
+                                         leaving::deregisters_unnamed};
+    return all.at(random_.below(all.size()));
+}
+
+void soak_run::overlapping_freezes(std::size_t at)
+{
+    auto& entry = *instances_[at];
+    auto& other = *instances_[(at + 1) % instances_.size()];
+    if (!is_up(entry) || !is_up(other))
+        return;
+    hold_faults(seconds(1));
+    // Its next process has no connections yet.
+    kill(entry);
+    pause(other);
+    when_started(entry, entry.starts + 1,
+                 [this, &entry, &other] { freeze_entry(entry, other); });
+}
+
+void soak_run::when_started(instance& it, int starts,
+                            std::function<void()> task)
+{
+    if (it.starts >= starts)
+        task();
+    else
+        later(milliseconds(5), [this, &it, starts, task = std::move(task)] {
+            when_started(it, starts, task);
+        });
+}
+
+// A node of the same domain, if there is one, which passes on what it hears.
+soak_run::instance& soak_run::neighbour_of(const instance& entry,
+                                           const instance& other)
+{
+    for (auto& it : instances_)
+        if (it.get() != &entry && it.get() != &other &&
+            it->domain == entry.domain)
+            return *it;
+    return *instances_.front();
+}
+
+void soak_run::freeze_entry(instance& entry, instance& other)
+{
+    // The first ones come before the node has a configuration.
+    for (int n = 0; n < bursts; ++n)
+        later(some_time(20, 90), [this, &entry, &other] {
+            auto key = key_text(first_key_ + keys_at_once - 1);
+            for (int sent = 0; sent < burst_requests; ++sent)
+                request(entry, other.node->service(), true, revision_,
+                        {workspace, key});
+        });
+    // The entry node reads the news of both when it wakes.
+    auto leave = [this](instance& it) {
+        it.backend->leave(some_leaving(), some_time(200, 6000));
+        later(some_time(3000, 7000), [&it] { it.backend->start_anew(); });
+    };
+    auto& neighbour = neighbour_of(entry, other);
+    constexpr milliseconds frozen{110};
+    later(frozen, [this, &entry, &neighbour, leave] {
+        if (is_up(entry))
+            pause(entry);
+        leave(neighbour);
+    });
+    auto woken = frozen + some_time(30, 60);
+    later(woken, [this, &other] {
+        if (other.paused)
+            wake(other);
+    });
+    later(woken + some_time(10, 30), [&other, leave] { leave(other); });
+    auto killed = woken + some_time(70, 140);
+    if (random_.below(3) != 0)
+        later(killed, [this, &other] {
+            if (is_up(other))
+                kill(other);
+        });
+    later(killed + some_time(10, 40), [this, &entry] {
+        if (entry.paused)
+            wake(entry);
+    });
+}
+
+// Lets a series of faults take its course.
+void soak_run::hold_faults(duration time)
+{
+    held_until_ = std::max(held_until_, loop_.now() + time);
+}
+
+void soak_run::restart_under_silent_store(std::size_t at)
+{
+    hold_faults(seconds(8));
+    silence_store(some_time(2000, 4500));
+    auto& leaves = *instances_[at];
+    later(some_time(100, 400), [this, &leaves] {
+        note("backend server leaves beside " + leaves.node->at().host);
+        leaves.backend->leave(some_leaving(), some_time(1500, 4000));
+    });
+    // Without an answer of the store, it is acknowledged after 0.7 s.
+    later(some_time(1200, 1600), [this] {
+        auto spared = random_.below(2) == 0 ? instances_.size()
+                                            : random_.below(instances_.size());
+        for (std::size_t n = 0; n < instances_.size(); ++n)
+            if (n != spared && is_up(*instances_[n]))
+                kill(*instances_[n]);
+    });
+    later(some_time(8000, 9000), [&leaves] { leaves.backend->start_anew(); });
+}
+
+void soak_run::silence_store(duration time)
+{
+    note("store is silent");
+    store_line_.set_line(line::silent);
+    store_line_.silence_open();
+    ++store_faults_;
+    later(time, [this] {
+        store_line_.set_line(line::clear);
+        store_fault_ended();
+    });
+}
+
 void soak_run::backend_fault(std::size_t at)
 {
     auto& it = *instances_[at]->backend;
@@ -416,14 +575,9 @@
         later(some_time(300, 2000), [&it] { it.restart(); });
         break;
     case 1:
-        note("backend server drains beside " + name);
-        it.set_draining(true);
-        later(some_time(1000, 2500), [&it] {
-            if (!it.restart()) {
-                it.crash();
-                it.restart();
-            }
-        });
+        note("backend server leaves beside " + name);
+        it.leave(some_leaving(), some_time(200, 6000));
+        later(some_time(1000, 7000), [&it] { it.start_anew(); });
         break;
     default:
         note("backend server misbehaves beside " + name);
@@ -463,14 +617,7 @@
                             odd_entries.at(random_.below(odd_entries.size())));
         return;
     case 3:
-        note("store is silent");
-        store_line_.set_line(line::silent);
-        store_line_.silence_open();
-        ++store_faults_;
-        later(some_time(500, 3000), [this] {
-            store_line_.set_line(line::clear);
-            store_fault_ended();
-        });
+        silence_store(some_time(500, 3000));
         return;
     default:
         note("store fails");
@@ -563,6 +710,7 @@
         }
         it->served_revision = 0;
         ++it->starts;
+        it->runs_since = loop_.now();
         it->node->start();
     }
     loop_.call_after(milliseconds(200), [this] { watch_processes(); });
@@ -615,10 +763,7 @@
         it->paused = false;
         it->node->signal(SIGCONT);
         it->backend->bad = {};
-        if (!it->backend->restart()) {
-            it->backend->crash();
-            it->backend->restart();
-        }
+        it->backend->start_anew();
         it->backend->line().set_line(line::clear);
         it->line->set_line(line::clear);
     }
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -57,6 +57,8 @@
         std::unique_ptr<fault_proxy> line;
         std::unique_ptr<connection::http::client_pool> pool;
         bool paused = false;
+        // When its process started, or woke.
+        process::time_point runs_since{};
         // Highest revision whose route this process has served.
         int served_revision = 0;
         int starts = 0;
@@ -88,6 +90,23 @@
     void backend_fault(std::size_t at);
     void store_fault();
     void line_fault(std::size_t at);
+    void pause(instance& it);
+    void wake(instance& it);
+    void kill(instance& it);
+    // Neither paused nor ended.
+    static bool is_up(instance& it);
+    leaving some_leaving();
+    // Two nodes freeze for a short while each; one has just started and has
+    // sent to the other, which is killed after it woke.
+    void overlapping_freezes(std::size_t at);
+    void freeze_entry(instance& entry, instance& other);
+    instance& neighbour_of(const instance& entry, const instance& other);
+    void when_started(instance& it, int starts, std::function<void()> task);
+    // A backend server leaves while the store is silent, and all nodes are
+    // killed.
+    void restart_under_silent_store(std::size_t at);
+    void silence_store(process::duration time);
+    void hold_faults(process::duration time);
     // The operator evacuates a domain now and then.
     void next_evacuation();
     void put_evacuations();
@@ -119,6 +138,8 @@
     std::size_t first_key_ = 0;
     std::uint64_t last_request_ = 0;
     process::time_point ends_at_{};
+    // No new fault starts before.
+    process::time_point held_until_{};
     bool playing_ = false;
     // Evacuated domains, and since when.
     std::map<std::string, process::time_point> evacuations_;
