--- a/src/process/sidecar/restart_probation.cpp
+++ b/src/process/sidecar/announcement_lease.cpp
@@ -1,11 +1,11 @@
-#include "process/sidecar/restart_probation.hpp"
+#include "process/sidecar/announcement_lease.hpp"
 
 namespace shallotwood::process::sidecar
 {
 
 std::optional<time_point>
-restart_probation::vouched_until(std::uint64_t backend_started_ms,
-                                 std::uint64_t number, time_point now) const
+announcement_lease::expires_at(std::uint64_t backend_started_ms,
+                               std::uint64_t number, time_point now) const
 {
     // The earlier process can't have acknowledged the departure of a later
     // start.
--- a/src/process/sidecar/restart_probation.hpp
+++ b/src/process/sidecar/announcement_lease.hpp
@@ -1,12 +1,11 @@
-// How long an announcement vouches for the backend server of a node that has
-// started again.
+// How long an announcement is valid on a node that has started again.
 //
 // An earlier process may have acknowledged a departure that nothing remembers:
 // the store did not answer then, and the other nodes were killed as well. A
 // backend server that has left announces itself no more, but an announcement
-// that it sent before may arrive seconds late. So the first one is trusted for
-// as long as a restarted node may err, which costs a running backend server
-// nothing, and each further one until some are missing.
+// that it sent before may arrive seconds late. So announcements are valid for a
+// limited time, which those of a running backend server renew: the first one
+// for as long as a restarted node may be wrong.
 //
 // Does no I/O and sets no timers.
 #pragma once
@@ -19,7 +18,7 @@
 namespace shallotwood::process::sidecar
 {
 
-class restart_probation
+class announcement_lease
 {
 public:
     // The platform allows a process that has started 3 s to learn what holds.
@@ -30,21 +29,21 @@
     static constexpr duration max_lateness = std::chrono::seconds(30);
 
     // `process_started_ms` is by the clock of the backend server's start times.
-    // Without an earlier process of the node, every announcement is trusted.
-    restart_probation(bool has_earlier_process, time_point process_started,
-                      std::uint64_t process_started_ms)
+    // Without an earlier process of the node, no announcement expires.
+    announcement_lease(bool has_earlier_process, time_point process_started,
+                       std::uint64_t process_started_ms)
         : has_earlier_process_(has_earlier_process),
           process_started_(process_started),
           process_started_ms_(process_started_ms)
     {
     }
 
-    // Until when an announcement that arrives now vouches for this start of a
-    // backend server; nullopt for good. `number` counts the announcements of
-    // the start that this process has got, from 1.
-    std::optional<time_point> vouched_until(std::uint64_t backend_started_ms,
-                                            std::uint64_t number,
-                                            time_point now) const;
+    // When an announcement of a backend server's start expires that arrives
+    // `now`; nullopt if it doesn't. `number` counts the announcements of the
+    // start that this process has got, from 1.
+    std::optional<time_point> expires_at(std::uint64_t backend_started_ms,
+                                         std::uint64_t number,
+                                         time_point now) const;
 
 private:
     const bool has_earlier_process_;
--- a/src/process/sidecar/forgotten_attempts.hpp
+++ b/src/process/sidecar/forgotten_attempts.hpp
@@ -1,9 +1,9 @@
 // Attempts whose outcomes this node does not hold any more.
 //
 // A sender numbers its attempts upwards, so the highest number that was
-// forgotten bounds which of its attempts can have been here: the node vouches
-// only for later ones. Holds one number for each sender of the last minutes,
-// instead of every id.
+// forgotten bounds which of its attempts can have been here: it is
+// sure only of later ones. Holds one number for each sender of the last
+// minutes, instead of every id.
 #pragma once
 
 #include "process/event_loop.hpp"
--- a/src/process/sidecar/local_backend.cpp
+++ b/src/process/sidecar/local_backend.cpp
@@ -113,10 +113,10 @@
     return effect::changed;
 }
 
-local_backend::effect local_backend::set_vouched(bool vouched)
+local_backend::effect local_backend::set_confirmed(bool confirmed)
 {
     bool took_calls = takes_calls();
-    vouched_ = vouched;
+    confirmed_ = confirmed;
     return takes_calls() != took_calls ? effect::changed : effect::none;
 }
 
--- a/src/process/sidecar/local_backend.hpp
+++ b/src/process/sidecar/local_backend.hpp
@@ -39,9 +39,8 @@
     effect handle_leaving();
     // Call when nothing listens at the address.
     effect unreachable();
-    // Whether an announcement vouches for the backend server at present; while
-    // none does, it takes no calls.
-    effect set_vouched(bool vouched);
+    // Without a valid announcement, the backend server takes no calls.
+    effect set_confirmed(bool confirmed);
     // True if the announcement comes from a later incarnation although the
     // current one neither drained nor left.
     bool indicates_crash(const announcement& it) const;
@@ -67,7 +66,7 @@
     bool takes_calls() const
     {
         return state_ == fleet::backend_state::ready && !unreachable_ &&
-               vouched_;
+               confirmed_;
     }
     // Announcements that were accepted of this incarnation.
     std::uint64_t announcements() const { return announcements_; }
@@ -83,7 +82,7 @@
     int slots_ = 0;
     fleet::backend_state state_ = fleet::backend_state::unknown;
     bool unreachable_ = false;
-    bool vouched_ = true;
+    bool confirmed_ = true;
     std::uint64_t announcements_ = 0;
     // Of other ids than the current one, latest last. Their announcements may
     // still be on their way.
--- a/src/process/sidecar/sidecar_node.cpp
+++ b/src/process/sidecar/sidecar_node.cpp
@@ -210,7 +210,7 @@
                       const connection::http::message_info&) {
                    return metrics_request(from, head);
                }),
-      probation_(!settings.fleet_is_new, process_started_, incarnation)
+      lease_(!settings.fleet_is_new, process_started_, incarnation)
 {
     executor_.on_evacuation_check([this] { return may_serve(); });
     links_.on_revision([this](const std::string& name, std::uint64_t revision) {
@@ -241,7 +241,7 @@
 {
     loop_.cancel(periodic_check_timer_);
     loop_.cancel(former_read_timer_);
-    loop_.cancel(vouch_timer_);
+    loop_.cancel(lease_timer_);
     // Calls in flight hold connections and call back into the members, so they
     // are ended before any member is destroyed.
     callers_.close();
@@ -493,7 +493,7 @@
         effect = backend_.handle_announcement(*beat);
         // First, so that the calls that wait start at the cold server's rate.
         if (effect != local_backend::effect::stale) {
-            if (renew_vouch() == local_backend::effect::changed)
+            if (renew_lease() == local_backend::effect::changed)
                 effect = local_backend::effect::changed;
             apply_cold_policy();
             executor_.handle_announcement(*beat, started_in_traffic(*beat));
@@ -510,21 +510,21 @@
         backend_changed(cause);
 }
 
-local_backend::effect sidecar_node::renew_vouch()
+local_backend::effect sidecar_node::renew_lease()
 {
-    loop_.cancel(vouch_timer_);
+    loop_.cancel(lease_timer_);
     auto now = loop_.now();
-    auto until = probation_.vouched_until(backend_.started_at_ms(),
-                                          backend_.announcements(), now);
+    auto until = lease_.expires_at(backend_.started_at_ms(),
+                                   backend_.announcements(), now);
     if (until && *until > now)
-        vouch_timer_ =
-            loop_.call_after(*until - now, [this] { vouch_expired(); });
-    return backend_.set_vouched(!until || *until > now);
+        lease_timer_ =
+            loop_.call_after(*until - now, [this] { lease_expired(); });
+    return backend_.set_confirmed(!until || *until > now);
 }
 
-void sidecar_node::vouch_expired()
+void sidecar_node::lease_expired()
 {
-    if (backend_.set_vouched(false) == local_backend::effect::changed) {
+    if (backend_.set_confirmed(false) == local_backend::effect::changed) {
         ++counts_.at("backend_unconfirmed");
         backend_changed("unconfirmed");
     }
--- a/src/process/sidecar/sidecar_node.hpp
+++ b/src/process/sidecar/sidecar_node.hpp
@@ -13,6 +13,7 @@
 #include "process/object_store.hpp"
 #include "process/random_source.hpp"
 #include "process/routing/service_split.hpp"
+#include "process/sidecar/announcement_lease.hpp"
 #include "process/sidecar/evacuation_feed.hpp"
 #include "process/sidecar/fleet_exchange.hpp"
 #include "process/sidecar/indirect_probes.hpp"
@@ -21,7 +22,6 @@
 #include "process/sidecar/peer_links.hpp"
 #include "process/sidecar/peer_server.hpp"
 #include "process/sidecar/policy_feed.hpp"
-#include "process/sidecar/restart_probation.hpp"
 #include "process/sidecar/store_watch.hpp"
 #include "process/sidecar/token_exchange.hpp"
 #include "request/entry_call.hpp"
@@ -121,9 +121,9 @@
     // What an earlier process has acknowledged is known, as far as it can be.
     void handle_former_read(std::string_view cause);
     void handle_backend_message(const backend_message& it);
-    // Applies the trust that the latest announcement deserves.
-    local_backend::effect renew_vouch();
-    void vouch_expired();
+    // The latest announcement is valid from now on, for its time.
+    local_backend::effect renew_lease();
+    void lease_expired();
     void backend_changed(std::string_view cause);
     std::uint64_t wall_clock_ms() const;
     // Whether the backend server started while this process served, rather
@@ -200,8 +200,8 @@
     bool former_read_ = false;
     std::optional<announcement> first_announcement_;
     timer_id former_read_timer_{};
-    const restart_probation probation_;
-    timer_id vouch_timer_{};
+    const announcement_lease lease_;
+    timer_id lease_timer_{};
     // Backend server whose departure the entry in the store tells; 0 if none.
     std::uint64_t stored_departure_ = 0;
 
--- a/tests/sidecar/test_fleet.cpp
+++ b/tests/sidecar/test_fleet.cpp
@@ -1,7 +1,7 @@
 #include "process/fleet/fleet_view.hpp"
 #include "process/json_text.hpp"
+#include "process/sidecar/announcement_lease.hpp"
 #include "process/sidecar/local_backend.hpp"
-#include "process/sidecar/restart_probation.hpp"
 
 #include <catch2/catch.hpp>
 #include <set>
@@ -12,8 +12,8 @@
 using namespace process;
 using namespace process::fleet;
 using sidecar::announcement;
+using sidecar::announcement_lease;
 using sidecar::local_backend;
-using sidecar::restart_probation;
 
 namespace
 {
@@ -229,36 +229,37 @@
     CHECK(it.takes_calls());
 }
 
-TEST_CASE("announcements vouch for a server only as long as they go on")
+TEST_CASE("announcements expire on a node that has started again")
 {
     constexpr std::uint64_t started_ms = 1000;
     time_point start{};
-    restart_probation it(true, start, started_ms);
+    announcement_lease it(true, start, started_ms);
     auto at = [&](int ms) { return start + std::chrono::milliseconds(ms); };
-    CHECK(it.vouched_until(900, 1, at(100)) == at(2900));
-    CHECK(it.vouched_until(900, 1, at(2000)) == at(2900));
+    CHECK(it.expires_at(900, 1, at(100)) == at(2900));
+    CHECK(it.expires_at(900, 1, at(2000)) == at(2900));
     // Too late to be trusted by itself.
-    CHECK(it.vouched_until(900, 1, at(5000)) == at(2900));
-    CHECK(it.vouched_until(900, 2, at(5000)) == at(9000));
-    CHECK(it.vouched_until(0, 2, at(5000)) == at(9000));
+    CHECK(it.expires_at(900, 1, at(5000)) == at(2900));
+    CHECK(it.expires_at(900, 2, at(5000)) == at(9000));
+    CHECK(it.expires_at(0, 2, at(5000)) == at(9000));
     // A later start than that of the process, or a long-running process.
-    CHECK_FALSE(it.vouched_until(1001, 1, at(5000)));
-    CHECK_FALSE(it.vouched_until(900, 1, at(30'001)));
-    CHECK_FALSE(restart_probation(false, start, started_ms)
-                    .vouched_until(900, 1, at(100)));
+    CHECK_FALSE(it.expires_at(1001, 1, at(5000)));
+    CHECK_FALSE(it.expires_at(900, 1, at(30'001)));
+    CHECK_FALSE(announcement_lease(false, start, started_ms)
+                    .expires_at(900, 1, at(100)));
 }
 
-TEST_CASE("a server that nothing vouches for takes no calls until one does")
+TEST_CASE(
+    "a server whose announcement has expired takes no calls until the next")
 {
     local_backend it("s", {"127.0.0.1", 80});
     it.handle_announcement(beat("one", 10, 1));
     CHECK(it.announcements() == 1);
-    CHECK(it.set_vouched(false) == local_backend::effect::changed);
+    CHECK(it.set_confirmed(false) == local_backend::effect::changed);
     CHECK_FALSE(it.takes_calls());
     CHECK(it.state() == fleet::backend_state::ready);
     it.handle_announcement(beat("one", 10, 2));
     CHECK(it.announcements() == 2);
-    CHECK(it.set_vouched(true) == local_backend::effect::changed);
+    CHECK(it.set_confirmed(true) == local_backend::effect::changed);
     CHECK(it.takes_calls());
     it.handle_announcement(beat("one", 11, 1));
     CHECK(it.announcements() == 1);
--- a/tests/sidecar/test_peer_links.cpp
+++ b/tests/sidecar/test_peer_links.cpp
@@ -311,7 +311,7 @@
     }
 }
 
-// The executing node vouches for what never came to it.
+// The executing node is sure of what never came to it.
 TEST_CASE("a run that was lost on its way is known not to have run")
 {
     fixture it;
